--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Versions of the tools that `make tools` installs into tools/.
+GOFUMPT = mvdan.cc/gofumpt@v0.12.0
+REVIVE = github.com/mgechev/revive@v1.17.0
+TOOLS = $(CURDIR)/tools
+
+.PHONY: build demo test lint pure unit bench soak fuzz docs tools clean
+
+build:
+	go build -o bin ./cmd/...
+
+demo: build
+	./bin/clementinelab demo
+
+test: tools lint pure unit
+
+tools: $(TOOLS)/gofumpt $(TOOLS)/revive
+
+$(TOOLS)/gofumpt:
+	GOBIN=$(TOOLS) go install $(GOFUMPT)
+
+$(TOOLS)/revive:
+	GOBIN=$(TOOLS) go install $(REVIVE)
+
+lint:
+	@test -z "$$($(TOOLS)/gofumpt -l core io cmd)" || { $(TOOLS)/gofumpt -d core io cmd; exit 1; }
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+	go vet ./...
+
+# core must not read a clock, chance, a socket or a file.
+pure:
+	@! grep -rnE 'time\.(Now|Sleep|After|NewTimer|NewTicker)\(|rand\.(Int|Uint|Float|Perm|Shuffle)[A-Za-z0-9]*\(|"(net|net/http|os|sync|context|io)"|go func' core --include='*.go' --exclude='*_test.go' || { echo 'core is not deterministic'; exit 1; }
+
+unit:
+	go test ./...
+
+bench: build
+	./bin/clementinelab bench
+
+SEED ?= 1
+TIME ?= 10m
+soak:
+	SOAK_SEED=$(SEED) SOAK_TIME=$(TIME) go test ./core/host -run TestSoak -timeout 0 -v
+
+clean:
+	rm -rf bin tools
--- /dev/null
+++ b/core/block/table.go
@@ -0,0 +1,188 @@
+package block
+
+import (
+	"fmt"
+	"math/bits"
+	"net/netip"
+	"slices"
+)
+
+// Site numbers one place that clients are sent to; 0 is none.
+type Site uint16
+
+const (
+	maxBitsV6  = 64
+	firstSize  = 16
+	fillLimit  = 3
+	fillOutOf  = 4
+	hashFactor = 0x9E3779B97F4A7C15
+)
+
+// length is the table of one prefix length of one address family.
+type length struct {
+	bits    int
+	v4      bool
+	keys    []uint64
+	sites   []Site
+	count   int
+	removed int
+}
+
+// Table maps address blocks to sites; it is not safe for a change at the same time as a look-up.
+type Table struct {
+	v4, v6 []*length
+	count  int
+}
+
+// Len returns the number of blocks.
+func (t *Table) Len() int {
+	return t.count
+}
+
+// Bytes returns the memory that the blocks take.
+func (t *Table) Bytes() int {
+	total := 0
+	for _, l := range slices.Concat(t.v4, t.v6) {
+		total += len(l.keys)*8 + len(l.sites)*2
+	}
+	return total
+}
+
+// high returns the first 64 bits of an address, with an IPv4 address in the upper 32.
+func high(a netip.Addr) (value uint64, v4 bool) {
+	if a.Is4() || a.Is4In6() {
+		b := a.As4()
+		return uint64(b[0])<<56 | uint64(b[1])<<48 | uint64(b[2])<<40 | uint64(b[3])<<32, true
+	}
+	b := a.As16()
+	for i := range 8 {
+		value = value<<8 | uint64(b[i])
+	}
+	return value, false
+}
+
+func mask(value uint64, bits int) uint64 {
+	if bits == 0 {
+		return 0
+	}
+	return value >> (64 - bits) << (64 - bits)
+}
+
+// Set maps a block to a site; it errs on an IPv6 block longer than 64 bits and on site 0.
+func (t *Table) Set(prefix netip.Prefix, site Site) error {
+	if site == 0 || site == tombstone {
+		return fmt.Errorf("block %s: site %d stands for none", prefix, site)
+	}
+	value, v4 := high(prefix.Addr())
+	if !prefix.IsValid() || !v4 && prefix.Bits() > maxBitsV6 {
+		return fmt.Errorf("block %q is not a prefix of at most %d bits", prefix, maxBitsV6)
+	}
+	if t.lengthFor(v4, prefix.Bits()).set(mask(value, prefix.Bits()), site) {
+		t.count++
+	}
+	return nil
+}
+
+// Remove takes a block out; it returns false when it is not there.
+func (t *Table) Remove(prefix netip.Prefix) bool {
+	value, v4 := high(prefix.Addr())
+	for _, l := range t.family(v4) {
+		if l.bits == prefix.Bits() && l.remove(mask(value, prefix.Bits())) {
+			t.count--
+			return true
+		}
+	}
+	return false
+}
+
+// Find returns the site of the longest block that holds the address, or 0.
+func (t *Table) Find(a netip.Addr) Site {
+	value, v4 := high(a)
+	for _, l := range t.family(v4) {
+		if site := l.get(mask(value, l.bits)); site != 0 {
+			return site
+		}
+	}
+	return 0
+}
+
+func (t *Table) family(v4 bool) []*length {
+	if v4 {
+		return t.v4
+	}
+	return t.v6
+}
+
+func (t *Table) lengthFor(v4 bool, bits int) *length {
+	family := &t.v6
+	if v4 {
+		family = &t.v4
+	}
+	for _, l := range *family {
+		if l.bits == bits {
+			return l
+		}
+	}
+	l := &length{bits: bits, v4: v4, keys: make([]uint64, firstSize), sites: make([]Site, firstSize)}
+	*family = append(*family, l)
+	slices.SortFunc(*family, func(a, b *length) int { return b.bits - a.bits })
+	return l
+}
+
+// tombstone marks a slot whose block was removed; its key stays so that later ones are found.
+const tombstone Site = 1<<16 - 1
+
+func (l *length) slot(key uint64) int {
+	return int((key * hashFactor) >> (64 - bits.TrailingZeros(uint(len(l.keys)))))
+}
+
+func (l *length) get(key uint64) Site {
+	for i := l.slot(key); l.sites[i] != 0; i = (i + 1) & (len(l.keys) - 1) {
+		if l.keys[i] == key && l.sites[i] != tombstone {
+			return l.sites[i]
+		}
+	}
+	return 0
+}
+
+func (l *length) set(key uint64, site Site) (added bool) {
+	if (l.count+l.removed+1)*fillOutOf > len(l.keys)*fillLimit {
+		l.grow()
+	}
+	i := l.slot(key)
+	for ; l.sites[i] != 0; i = (i + 1) & (len(l.keys) - 1) {
+		if l.keys[i] == key && l.sites[i] != tombstone {
+			l.sites[i] = site
+			return false
+		}
+	}
+	l.keys[i], l.sites[i] = key, site
+	l.count++
+	return true
+}
+
+func (l *length) remove(key uint64) bool {
+	for i := l.slot(key); l.sites[i] != 0; i = (i + 1) & (len(l.keys) - 1) {
+		if l.keys[i] == key && l.sites[i] != tombstone {
+			l.sites[i] = tombstone
+			l.count--
+			l.removed++
+			return true
+		}
+	}
+	return false
+}
+
+func (l *length) grow() {
+	size := len(l.keys)
+	if (l.count+1)*2 > size {
+		size *= 2
+	}
+	old := *l
+	l.keys, l.sites, l.count, l.removed = make([]uint64, size), make([]Site, size), 0, 0
+	for i, site := range old.sites {
+		if site != 0 && site != tombstone {
+			l.set(old.keys[i], site)
+		}
+	}
+}
--- /dev/null
+++ b/core/call/attempt.go
@@ -0,0 +1,354 @@
+package call
+
+import (
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/ledger"
+	"clementinelock/core/route"
+	"clementinelock/core/slots"
+)
+
+// seek begins the search for a slot.
+func (d *Desk) seek(now core.Millis, c *call, out *core.Effects) {
+	c.phase = asking
+	c.tried = 0
+	c.region = d.Router.PickRegion(c.Service)
+	if c.region != d.Region && !d.MayCross(now, c.region) {
+		c.region = d.Region
+	}
+	c.targets = d.Router.Targets(now, c.region, c.Service)
+	if len(c.targets) == 0 {
+		d.seekElsewhere(now, c)
+	}
+	d.askNext(now, c, out)
+}
+
+// seekElsewhere turns to another region when the chosen one has no zone that can be reached, if the tree lets an emergency pass.
+func (d *Desk) seekElsewhere(now core.Millis, c *call) {
+	others := d.Router.Others(c.Service)
+	if c.region != d.Region {
+		others = append([]string{d.Region}, others...)
+	}
+	for _, region := range others {
+		targets := d.Router.Targets(now, region, c.Service)
+		if len(targets) > 0 && (region == d.Region || d.MayCross(now, region)) {
+			c.region, c.targets = region, targets
+			return
+		}
+	}
+}
+
+// askNext asks the next zone for a slot: each once without waiting, then the one where fewest wait.
+func (d *Desk) askNext(now core.Millis, c *call, out *core.Effects) {
+	if c.answered || c.gone {
+		return
+	}
+	if now >= c.deadline {
+		d.endAsking(now, c, core.Refuse(core.DeadlinePassed, core.RanNo, "the deadline passed before a slot was free"), out)
+		return
+	}
+	if len(c.targets) == 0 {
+		d.endAsking(now, c, core.Refuse(core.NoUpstream, core.RanNo, "no availability zone with service %q can be reached", c.Service), out)
+		return
+	}
+	if c.asks >= mostAsks || c.tried > len(c.targets) {
+		d.endAsking(now, c, c.last, out)
+		return
+	}
+	wait := c.tried == len(c.targets) || len(c.targets) == 1
+	target := c.targets[0]
+	if c.tried < len(c.targets) {
+		target = c.targets[c.tried]
+	} else {
+		target = fewestWaiting(c.targets)
+	}
+	if wait {
+		c.tried = len(c.targets)
+	}
+	c.tried++
+	d.sendAsk(now, c, target, wait, false, out)
+}
+
+func fewestWaiting(targets []route.Target) route.Target {
+	return slices.MinFunc(targets, func(a, b route.Target) int { return a.Waiting - b.Waiting })
+}
+
+func (d *Desk) sendAsk(now core.Millis, c *call, target route.Target, wait, hedge bool, out *core.Effects) {
+	c.asks++
+	d.numbers++
+	c.ask = &ask{number: d.numbers, target: target, sentAt: now, wait: wait, hedge: hedge}
+	d.byAsk[d.numbers] = c
+	d.Slots.Ask(now, target.Keeper, d.askMessage(now, c), out)
+}
+
+func (d *Desk) askMessage(now core.Millis, c *call) *slots.Ask {
+	return &slots.Ask{
+		Ask: c.ask.number, Zone: c.ask.target.Zone, Service: c.Service,
+		Remaining: c.deadline - now, Exclude: c.exclude, Wait: c.ask.wait,
+	}
+}
+
+// endAsking gives up a search; a hedge that found no slot ends without a word.
+func (d *Desk) endAsking(now core.Millis, c *call, r *core.Refusal, out *core.Effects) {
+	if len(c.attempts) > 0 {
+		return
+	}
+	if r == nil {
+		r = core.Refuse(core.NoUpstream, core.RanNo, "no slot of service %q was given", c.Service)
+	}
+	d.giveUp(now, c, r, out)
+}
+
+// askAgain sends an ask again whose answer is late, or turns elsewhere when its keeper is gone.
+func (d *Desk) askAgain(now core.Millis, c *call, out *core.Effects) {
+	keeper := c.ask.target.Keeper
+	fresh, known := d.Router.Keepers.Keeper(now, c.ask.target.Zone, c.Service)
+	if known && fresh.Host == keeper && d.Router.Keepers.Liveness(now, keeper) != core.Dead {
+		c.ask.sentAt = now
+		d.Slots.Ask(now, keeper, d.askMessage(now, c), out)
+		return
+	}
+	hedge := c.ask.hedge
+	d.withdraw(now, c, out)
+	if hedge {
+		return
+	}
+	d.seek(now, c, out)
+}
+
+func (d *Desk) withdraw(now core.Millis, c *call, out *core.Effects) {
+	if c.ask == nil {
+		return
+	}
+	a := c.ask
+	c.ask = nil
+	delete(d.byAsk, a.number)
+	d.Slots.Withdraw(now, a.target.Keeper, &slots.Withdraw{Ask: a.number, Zone: a.target.Zone, Service: c.Service}, out)
+}
+
+// OnGrant takes a slot that a keeper gave.
+func (d *Desk) OnGrant(now core.Millis, m *slots.Grant, out *core.Effects) {
+	d.Router.Note(now, m.Zone, m.Service, m.Free, 0)
+	c := d.byAsk[m.Ask]
+	if c == nil || c.ask == nil || c.ask.number != m.Ask {
+		d.Slots.Done(now, m.Token, m.Zone, m.Service, slots.Result{Unused: true}, out)
+		return
+	}
+	hedge := c.ask.hedge
+	c.ask = nil
+	delete(d.byAsk, m.Ask)
+	if c.answered || c.gone || now >= c.deadline {
+		d.Slots.Done(now, m.Token, m.Zone, m.Service, slots.Result{Unused: true}, out)
+		return
+	}
+	d.dispatch(now, c, m, hedge, out)
+}
+
+func (d *Desk) dispatch(now core.Millis, c *call, m *slots.Grant, hedge bool, out *core.Effects) {
+	c.phase = running
+	c.sent++
+	c.ranMaybe = true
+	d.numbers++
+	a := &attempt{id: d.numbers, call: c, token: m.Token, zone: m.Zone, endpoint: m.Endpoint, began: now}
+	c.attempts[a.id] = a
+	d.attempts[a.id] = a
+	if hedge {
+		d.counts.Hedged++
+	}
+	d.Slots.Use(m.Token, m.Zone, m.Service, m.Endpoint, c.deadline)
+	out.Dispatches = append(out.Dispatches, core.Dispatch{
+		Request: c.ID, Attempt: a.id, Endpoint: m.Endpoint, Deadline: c.deadline,
+		Fresh: !c.Idempotent, Capture: c.capture(),
+	})
+}
+
+func (c *call) capture() int64 {
+	if !c.keyed {
+		return -1
+	}
+	return c.settings.StoredAnswerBytes
+}
+
+// OnRefused takes a keeper's refusal.
+func (d *Desk) OnRefused(now core.Millis, m *slots.Refused, out *core.Effects) {
+	if !m.Moved {
+		d.Router.Note(now, m.Zone, m.Service, 0, m.Waiting)
+	}
+	c := d.byAsk[m.Ask]
+	if c == nil || c.ask == nil || c.ask.number != m.Ask {
+		return
+	}
+	hedge := c.ask.hedge
+	c.ask = nil
+	delete(d.byAsk, m.Ask)
+	if hedge || c.answered {
+		return
+	}
+	c.last = core.Refuse(m.Kind, core.RanNo, "zone %q has no slot of service %q free", m.Zone, m.Service)
+	c.last.RetryAfter = m.RetryAfter
+	if m.Moved && c.asks < mostAsks {
+		c.seekAt = now + seekAgain
+		return
+	}
+	d.askNext(now, c, out)
+}
+
+// OnHead takes the head of an endpoint's answer and decides whether the caller gets it.
+func (d *Desk) OnHead(now core.Millis, id uint64, h Head, out *core.Effects) {
+	a := d.attempts[id]
+	if a == nil || a.headed {
+		return
+	}
+	a.headed = true
+	a.report = h.Report
+	a.shed = h.NotRun
+	c := a.call
+	if c.answered || c.gone && !c.keyed {
+		d.drop(a, out)
+		return
+	}
+	if h.NotRun && d.onlyAttempt(c, a) {
+		c.ranMaybe = c.sent > 1 && c.Idempotent
+	}
+	if d.mayRetry(c, h) {
+		d.drop(a, out)
+		c.exclude = append(c.exclude, a.endpoint)
+		d.counts.Retried++
+		d.seek(now, c, out)
+		return
+	}
+	d.answer(c, core.Answer{Request: c.ID, Attempt: id}, out)
+	d.withdraw(now, c, out)
+	for _, other := range c.attempts {
+		if other != a {
+			d.drop(other, out)
+		}
+	}
+}
+
+func (d *Desk) onlyAttempt(c *call, a *attempt) bool {
+	return len(c.attempts) == 1 && c.attempts[a.id] == a
+}
+
+// mayRetry tells whether an answer is put aside for another attempt: when the endpoint did not start, or on a server error of an idempotent request, within the budget.
+func (d *Desk) mayRetry(c *call, h Head) bool {
+	serverError := h.Status == 500 || h.Status == 502 || h.Status == 503 || h.Status == 504
+	if !h.NotRun && !(serverError && c.Idempotent) {
+		return false
+	}
+	return d.again(c)
+}
+
+// again tells whether one more attempt may be made; it takes it out of the budget.
+func (d *Desk) again(c *call) bool {
+	if c.sent >= mostAttempts || !c.Replayable || c.gone || c.answered || len(c.attempts) > 1 || c.ask != nil {
+		return false
+	}
+	return budgetFor(d.retries, c.Service).Spend()
+}
+
+func (d *Desk) drop(a *attempt, out *core.Effects) {
+	if a.dropped {
+		return
+	}
+	a.dropped = true
+	out.Aborts = append(out.Aborts, core.Abort{Attempt: a.id})
+}
+
+// OnEnd takes the end of an attempt: its slot is given back and its outcome noted.
+func (d *Desk) OnEnd(now core.Millis, id uint64, e End, out *core.Effects) {
+	a := d.attempts[id]
+	if a == nil {
+		return
+	}
+	c := a.call
+	delete(d.attempts, id)
+	delete(c.attempts, id)
+	d.Slots.Done(now, a.token, a.zone, c.Service, d.result(a, e), out)
+	if c.keyed && c.token != (ledger.Token{}) {
+		d.noteOutcome(now, c, a, e, out)
+	}
+	if c.answered || c.gone && !c.keyed {
+		d.finish(c)
+		return
+	}
+	if a.headed {
+		return
+	}
+	d.afterFailure(now, c, a, e, out)
+}
+
+func (d *Desk) result(a *attempt, e End) slots.Result {
+	failed := a.expired || e.Ending != Whole && !a.dropped
+	return slots.Result{
+		Latency: e.Latency, Report: a.report, Shed: a.shed,
+		Failed: failed, Unused: a.dropped && !a.headed && !a.expired,
+	}
+}
+
+// noteOutcome tells the ledger how a keyed request ended, unless it is certain that it did not run.
+func (d *Desk) noteOutcome(now core.Millis, c *call, a *attempt, e End, out *core.Effects) {
+	if e.Ending == NotSent || a.shed {
+		if c.answered {
+			d.Ledger.Release(now, 0, c.claim, c.token, false, out)
+			c.token = ledger.Token{}
+		}
+		return
+	}
+	outcome := ledger.Outcome{Ran: core.RanUnknown}
+	if e.Ending == Whole {
+		outcome = ledger.Outcome{Ran: core.RanYes, Answer: e.Answer}
+	}
+	d.Ledger.Finish(now, c.claim, c.token, outcome, out)
+	c.token = ledger.Token{}
+}
+
+// afterFailure tries again where that is safe, else tells the caller what is known.
+func (d *Desk) afterFailure(now core.Millis, c *call, a *attempt, e End, out *core.Effects) {
+	if len(c.attempts) > 0 {
+		return
+	}
+	if e.Ending == NotSent {
+		c.ranMaybe = c.sent > 1 && c.Idempotent
+	}
+	if (e.Ending == NotSent || c.Idempotent) && now < c.deadline && d.again(c) {
+		c.exclude = append(c.exclude, a.endpoint)
+		d.counts.Retried++
+		d.seek(now, c, out)
+		return
+	}
+	kind := core.UpstreamFailed
+	if now >= c.deadline {
+		kind = core.DeadlinePassed
+	}
+	r := core.Refuse(kind, core.RanUnknown, "endpoint %s: %s", a.endpoint, e.Detail)
+	d.giveUp(now, c, r, out)
+}
+
+// hedge makes a second attempt for an idempotent request whose first is slow, within the budget.
+func (d *Desk) hedge(now core.Millis, c *call, out *core.Effects) {
+	if c.phase != running || c.hedged || !c.Idempotent || !c.Replayable || c.answered || c.ask != nil || len(c.attempts) != 1 {
+		return
+	}
+	if c.settings.HedgeBudget == 0 || now-d.oldest(c).began < c.settings.HedgeDelay {
+		return
+	}
+	c.hedged = true
+	targets := d.Router.Targets(now, c.region, c.Service)
+	if len(targets) == 0 || targets[0].Free == 0 || !budgetFor(d.hedges, c.Service).Spend() {
+		return
+	}
+	c.exclude = append(c.exclude, d.oldest(c).endpoint)
+	d.sendAsk(now, c, targets[0], false, true, out)
+}
+
+func (d *Desk) oldest(c *call) *attempt {
+	var first *attempt
+	for _, a := range c.attempts {
+		if first == nil || a.id < first.id {
+			first = a
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/core/call/desk.go
@@ -0,0 +1,444 @@
+package call
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/ledger"
+	"clementinelock/core/retry"
+	"clementinelock/core/route"
+	"clementinelock/core/slots"
+	"clementinelock/core/tree"
+)
+
+// Lengths of time and counts of a call.
+const (
+	askAgain     = 200 * core.Millisecond
+	mostAttempts = 3
+	mostAsks     = 24
+	seekAgain    = 50 * core.Millisecond
+)
+
+// Arrival is a caller's request as the driver read it.
+type Arrival struct {
+	// ID is unique in the process's life.
+	ID      uint64
+	Service string
+	// Idempotent tells whether the method may be repeated.
+	Idempotent bool
+	// Key is the idempotency key with its scope, empty when the request has none.
+	Key string
+	// KeyText is the key as the caller sent it.
+	KeyText string
+	// Attempt is the caller's attempt number for the key; 0 when it names none.
+	Attempt uint64
+	Digest  uint64
+	// Remaining is what is left of the caller's deadline; 0 when it names none.
+	Remaining core.Millis
+	// Replayable tells whether the driver can send the body more than once.
+	Replayable bool
+}
+
+// Head is the start of an endpoint's answer.
+type Head struct {
+	Status int
+	// NotRun means that the endpoint says it did not start the request.
+	NotRun bool
+	Report *core.Report
+}
+
+// Ending says how an attempt ended.
+type Ending int
+
+// The ends of an attempt: NotSent before its first byte left, Broken before the answer's head, Truncated after it.
+const (
+	Whole Ending = iota
+	NotSent
+	Broken
+	Truncated
+)
+
+// End is the end of an attempt.
+type End struct {
+	Ending  Ending
+	Latency core.Millis
+	Answer  *core.StoredAnswer
+	Detail  string
+}
+
+type phase int
+
+const (
+	claiming phase = iota
+	asking
+	running
+	closing
+)
+
+// call is one request under way.
+type call struct {
+	Arrival
+	phase    phase
+	settings *tree.Service
+	deadline core.Millis
+	claim    ledger.Claim
+	token    ledger.Token
+	keyed    bool
+	region   string
+	targets  []route.Target
+	tried    int
+	asks     int
+	seekAt   core.Millis
+	ask      *ask
+	attempts map[uint64]*attempt
+	sent     int
+	ranMaybe bool
+	answered bool
+	hedged   bool
+	gone     bool
+	finished bool
+	exclude  []string
+	last     *core.Refusal
+	refusal  *core.Refusal
+}
+
+// ask is the request for a slot that is under way.
+type ask struct {
+	number uint64
+	target route.Target
+	sentAt core.Millis
+	wait   bool
+	hedge  bool
+}
+
+// attempt is one sending of a request to an endpoint.
+type attempt struct {
+	id       uint64
+	call     *call
+	token    slots.Token
+	zone     string
+	endpoint string
+	began    core.Millis
+	headed   bool
+	shed     bool
+	report   *core.Report
+	dropped  bool
+	expired  bool
+}
+
+// Counts are the desk's totals since the start.
+type Counts struct {
+	Arrived, Answered, Refused, Retried, Hedged, Replayed uint64
+	RefusedBy                                             map[core.Kind]uint64
+}
+
+// Desk carries the calls of one host. Set the exported fields before use.
+type Desk struct {
+	Region string
+	Rand   *rand.Rand
+	Router *route.Router
+	Slots  *slots.Node
+	Ledger *ledger.Client
+	// MayCross asks the link's grant for a request to another region.
+	MayCross func(now core.Millis, region string) bool
+
+	view     *tree.View
+	zone     string
+	regions  []string
+	calls    map[uint64]*call
+	byAsk    map[uint64]*call
+	attempts map[uint64]*attempt
+	numbers  uint64
+	retries  map[string]*retry.Budget
+	hedges   map[string]*retry.Budget
+	arrivals map[string]uint64
+	counts   Counts
+}
+
+// Start prepares the desk for the host's zone.
+func (d *Desk) Start(zone string) {
+	d.zone = zone
+	d.calls = map[uint64]*call{}
+	d.byAsk = map[uint64]*call{}
+	d.attempts = map[uint64]*attempt{}
+	d.retries = map[string]*retry.Budget{}
+	d.hedges = map[string]*retry.Budget{}
+	d.arrivals = map[string]uint64{}
+	d.counts.RefusedBy = map[core.Kind]uint64{}
+}
+
+// SetView takes a new version of the tree.
+func (d *Desk) SetView(view *tree.View) {
+	d.view = view
+	d.regions = nil
+	for _, region := range view.Regions {
+		d.regions = append(d.regions, region.Name)
+	}
+	for _, service := range view.Services {
+		s := view.Service(d.zone, service)
+		if s == nil {
+			continue
+		}
+		budgetFor(d.retries, service).Ratio = s.RetryBudget
+		budgetFor(d.hedges, service).Ratio = s.HedgeBudget
+	}
+}
+
+func budgetFor(budgets map[string]*retry.Budget, service string) *retry.Budget {
+	b := budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		budgets[service] = b
+	}
+	return b
+}
+
+// Arrive takes a caller's request; its answer comes as an effect, now or later.
+func (d *Desk) Arrive(now core.Millis, a Arrival, out *core.Effects) {
+	d.counts.Arrived++
+	c := &call{Arrival: a, attempts: map[uint64]*attempt{}, keyed: a.Key != "" && !a.Idempotent}
+	core.Assert(d.calls[a.ID] == nil, "request number %d is used twice", a.ID)
+	d.calls[a.ID] = c
+	if d.view == nil || d.view.Version == 0 {
+		d.refuse(c, core.Refuse(core.NotReady, d.ran(c), "this host has no configuration yet"), out)
+		return
+	}
+	c.settings = d.view.Service(d.zone, a.Service)
+	if c.settings == nil {
+		d.refuse(c, core.Refuse(core.UnknownService, d.ran(c), "service %q is not in version %d of the tree", a.Service, d.view.Version), out)
+		return
+	}
+	d.arrivals[a.Service]++
+	c.deadline = now + d.deadlineOf(c)
+	budgetFor(d.retries, a.Service).First()
+	budgetFor(d.hedges, a.Service).First()
+	if c.keyed {
+		d.claimKey(now, c, out)
+		return
+	}
+	d.seek(now, c, out)
+}
+
+func (d *Desk) deadlineOf(c *call) core.Millis {
+	if c.Remaining == 0 {
+		return c.settings.DefaultDeadline
+	}
+	return min(c.Remaining, c.settings.MaxDeadline)
+}
+
+func (d *Desk) claimKey(now core.Millis, c *call, out *core.Effects) {
+	key, err := ledger.ParseKey(c.KeyText, d.regions)
+	if err != nil {
+		d.refuse(c, core.Refuse(core.BadRequest, core.RanUnknown, "%v", err), out)
+		return
+	}
+	key.Text = c.Key
+	c.phase = claiming
+	c.claim = ledger.Claim{Key: key, Digest: c.Digest, Attempt: max(1, c.Attempt), Deadline: c.deadline}
+	d.Ledger.Claim(now, c.ID, c.claim, out)
+}
+
+// OnVerdict takes the ledger's answer to a claim.
+func (d *Desk) OnVerdict(now core.Millis, request uint64, v ledger.Verdict, out *core.Effects) {
+	c := d.calls[request]
+	switch {
+	case c == nil || c.finished:
+		if v.Run {
+			d.Ledger.Release(now, 0, claimOf(c), v.Token, false, out)
+		}
+	case v.Refusal != nil:
+		d.refuse(c, v.Refusal, out)
+	case v.Outcome != nil:
+		d.replay(c, *v.Outcome, out)
+	default:
+		c.token = v.Token
+		d.seek(now, c, out)
+	}
+}
+
+func claimOf(c *call) ledger.Claim {
+	if c == nil {
+		return ledger.Claim{}
+	}
+	return c.claim
+}
+
+// replay answers with what an earlier copy of the request got.
+func (d *Desk) replay(c *call, o ledger.Outcome, out *core.Effects) {
+	if o.Answer == nil {
+		d.refuse(c, core.Refuse(core.OutcomeLost, o.Ran, "an earlier copy was dispatched and its answer is not known"), out)
+		return
+	}
+	d.counts.Replayed++
+	d.answer(c, core.Answer{Request: c.ID, Stored: o.Answer}, out)
+	d.finish(c)
+}
+
+// ran is what may be said of a call that this host has not dispatched: another copy of a keyed one may still run.
+func (d *Desk) ran(c *call) core.Ran {
+	if c.ranMaybe || c.Key != "" && !c.Idempotent {
+		return core.RanUnknown
+	}
+	return core.RanNo
+}
+
+func (d *Desk) answer(c *call, a core.Answer, out *core.Effects) {
+	core.Assert(!c.answered, "request %d is answered twice", c.ID)
+	core.Assert(a.Refusal == nil || a.Refusal.Ran != core.RanNo || !c.ranMaybe, "request %d may have run and is called not run", c.ID)
+	c.answered = true
+	if a.Refusal != nil {
+		d.counts.Refused++
+		d.counts.RefusedBy[a.Refusal.Kind]++
+	} else {
+		d.counts.Answered++
+	}
+	out.Answers = append(out.Answers, a)
+}
+
+func (d *Desk) refuse(c *call, r *core.Refusal, out *core.Effects) {
+	d.answer(c, core.Answer{Request: c.ID, Refusal: r}, out)
+	d.finish(c)
+}
+
+// giveUp ends a call that this host will not dispatch any more.
+func (d *Desk) giveUp(now core.Millis, c *call, r *core.Refusal, out *core.Effects) {
+	if !c.keyed || c.ranMaybe {
+		r.Ran = d.ran(c)
+		d.refuse(c, r, out)
+		return
+	}
+	token := c.token
+	c.token = ledger.Token{}
+	if c.Attempt == 0 {
+		r.Ran = core.RanUnknown
+		d.Ledger.Release(now, 0, c.claim, token, false, out)
+		d.refuse(c, r, out)
+		return
+	}
+	c.phase, c.refusal = closing, r
+	d.Ledger.Release(now, c.ID, c.claim, token, true, out)
+}
+
+// OnSettled takes word of whether a majority noted that the call's attempt is closed; only then it is certain not to run.
+func (d *Desk) OnSettled(_ core.Millis, request uint64, noted bool, out *core.Effects) {
+	c := d.calls[request]
+	if c == nil || c.phase != closing || c.answered {
+		return
+	}
+	c.refusal.Ran = core.RanUnknown
+	if noted {
+		c.refusal.Ran = core.RanNo
+	}
+	d.refuse(c, c.refusal, out)
+}
+
+// finish forgets a call once it is answered and none of its attempts is under way.
+func (d *Desk) finish(c *call) {
+	if !c.answered && !c.gone || len(c.attempts) > 0 {
+		return
+	}
+	c.finished = true
+	delete(d.calls, c.ID)
+}
+
+// Cancel tells that the caller has gone.
+func (d *Desk) Cancel(now core.Millis, id uint64, out *core.Effects) {
+	c := d.calls[id]
+	if c == nil || c.gone {
+		return
+	}
+	c.gone = true
+	d.withdraw(now, c, out)
+	switch {
+	case c.answered:
+		d.abortAll(c, out)
+	case c.phase == claiming:
+		d.Ledger.Forget(now, id, out)
+		d.refuse(c, core.Refuse(core.CallerGone, core.RanUnknown, "the caller closed its connection"), out)
+	case c.phase == closing:
+	case len(c.attempts) == 0:
+		d.giveUp(now, c, core.Refuse(core.CallerGone, core.RanNo, "the caller closed its connection"), out)
+	case !c.keyed:
+		d.abortAll(c, out)
+		d.refuse(c, core.Refuse(core.CallerGone, core.RanUnknown, "the caller closed its connection"), out)
+	}
+}
+
+func (d *Desk) abortAll(c *call, out *core.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		if a := c.attempts[id]; !a.dropped {
+			a.dropped = true
+			out.Aborts = append(out.Aborts, core.Abort{Attempt: id})
+		}
+	}
+}
+
+// Tick ends what is past its deadline, asks again where no answer came, and hedges.
+func (d *Desk) Tick(now core.Millis, out *core.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(d.calls)) {
+		c := d.calls[id]
+		if c == nil {
+			continue
+		}
+		switch {
+		case now >= c.deadline:
+			d.expire(now, c, out)
+		case c.seekAt != 0 && now >= c.seekAt:
+			c.seekAt = 0
+			d.seek(now, c, out)
+		case c.ask != nil && now-c.ask.sentAt >= askAgain:
+			d.askAgain(now, c, out)
+		default:
+			d.hedge(now, c, out)
+		}
+	}
+}
+
+func (d *Desk) expire(now core.Millis, c *call, out *core.Effects) {
+	d.withdraw(now, c, out)
+	d.abortAll(c, out)
+	for _, a := range c.attempts {
+		a.expired = !a.headed
+	}
+	if c.answered || c.gone || c.phase == closing {
+		return
+	}
+	r := core.Refuse(core.DeadlinePassed, core.RanUnknown, "the deadline passed")
+	switch {
+	case c.phase == claiming:
+		d.Ledger.Forget(now, c.ID, out)
+		d.refuse(c, r, out)
+	case len(c.attempts) == 0:
+		d.giveUp(now, c, r, out)
+	default:
+		d.refuse(c, r, out)
+	}
+}
+
+// PlaceOf returns the zone and the service of an attempt under way.
+func (d *Desk) PlaceOf(id uint64) (zone, service string, ok bool) {
+	a := d.attempts[id]
+	if a == nil {
+		return "", "", false
+	}
+	return a.zone, a.call.Service, true
+}
+
+// Open counts the calls under way, answered ones included while their answers stream.
+func (d *Desk) Open() int {
+	return len(d.calls)
+}
+
+// Totals returns the desk's counts.
+func (d *Desk) Totals() Counts {
+	counts := d.counts
+	counts.RefusedBy = maps.Clone(counts.RefusedBy)
+	return counts
+}
+
+// Arrivals returns how many requests of each service have arrived since the start.
+func (d *Desk) Arrivals() map[string]uint64 {
+	return maps.Clone(d.arrivals)
+}
--- /dev/null
+++ b/core/codec/codec.go
@@ -0,0 +1,57 @@
+package codec
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits on what is decoded from other processes.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 20
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	options := cbor.DecOptions{
+		MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF,
+	}
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode writes a value of our own; it panics on a type that has no encoding, which is a fault of this program.
+func Encode[T any](value T) []byte {
+	data, err := encoder.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("type %T has no encoding: %v", value, err))
+	}
+	return data
+}
+
+// Decode reads a value; it errs on bytes that are not one whole value of the type.
+func Decode[T any](data []byte) (T, error) {
+	var value T
+	err := decoder.Unmarshal(data, &value)
+	if err != nil {
+		return value, fmt.Errorf("bytes are not a %T: %w", value, err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/core/ctrl/messages.go
@@ -0,0 +1,113 @@
+package ctrl
+
+import (
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/plan"
+	"clementinelock/core/quorum"
+	"clementinelock/core/relay"
+	"clementinelock/core/tree"
+)
+
+// Question names what an operator asks for.
+type Question string
+
+// The questions that control hosts answer.
+const (
+	AskEdit    Question = "Edit"
+	AskTry     Question = "Try"
+	AskTree    Question = "Tree"
+	AskHistory Question = "History"
+	AskInForce Question = "InForce"
+	AskMembers Question = "Members"
+	AskPlan    Question = "Plan"
+	AskWhatIf  Question = "WhatIf"
+	AskRemove  Question = "Remove"
+	AskExpect  Question = "Expect"
+)
+
+// Ask is an operator's question on its way to the leader; Origin and Ticket find the way back.
+type Ask struct {
+	Origin   string
+	Ticket   uint64
+	Question Question
+	Edit     *tree.Edit
+	Version  uint64
+	Limit    int
+	Name     string
+	WhatIf   *WhatIf
+	Hops     int
+}
+
+// WhatIf asks for the plan that a change would give.
+type WhatIf struct {
+	Changes    []tree.Change
+	LostRegion string
+	LostZone   string
+}
+
+// Body is the answer to a question; one field is set.
+type Body struct {
+	Outcome *edits.Outcome
+	Tree    *tree.Tree
+	History []edits.Version
+	InForce *InForce
+	Members *quorum.Status
+	Plan    *plan.Plan
+	WhatIf  *WhatIfBody
+}
+
+// InForce tells which version each host has in force.
+type InForce struct {
+	Version uint64
+	Hosts   []relay.Confirm
+}
+
+// WhatIfBody is the plan before and after a change, without shift caps, with the use of sites, regions and links.
+type WhatIfBody struct {
+	Before, After Picture
+}
+
+// Picture is one plan's use of everything, as rows.
+type Picture struct {
+	Rows    []PictureRow
+	Refused float64
+}
+
+// PictureRow is the use of one site, region or link, against its limit.
+type PictureRow struct {
+	What  string
+	Used  float64
+	Limit float64
+}
+
+// Answer answers an Ask.
+type Answer struct {
+	Ticket  uint64
+	Refusal *core.Refusal
+	Body    Body
+}
+
+// FoundAsk tells that a ledger replica of the region has nothing and knows of no founding.
+type FoundAsk struct {
+	Region      string
+	Replicas    []string
+	Incarnation uint64
+}
+
+// FoundAnswer names who began the region's ledger.
+type FoundAnswer struct {
+	Founding edits.Founding
+}
+
+// MessageName returns the message's name.
+func (Ask) MessageName() string { return "CtrlAsk" }
+
+// MessageName returns the message's name.
+func (Answer) MessageName() string { return "CtrlAnswer" }
+
+// MessageName returns the message's name.
+func (FoundAsk) MessageName() string { return "CtrlFoundAsk" }
+
+// MessageName returns the message's name.
+func (FoundAnswer) MessageName() string { return "CtrlFoundAnswer" }
--- /dev/null
+++ b/core/ctrl/node.go
@@ -0,0 +1,333 @@
+package ctrl
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+	"clementinelock/core/edits"
+	"clementinelock/core/plan"
+	"clementinelock/core/quorum"
+	"clementinelock/core/relay"
+	"clementinelock/core/tree"
+)
+
+// Lengths of time of the control role.
+const (
+	waitFor    = 5 * core.Second
+	foundAfter = 500 * core.Millisecond
+	foundFresh = 3 * core.Second
+	mostHops   = 2
+)
+
+// waiter is a question that waits for a commit or a confirmed read.
+type waiter struct {
+	ask  *Ask
+	from string
+	till core.Millis
+}
+
+// founder is a replica that asks for its region's ledger to be founded.
+type founder struct {
+	incarnation uint64
+	at          core.Millis
+}
+
+type foundingAsk struct {
+	replicas []string
+	first    core.Millis
+	hosts    map[string]founder
+	proposed core.Millis
+}
+
+// Node is the control role of one host. Set the exported fields before use.
+type Node struct {
+	Self    string
+	Replica *quorum.Replica
+	Book    *edits.Book
+	Relay   *relay.Node
+	// ZoneReached tells whether a zone is reached from here.
+	ZoneReached func(now core.Millis, zone string) bool
+	// Leaving tells whether the platform says that an endpoint is leaving.
+	Leaving func(endpoint string) bool
+	// Link returns what others use of a link, in bits per second.
+	Link func(link plan.Link) float64
+	// Deliver hands an answer to a question that was asked at this host.
+	Deliver func(now core.Millis, m *Answer, out *core.Effects)
+
+	edits     map[string][]waiter
+	reads     map[uint64]waiter
+	readCount uint64
+	decided   []edits.Outcome
+	founding  map[string]*foundingAsk
+	planner   planner
+}
+
+// Start prepares the node.
+func (n *Node) Start() {
+	n.edits = map[string][]waiter{}
+	n.reads = map[uint64]waiter{}
+	n.founding = map[string]*foundingAsk{}
+	n.planner.start()
+	n.Book.OnOutcome = func(o edits.Outcome) { n.decided = append(n.decided, o) }
+	n.Replica.OnRead = n.onRead
+}
+
+// Tick answers what was decided, gives up what waited too long and plans.
+func (n *Node) Tick(now core.Millis, out *core.Effects) {
+	n.answerDecided(now, out)
+	n.expire(now, out)
+	if n.Replica.IsLeader() {
+		n.found(now, out)
+		n.plan(now, out)
+		return
+	}
+	n.planner.leading = 0
+}
+
+// Receive takes a question, or a replica's wish for a founding.
+func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Ask:
+		n.OnAsk(now, from, m, out)
+	case *FoundAsk:
+		n.onFoundAsk(now, from, m, out)
+	}
+}
+
+// OnAsk answers a question when this host leads, else passes it on to the leader.
+func (n *Node) OnAsk(now core.Millis, from string, m *Ask, out *core.Effects) {
+	if !n.Replica.IsLeader() {
+		n.passOn(now, m, out)
+		return
+	}
+	w := waiter{m, from, now + waitFor}
+	switch m.Question {
+	case AskEdit:
+		n.onEdit(now, w, out)
+	case AskRemove:
+		n.reply(now, w, n.Replica.Remove(now, m.Name, out), Body{}, out)
+	case AskExpect:
+		n.reply(now, w, n.Replica.Expect(m.Name), Body{}, out)
+	default:
+		n.readCount++
+		n.reads[n.readCount] = w
+		if !n.Replica.Read(now, n.readCount, out) {
+			delete(n.reads, n.readCount)
+			n.refuseNoLeader(now, w, out)
+		}
+	}
+}
+
+func (n *Node) passOn(now core.Millis, m *Ask, out *core.Effects) {
+	leader := n.Replica.LeaderName()
+	if leader == "" || leader == n.Self || m.Hops >= mostHops {
+		n.refuseNoLeader(now, waiter{ask: m}, out)
+		return
+	}
+	next := *m
+	next.Hops++
+	out.Send(leader, &next)
+}
+
+func (n *Node) refuseNoLeader(now core.Millis, w waiter, out *core.Effects) {
+	ran := core.RanNo
+	if w.ask.Question == AskEdit {
+		ran = core.RanUnknown
+	}
+	n.reply(now, w, core.Refuse(core.NoLeader, ran, "host %q knows no control leader", n.Self), Body{}, out)
+}
+
+func (n *Node) reply(now core.Millis, w waiter, refusal *core.Refusal, body Body, out *core.Effects) {
+	answer := &Answer{Ticket: w.ask.Ticket, Refusal: refusal, Body: body}
+	if w.ask.Origin == n.Self {
+		n.Deliver(now, answer, out)
+		return
+	}
+	out.Send(w.ask.Origin, answer)
+}
+
+// onEdit returns an edit's outcome when it was decided before, else proposes it.
+func (n *Node) onEdit(now core.Millis, w waiter, out *core.Effects) {
+	edit := w.ask.Edit
+	if edit == nil || edit.ID == "" {
+		n.reply(now, w, core.Refuse(core.Invalid, core.RanNo, "the edit has no id"), Body{}, out)
+		return
+	}
+	if o, known := n.Book.Outcome(edit.ID); known {
+		n.replyOutcome(now, w, o, out)
+		return
+	}
+	if len(n.edits[edit.ID]) > 0 {
+		n.edits[edit.ID] = append(n.edits[edit.ID], w)
+		return
+	}
+	if refusal := n.overload(now, *edit); refusal != nil {
+		n.reply(now, w, refusal, Body{}, out)
+		return
+	}
+	if _, ok := n.Replica.Propose(now, codec.Encode(edits.Command{Edit: edit}), out); !ok {
+		n.refuseNoLeader(now, w, out)
+		return
+	}
+	n.edits[edit.ID] = append(n.edits[edit.ID], w)
+}
+
+func (n *Node) replyOutcome(now core.Millis, w waiter, o edits.Outcome, out *core.Effects) {
+	if o.Digest != edits.Digest(*w.ask.Edit) {
+		n.reply(now, w, core.Refuse(core.EditIDReused, core.RanNo, "edit id %q was used with another edit", o.ID), Body{}, out)
+		return
+	}
+	n.reply(now, w, o.Refusal(), Body{Outcome: &o}, out)
+}
+
+// answerDecided answers the operators whose edits were applied.
+func (n *Node) answerDecided(now core.Millis, out *core.Effects) {
+	decided := n.decided
+	n.decided = nil
+	for _, o := range decided {
+		waiters := n.edits[o.ID]
+		delete(n.edits, o.ID)
+		for _, w := range waiters {
+			n.replyOutcome(now, w, o, out)
+		}
+	}
+}
+
+// AfterStep answers what the step has decided, without waiting for a tick.
+func (n *Node) AfterStep(now core.Millis, out *core.Effects) {
+	if len(n.decided) > 0 {
+		n.answerDecided(now, out)
+	}
+}
+
+func (n *Node) expire(now core.Millis, out *core.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(n.edits)) {
+		kept := slices.DeleteFunc(n.edits[id], func(w waiter) bool {
+			gone := now >= w.till || !n.Replica.IsLeader()
+			if gone {
+				n.refuseNoLeader(now, w, out)
+			}
+			return gone
+		})
+		n.edits[id] = kept
+		if len(kept) == 0 {
+			delete(n.edits, id)
+		}
+	}
+	for _, ticket := range slices.Sorted(maps.Keys(n.reads)) {
+		if w := n.reads[ticket]; now >= w.till {
+			delete(n.reads, ticket)
+			n.refuseNoLeader(now, w, out)
+		}
+	}
+}
+
+// onRead answers a question once a majority has confirmed this leader.
+func (n *Node) onRead(now core.Millis, ticket uint64, confirmed bool, out *core.Effects) {
+	w, ok := n.reads[ticket]
+	if !ok {
+		return
+	}
+	delete(n.reads, ticket)
+	if !confirmed {
+		n.refuseNoLeader(now, w, out)
+		return
+	}
+	body, refusal := n.read(now, w.ask)
+	n.reply(now, w, refusal, body, out)
+}
+
+func (n *Node) read(now core.Millis, m *Ask) (Body, *core.Refusal) {
+	switch m.Question {
+	case AskTree:
+		return n.readTree(m.Version)
+	case AskTry:
+		return n.try(now, m)
+	case AskHistory:
+		history := n.Book.History()
+		if m.Limit > 0 && len(history) > m.Limit {
+			history = history[len(history)-m.Limit:]
+		}
+		return Body{History: history}, nil
+	case AskInForce:
+		return Body{InForce: &InForce{Version: n.Book.View().Version, Hosts: n.Relay.InForce(now)}}, nil
+	case AskMembers:
+		status := n.Replica.Report(now)
+		return Body{Members: &status}, nil
+	case AskPlan:
+		return Body{Plan: n.Relay.Plan()}, nil
+	case AskWhatIf:
+		return n.whatIf(now, m.WhatIf)
+	}
+	return Body{}, core.Refuse(core.BadRequest, core.RanNo, "question %q does not exist", m.Question)
+}
+
+func (n *Node) readTree(version uint64) (Body, *core.Refusal) {
+	if version == 0 {
+		return Body{Tree: n.Book.View().Tree}, nil
+	}
+	t, err := n.Book.At(version)
+	if err != nil {
+		return Body{}, core.Refuse(core.NotFound, core.RanNo, "%v", err)
+	}
+	return Body{Tree: t}, nil
+}
+
+func (n *Node) try(now core.Millis, m *Ask) (Body, *core.Refusal) {
+	if m.Edit == nil {
+		return Body{}, core.Refuse(core.BadRequest, core.RanNo, "there is no edit to try")
+	}
+	next, refusal := n.Book.Try(*m.Edit)
+	if refusal != nil {
+		return Body{}, refusal
+	}
+	if refusal := n.overload(now, *m.Edit); refusal != nil {
+		return Body{}, refusal
+	}
+	differences := tree.Compare(n.Book.View().Tree, next)
+	return Body{Outcome: &edits.Outcome{Version: next.Version, Differences: differences}}, nil
+}
+
+func (n *Node) onFoundAsk(now core.Millis, from string, m *FoundAsk, out *core.Effects) {
+	if f, done := n.Book.Founding(m.Region); done {
+		out.Send(from, &FoundAnswer{Founding: f})
+		return
+	}
+	if !n.Replica.IsLeader() {
+		return
+	}
+	ask := n.founding[m.Region]
+	if ask == nil {
+		ask = &foundingAsk{first: now, hosts: map[string]founder{}}
+		n.founding[m.Region] = ask
+	}
+	ask.replicas = m.Replicas
+	ask.hosts[from] = founder{m.Incarnation, now}
+}
+
+// found begins the ledgers of regions of which a majority of replicas has asked for it.
+func (n *Node) found(now core.Millis, out *core.Effects) {
+	for _, region := range slices.Sorted(maps.Keys(n.founding)) {
+		ask := n.founding[region]
+		if _, done := n.Book.Founding(region); done {
+			delete(n.founding, region)
+			continue
+		}
+		if now-ask.first < foundAfter || ask.proposed != 0 && now-ask.proposed < waitFor {
+			continue
+		}
+		f := edits.Founding{Region: region, Replicas: map[string]uint64{}}
+		for _, name := range ask.replicas {
+			if each, ok := ask.hosts[name]; ok && now-each.at < foundFresh {
+				f.Replicas[name] = each.incarnation
+			}
+		}
+		if len(f.Replicas) < len(ask.replicas)/2+1 {
+			continue
+		}
+		ask.proposed = now
+		n.Replica.Propose(now, codec.Encode(edits.Command{Founding: &f}), out)
+	}
+}
--- /dev/null
+++ b/core/ctrl/planner.go
@@ -0,0 +1,209 @@
+package ctrl
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/plan"
+	"clementinelock/core/tree"
+)
+
+const (
+	planEvery = core.Second
+	// settleFor is how long a new leader listens for the newest plan before it makes one.
+	settleFor = 2 * core.Second
+	// eventLead is how long before an expected event the planner prepares for it.
+	eventLead = 15 * core.Minute
+)
+
+// planner keeps the estimates between plans.
+type planner struct {
+	next      core.Millis
+	leading   core.Millis
+	estimates map[plan.Flow]*plan.Estimate
+	times     map[string]core.Millis
+	bits      map[string]float64
+}
+
+func (p *planner) start() {
+	p.estimates = map[plan.Flow]*plan.Estimate{}
+	p.times = map[string]core.Millis{}
+	p.bits = map[string]float64{}
+}
+
+// plan makes a plan once a second while this host leads.
+func (n *Node) plan(now core.Millis, out *core.Effects) {
+	p := &n.planner
+	if p.leading == 0 {
+		p.leading = now
+	}
+	if now < p.next || now-p.leading < settleFor || n.Book.View().Version == 0 {
+		return
+	}
+	p.next = now + planEvery
+	n.observe(now)
+	result := plan.Make(n.input(now, n.Book.View(), plan.Link{}))
+	next := result.Plan
+	if next.Term != n.Replica.Term() {
+		next.Term, next.Number = n.Replica.Term(), 1
+	}
+	n.Relay.SetPlan(now, next, out)
+}
+
+// observe takes the demand that the relays report; a region that is not wholly reached keeps its estimates.
+func (n *Node) observe(now core.Millis) {
+	rates := map[plan.Flow]float64{}
+	for _, f := range n.Relay.Demand(now) {
+		rates[f.Flow] = f.Rate
+		if f.ServiceTime > 0 {
+			n.planner.times[f.Service] = f.ServiceTime
+		}
+		if f.Bits > 0 {
+			n.planner.bits[f.Service] = f.Bits
+		}
+	}
+	view := n.Book.View()
+	for _, region := range view.Regions {
+		if !n.regionReached(now, region) {
+			continue
+		}
+		for _, service := range view.Services {
+			flow := plan.Flow{Region: region.Name, Service: service}
+			estimate := n.planner.estimates[flow]
+			if estimate == nil {
+				estimate = &plan.Estimate{}
+				n.planner.estimates[flow] = estimate
+			}
+			estimate.Observe(now, rates[flow])
+		}
+	}
+}
+
+func (n *Node) regionReached(now core.Millis, region tree.Region) bool {
+	for _, zone := range region.Zones {
+		if !n.ZoneReached(now, zone) {
+			return false
+		}
+	}
+	return true
+}
+
+// input collects what a plan depends on. A link with names marks a zone (From) or region (To) that is taken as lost.
+func (n *Node) input(now core.Millis, view *tree.View, lost plan.Link) plan.Input {
+	in := plan.Input{
+		View: view, Demand: map[plan.Flow]float64{}, Bits: maps.Clone(n.planner.bits),
+		LinkUsed: map[plan.Link]float64{}, Previous: n.Relay.Plan(), Now: now,
+	}
+	if in.Previous != nil {
+		in.Elapsed = min(now-in.Previous.Made, 2*planEvery)
+	}
+	for flow, estimate := range n.planner.estimates {
+		in.Demand[flow] = estimate.Value(now) * eventFactor(now, view, flow.Region)
+	}
+	for _, from := range view.Regions {
+		for _, to := range view.Regions {
+			link := plan.Link{From: from.Name, To: to.Name}
+			in.LinkUsed[link] = n.Link(link)
+		}
+	}
+	isLost := func(zone string) bool {
+		return !n.ZoneReached(now, zone) || zone == lost.From || lost.To != "" && view.RegionOf(zone) == lost.To
+	}
+	in.Sites = plan.Sites(view, n.planner.times, isLost, n.Leaving)
+	return in
+}
+
+func eventFactor(now core.Millis, view *tree.View, region string) float64 {
+	for _, r := range view.Regions {
+		e := r.Root.ExpectedEvent
+		if r.Name == region && e.Factor > 1 && now >= e.Start-eventLead && now < e.Start+e.Length {
+			return e.Factor
+		}
+	}
+	return 1
+}
+
+// overload refuses an edit after which the measured demand no longer fits, unless it carries an override.
+func (n *Node) overload(now core.Millis, edit tree.Edit) *core.Refusal {
+	if edit.Override || edit.Base != n.Book.View().Version || n.Book.View().Version == 0 {
+		return nil
+	}
+	next, refusal := n.Book.Try(edit)
+	if refusal != nil {
+		return nil
+	}
+	before := refusedOf(n.steady(now, n.Book.View(), plan.Link{}))
+	after := refusedOf(n.steady(now, tree.NewView(next), plan.Link{}))
+	if after <= before+1 {
+		return nil
+	}
+	return core.Refuse(core.Invalid, core.RanNo, "%.0f requests per second would find no capacity, %.0f before; this needs an explicit override", after, before)
+}
+
+// steady returns the plan that a tree leads to once all shifts are done.
+func (n *Node) steady(now core.Millis, view *tree.View, lost plan.Link) (plan.Input, plan.Result) {
+	in := n.input(now, view, lost)
+	in.Previous = nil
+	return in, plan.Make(in)
+}
+
+func refusedOf(_ plan.Input, r plan.Result) float64 {
+	total := 0.0
+	for _, rate := range r.Refused {
+		total += rate
+	}
+	return total
+}
+
+// whatIf shows the plan before and after a change without applying it.
+func (n *Node) whatIf(now core.Millis, q *WhatIf) (Body, *core.Refusal) {
+	if q == nil {
+		return Body{}, core.Refuse(core.BadRequest, core.RanNo, "the question names no change")
+	}
+	view := n.Book.View()
+	after := view
+	if len(q.Changes) > 0 {
+		next, err := view.Tree.With(q.Changes)
+		if err == nil {
+			err = tree.Check(next)
+		}
+		if err != nil {
+			return Body{}, core.Refuse(core.Invalid, core.RanNo, "%v", err)
+		}
+		after = tree.NewView(next)
+	}
+	body := &WhatIfBody{
+		Before: picture(n.steady(now, view, plan.Link{})),
+		After:  picture(n.steady(now, after, plan.Link{From: q.LostZone, To: q.LostRegion})),
+	}
+	return Body{WhatIf: body}, nil
+}
+
+func picture(in plan.Input, r plan.Result) Picture {
+	p := Picture{Refused: refusedOf(in, r)}
+	for _, site := range in.Sites {
+		used := r.Site[plan.Flow{Region: site.Region, Service: site.Service}]
+		p.Rows = append(p.Rows, PictureRow{fmt.Sprintf("site %s:%s req/s", site.Region, site.Service), used, site.Capacity})
+	}
+	for _, region := range in.View.Regions {
+		p.Rows = append(p.Rows, PictureRow{fmt.Sprintf("region %s req/s", region.Name), r.Region[region.Name], region.Root.RegionCapacity})
+	}
+	links := slices.SortedFunc(maps.Keys(r.Link), func(a, b plan.Link) int {
+		if a.From+a.To < b.From+b.To {
+			return -1
+		}
+		return 1
+	})
+	for _, link := range links {
+		limit := 0.0
+		for _, region := range in.View.Regions {
+			if region.Name == link.From {
+				limit = float64(region.Root.LinkCapacity)
+			}
+		}
+		p.Rows = append(p.Rows, PictureRow{fmt.Sprintf("link %s-%s bit/s", link.From, link.To), r.Link[link], limit})
+	}
+	return p
+}
--- /dev/null
+++ b/core/edits/book.go
@@ -0,0 +1,291 @@
+package edits
+
+import (
+	"fmt"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+	"clementinelock/core/tree"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of what is kept.
+const (
+	keptVersions = 2048
+	keptOutcomes = 8192
+)
+
+// Outcome is the lasting answer to an edit.
+type Outcome struct {
+	ID       string
+	Accepted bool
+	// Version is the version that the edit made, or the one in force when it was refused.
+	Version     uint64
+	Kind        core.Kind
+	Detail      string
+	Differences []tree.Difference
+	// Digest is the hash of the edit's content, by which a reused id is told from a resent edit.
+	Digest uint64
+}
+
+// Refusal returns the outcome's refusal, or nil when the edit was accepted.
+func (o Outcome) Refusal() *core.Refusal {
+	if o.Accepted {
+		return nil
+	}
+	return core.Refuse(o.Kind, core.RanNo, "%s", o.Detail)
+}
+
+// Version is one accepted edit with what it changed.
+type Version struct {
+	Number      uint64
+	Author      string
+	ID          string
+	Differences []tree.Difference
+}
+
+// Founding names the replicas that began a region's ledger; only they may count on having forgotten nothing.
+type Founding struct {
+	Region   string
+	Replicas map[string]uint64
+}
+
+// Command is one record of the replicated log: an edit or a founding.
+type Command struct {
+	Edit     *tree.Edit
+	Founding *Founding
+}
+
+// Checker decides whether a next tree is dangerous without an override; it returns the empty string when it is not.
+type Checker func(old, next *tree.View) string
+
+// Book is the operators' history and the tree in force.
+type Book struct {
+	// Danger is asked of each edit without an override; all replicas must have the same.
+	Danger    Checker
+	tree      *tree.Tree
+	view      *tree.View
+	history   []Version
+	outcomes  map[string]Outcome
+	order     []string
+	foundings map[string]Founding
+	// OnOutcome is called with each edit's outcome as it is decided.
+	OnOutcome func(outcome Outcome)
+	// OnAccept is called after each version that comes into force.
+	OnAccept func(version Version, next *tree.View)
+}
+
+// NewBook returns a book with an empty tree at version 0.
+func NewBook() *Book {
+	empty := &tree.Tree{Nodes: map[tree.Path]tree.Values{}}
+	return &Book{Danger: tree.Danger, tree: empty, view: tree.NewView(empty), outcomes: map[string]Outcome{}, foundings: map[string]Founding{}}
+}
+
+// View returns the tree in force, resolved.
+func (b *Book) View() *tree.View {
+	return b.view
+}
+
+// History lists the versions that are kept, oldest first.
+func (b *Book) History() []Version {
+	return b.history
+}
+
+// Outcome returns what became of an edit id.
+func (b *Book) Outcome(id string) (Outcome, bool) {
+	o, ok := b.outcomes[id]
+	return o, ok
+}
+
+// Apply carries out one committed command.
+func (b *Book) Apply(_ uint64, command []byte) {
+	c, err := codec.Decode[Command](command)
+	core.Assert(err == nil, "a committed command can't be decoded: %v", err)
+	switch {
+	case c.Edit != nil:
+		b.apply(*c.Edit)
+	case c.Founding != nil:
+		b.found(*c.Founding)
+	}
+}
+
+// found notes who began a region's ledger; the first founding counts for ever.
+func (b *Book) found(f Founding) {
+	if _, done := b.foundings[f.Region]; !done {
+		b.foundings[f.Region] = f
+	}
+}
+
+// Founding returns who began a region's ledger.
+func (b *Book) Founding(region string) (Founding, bool) {
+	f, ok := b.foundings[region]
+	return f, ok
+}
+
+func (b *Book) apply(edit tree.Edit) {
+	if seen, known := b.outcomes[edit.ID]; known {
+		b.tell(seen)
+		return
+	}
+	outcome, next := b.decide(edit)
+	outcome.ID, outcome.Digest = edit.ID, Digest(edit)
+	b.remember(outcome)
+	defer b.tell(outcome)
+	if next == nil {
+		return
+	}
+	core.Assert(next.Version == b.tree.Version+1, "version goes from %d to %d", b.tree.Version, next.Version)
+	version := Version{Number: next.Version, Author: edit.Author, ID: edit.ID, Differences: tree.Compare(b.tree, next)}
+	b.tree, b.view = next, tree.NewView(next)
+	b.history = append(b.history, version)
+	if len(b.history) > keptVersions {
+		b.history = append([]Version(nil), b.history[len(b.history)-keptVersions:]...)
+	}
+	if b.OnAccept != nil {
+		b.OnAccept(version, b.view)
+	}
+}
+
+func (b *Book) tell(o Outcome) {
+	if b.OnOutcome != nil {
+		b.OnOutcome(o)
+	}
+}
+
+// Digest hashes what an edit says, without its id.
+func Digest(edit tree.Edit) uint64 {
+	edit.ID = ""
+	return xxhash.Sum64(codec.Encode(edit))
+}
+
+func (b *Book) decide(edit tree.Edit) (Outcome, *tree.Tree) {
+	if edit.Base != b.tree.Version {
+		return b.conflict(edit), nil
+	}
+	next, refusal := b.Try(edit)
+	if refusal != nil {
+		return Outcome{Version: b.tree.Version, Kind: refusal.Kind, Detail: refusal.Detail}, nil
+	}
+	return Outcome{Accepted: true, Version: next.Version, Differences: tree.Compare(b.tree, next)}, next
+}
+
+func (b *Book) conflict(edit tree.Edit) Outcome {
+	o := Outcome{Version: b.tree.Version, Kind: core.VersionConflict}
+	o.Detail = fmt.Sprintf("the edit was made against version %d; version %d is in force", edit.Base, b.tree.Version)
+	base, err := b.At(edit.Base)
+	if err == nil {
+		o.Differences = tree.Compare(base, b.tree)
+	}
+	return o
+}
+
+// Try returns the tree that an edit against the version in force would give, or why it is refused.
+func (b *Book) Try(edit tree.Edit) (*tree.Tree, *core.Refusal) {
+	changes := edit.Changes
+	if edit.RollbackTo != 0 {
+		old, err := b.At(edit.RollbackTo)
+		if err != nil {
+			return nil, core.Refuse(core.NotFound, core.RanNo, "%v", err)
+		}
+		changes = tree.Changes(tree.Compare(b.tree, old))
+	}
+	if len(changes) == 0 {
+		return nil, core.Refuse(core.Invalid, core.RanNo, "the edit changes nothing")
+	}
+	next, err := b.tree.With(changes)
+	if err != nil {
+		return nil, core.Refuse(core.Invalid, core.RanNo, "%v", err)
+	}
+	if err := tree.Check(next); err != nil {
+		return nil, core.Refuse(core.Invalid, core.RanNo, "%v", err)
+	}
+	danger := b.Danger(b.view, tree.NewView(next))
+	if danger != "" && !edit.Override {
+		return nil, core.Refuse(core.Invalid, core.RanNo, "%s; this needs an explicit override", danger)
+	}
+	return next, nil
+}
+
+// At returns the tree of an older version, as far as the history goes back.
+func (b *Book) At(version uint64) (*tree.Tree, error) {
+	if version > b.tree.Version {
+		return nil, fmt.Errorf("version %d does not exist; version %d is in force", version, b.tree.Version)
+	}
+	oldest := b.tree.Version - uint64(len(b.history))
+	if version < oldest {
+		return nil, fmt.Errorf("version %d is no longer kept; the oldest is %d", version, oldest)
+	}
+	back := b.tree.Clone()
+	for i := len(b.history) - 1; i >= 0 && b.history[i].Number > version; i-- {
+		undo(back, b.history[i].Differences)
+	}
+	back.Version = version
+	return back, nil
+}
+
+func undo(t *tree.Tree, differences []tree.Difference) {
+	for _, d := range differences {
+		if d.OldPresent {
+			if t.Nodes[d.Path] == nil {
+				t.Nodes[d.Path] = tree.Values{}
+			}
+			t.Nodes[d.Path][d.Setting] = d.Old
+			continue
+		}
+		delete(t.Nodes[d.Path], d.Setting)
+		if len(t.Nodes[d.Path]) == 0 {
+			delete(t.Nodes, d.Path)
+		}
+	}
+}
+
+func (b *Book) remember(o Outcome) {
+	b.outcomes[o.ID] = o
+	b.order = append(b.order, o.ID)
+	if len(b.order) > keptOutcomes {
+		delete(b.outcomes, b.order[0])
+		b.order = append([]string(nil), b.order[1:]...)
+	}
+}
+
+type bookState struct {
+	Tree      *tree.Tree
+	History   []Version
+	Outcomes  []Outcome
+	Foundings map[string]Founding
+}
+
+// Snapshot encodes the whole book.
+func (b *Book) Snapshot() []byte {
+	state := bookState{Tree: b.tree, History: b.history, Foundings: b.foundings}
+	for _, id := range b.order {
+		state.Outcomes = append(state.Outcomes, b.outcomes[id])
+	}
+	return codec.Encode(state)
+}
+
+// Restore replaces the book by a snapshot's.
+func (b *Book) Restore(data []byte) error {
+	state, err := codec.Decode[bookState](data)
+	if err != nil {
+		return err
+	}
+	if state.Tree.Nodes == nil {
+		state.Tree.Nodes = map[tree.Path]tree.Values{}
+	}
+	core.Assert(state.Tree.Version >= b.tree.Version, "snapshot of version %d would replace version %d", state.Tree.Version, b.tree.Version)
+	b.tree, b.view, b.history = state.Tree, tree.NewView(state.Tree), state.History
+	b.outcomes, b.order = map[string]Outcome{}, nil
+	b.foundings = state.Foundings
+	if b.foundings == nil {
+		b.foundings = map[string]Founding{}
+	}
+	for _, o := range state.Outcomes {
+		b.remember(o)
+	}
+	if b.OnAccept != nil {
+		b.OnAccept(Version{Number: state.Tree.Version}, b.view)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/fake/world.go
@@ -0,0 +1,199 @@
+package fake
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+)
+
+// Process is what the world steps.
+type Process interface {
+	// Tick carries out what is due.
+	Tick(now core.Millis) core.Effects
+	// Receive takes a message.
+	Receive(now core.Millis, from string, message core.Message) core.Effects
+}
+
+// World runs processes on virtual time. Set the exported fields before the first step.
+type World struct {
+	Now  core.Millis
+	Rand *rand.Rand
+	// Delay returns how long a message takes.
+	Delay func(from, to string) core.Millis
+	// Loss and Repeat are the parts of messages that are lost and sent twice.
+	Loss, Repeat float64
+	TickEvery    core.Millis
+	// Carry takes the effects that are not messages.
+	Carry func(host string, e core.Effects)
+
+	running map[string]Process
+	life    map[string]int
+	frozen  map[string]bool
+	cut     map[[2]string]bool
+	events  eventHeap
+	count   uint64
+	// Sent counts the messages by name.
+	Sent map[string]int
+}
+
+type event struct {
+	at    core.Millis
+	order uint64
+	run   func()
+}
+
+// NewWorld returns a world with a seed.
+func NewWorld(seed uint64) *World {
+	return &World{
+		Now: core.Hour, Rand: rand.New(rand.NewPCG(seed, seed)), TickEvery: 10,
+		Delay:   func(string, string) core.Millis { return 1 },
+		Carry:   func(string, core.Effects) {},
+		running: map[string]Process{}, life: map[string]int{}, frozen: map[string]bool{}, cut: map[[2]string]bool{},
+		Sent: map[string]int{},
+	}
+}
+
+// At runs a function at a time.
+func (w *World) At(at core.Millis, run func()) {
+	w.count++
+	heap.Push(&w.events, event{max(at, w.Now), w.count, run})
+}
+
+// Start brings a process up and ticks it from then on.
+func (w *World) Start(host string, p Process) {
+	w.life[host]++
+	w.running[host] = p
+	delete(w.frozen, host)
+	w.tick(host, w.life[host])
+}
+
+func (w *World) tick(host string, life int) {
+	if w.life[host] != life || w.running[host] == nil {
+		return
+	}
+	if !w.frozen[host] {
+		w.Do(host, w.running[host].Tick(w.Now))
+	}
+	w.At(w.Now+w.TickEvery, func() { w.tick(host, life) })
+}
+
+// Crash ends a process at once; messages on their way to it are lost.
+func (w *World) Crash(host string) {
+	w.life[host]++
+	delete(w.running, host)
+}
+
+// Freeze stops a process's steps until it is thawed; its messages wait.
+func (w *World) Freeze(host string, frozen bool) {
+	w.frozen[host] = frozen
+}
+
+// Up tells whether a process runs.
+func (w *World) Up(host string) bool {
+	return w.running[host] != nil
+}
+
+// Hosts lists the running processes.
+func (w *World) Hosts() []string {
+	return slices.Sorted(maps.Keys(w.running))
+}
+
+// Cut cuts or mends the way from one host to another.
+func (w *World) Cut(from, to string, cut bool) {
+	w.cut[[2]string{from, to}] = cut
+}
+
+// Isolate cuts or mends all ways between a host and others.
+func (w *World) Isolate(host string, others []string, cut bool) {
+	for _, other := range others {
+		w.Cut(host, other, cut)
+		w.Cut(other, host, cut)
+	}
+}
+
+// IsCut tells whether the way is cut.
+func (w *World) IsCut(from, to string) bool {
+	return w.cut[[2]string{from, to}]
+}
+
+// Heal mends all ways.
+func (w *World) Heal() {
+	w.cut = map[[2]string]bool{}
+}
+
+// Do carries out a process's effects.
+func (w *World) Do(host string, e core.Effects) {
+	for _, s := range e.Sends {
+		w.send(host, s.To, s.Message)
+	}
+	w.Carry(host, e)
+}
+
+func (w *World) send(from, to string, message core.Message) {
+	w.Sent[message.MessageName()]++
+	copies := 1
+	if w.Rand.Float64() < w.Repeat {
+		copies = 2
+	}
+	for range copies {
+		if w.IsCut(from, to) || w.Rand.Float64() < w.Loss {
+			continue
+		}
+		w.At(w.Now+w.Delay(from, to), func() { w.deliver(from, to, message) })
+	}
+}
+
+func (w *World) deliver(from, to string, message core.Message) {
+	switch {
+	case w.running[to] == nil || w.IsCut(from, to):
+	case w.frozen[to]:
+		life := w.life[to]
+		w.At(w.Now+w.TickEvery, func() {
+			if w.life[to] == life {
+				w.deliver(from, to, message)
+			}
+		})
+	default:
+		w.Do(to, w.running[to].Receive(w.Now, from, message))
+	}
+}
+
+// Run steps the world until the time.
+func (w *World) Run(until core.Millis) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		next := heap.Pop(&w.events).(event)
+		w.Now = next.at
+		next.run()
+	}
+	w.Now = until
+}
+
+// For steps the world for a length of time.
+func (w *World) For(length core.Millis) {
+	w.Run(w.Now + length)
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/core/grant/grant.go
@@ -0,0 +1,355 @@
+package grant
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+)
+
+// Lengths of time and shares of the division.
+const (
+	Length    = 4 * core.Second
+	WantEvery = 500 * core.Millisecond
+	// safeShare is the part of each limit that is kept for hosts without a valid share.
+	safeShare = 0.3
+	// growth is how much more than its demand a host is given.
+	growth = 1.25
+	// keptFree is the part of an even share that is kept for each host that uses less.
+	keptFree = 0.1
+)
+
+// Limit is one limit of the region.
+type Limit struct {
+	Resource string
+	Rate     float64
+}
+
+// Want tells the divider how much of each resource the host uses and what it still holds.
+type Want struct {
+	Rates map[string]float64
+	Holds map[string]float64
+	Round uint64
+}
+
+// Give answers Want with shares that end Length after the Want was sent.
+type Give struct {
+	Rates map[string]float64
+	Round uint64
+}
+
+// MessageName returns the message's name.
+func (Want) MessageName() string { return "GrantWant" }
+
+// MessageName returns the message's name.
+func (Give) MessageName() string { return "GrantGive" }
+
+// share is what the divider gave one host of one resource; a larger one that it gave before counts until its own end.
+type share struct {
+	rate     float64
+	until    core.Millis
+	oldRate  float64
+	oldUntil core.Millis
+}
+
+// held returns what the host may still use of the share.
+func (s share) held(now core.Millis) float64 {
+	held := 0.0
+	if now < s.until {
+		held = s.rate
+	}
+	if now < s.oldUntil {
+		held = max(held, s.oldRate)
+	}
+	return held
+}
+
+// renew replaces the share's rate.
+func (s share) renew(now core.Millis, rate float64) share {
+	next := share{rate: rate, until: now + Length}
+	if held := s.held(now); held > rate {
+		next.oldRate = held
+		next.oldUntil = max(s.until, s.oldUntil)
+	}
+	return next
+}
+
+// holding is what this host was given.
+type holding struct {
+	rate  float64
+	until core.Millis
+}
+
+// bucket meters the host's own use of a resource.
+type bucket struct {
+	level  float64
+	at     core.Millis
+	used   float64
+	demand float64
+}
+
+// Node is a host's part in dividing and using limits. Set the exported fields before use.
+type Node struct {
+	Self string
+	// Divider returns the host that divides the region's limits, or the empty string.
+	Divider func(now core.Millis) string
+
+	limits   map[string]float64
+	hosts    int
+	dividing bool
+	since    core.Millis
+	shares   map[string]map[string]share
+	holds    map[string]holding
+	buckets  map[string]*bucket
+	nextWant core.Millis
+	round    uint64
+	sent     map[uint64]core.Millis
+}
+
+// Start prepares the node.
+func (n *Node) Start() {
+	n.limits = map[string]float64{}
+	n.shares = map[string]map[string]share{}
+	n.holds = map[string]holding{}
+	n.buckets = map[string]*bucket{}
+	n.sent = map[uint64]core.Millis{}
+}
+
+// SetLimits takes the region's limits and the number of its hosts from the tree.
+func (n *Node) SetLimits(limits []Limit, hosts int) {
+	old := n.limits
+	n.limits = map[string]float64{}
+	for _, l := range limits {
+		n.limits[l.Resource] = l.Rate
+		n.lower(l, old[l.Resource])
+	}
+	n.hosts = max(1, hosts)
+}
+
+// lower scales what this host holds down with its limit, and drops what was divided, which is learned again from the hosts.
+func (n *Node) lower(l Limit, old float64) {
+	if old == 0 || l.Rate >= old {
+		return
+	}
+	h := n.holds[l.Resource]
+	h.rate *= l.Rate / old
+	n.holds[l.Resource] = h
+	for host, s := range n.shares[l.Resource] {
+		s.rate *= l.Rate / old
+		s.oldRate *= l.Rate / old
+		n.shares[l.Resource][host] = s
+	}
+}
+
+// Gain begins to divide; for one Length only what hosts say they still hold is given again.
+func (n *Node) Gain(now core.Millis) {
+	n.dividing, n.since = true, now
+	n.shares = map[string]map[string]share{}
+}
+
+// Lose stops dividing.
+func (n *Node) Lose() {
+	n.dividing = false
+}
+
+// Dividing tells whether this host divides the region's limits.
+func (n *Node) Dividing() bool {
+	return n.dividing
+}
+
+// safe returns a host's part of the limit that needs no grant.
+func (n *Node) safe(resource string) float64 {
+	return n.limits[resource] * safeShare / float64(n.hosts)
+}
+
+// Allowed returns the rate that this host may use of a resource now.
+func (n *Node) Allowed(now core.Millis, resource string) float64 {
+	h := n.holds[resource]
+	if now < h.until {
+		return n.safe(resource) + h.rate
+	}
+	return n.safe(resource)
+}
+
+// Take uses an amount of the resource; it returns false when the host's rate does not allow it now. A resource without a limit is always allowed.
+func (n *Node) Take(now core.Millis, resource string, amount float64) bool {
+	b := n.bucket(now, resource)
+	b.demand += amount
+	if n.limits[resource] == 0 {
+		return true
+	}
+	rate := n.Allowed(now, resource)
+	b.refill(now, rate)
+	if b.level < amount && b.level < rate*burstSeconds {
+		return false
+	}
+	b.level -= amount
+	b.used += amount
+	return true
+}
+
+// Charge uses an amount that can no longer be refused, such as the bytes of an answer; the rate is owed until it is paid back.
+func (n *Node) Charge(now core.Millis, resource string, amount float64) {
+	b := n.bucket(now, resource)
+	b.refill(now, n.Allowed(now, resource))
+	b.level -= amount
+	b.demand += amount
+	b.used += amount
+}
+
+// burstSeconds is how much unused rate a host may save up, in seconds.
+const burstSeconds = 0.1
+
+func (n *Node) bucket(now core.Millis, resource string) *bucket {
+	b := n.buckets[resource]
+	if b == nil {
+		b = &bucket{at: now, level: n.Allowed(now, resource) * burstSeconds}
+		n.buckets[resource] = b
+	}
+	return b
+}
+
+func (b *bucket) refill(now core.Millis, rate float64) {
+	b.level = min(rate*burstSeconds, b.level+rate*float64(now-b.at)/1000)
+	b.at = now
+}
+
+// Tick tells the divider of this host's demand.
+func (n *Node) Tick(now core.Millis, out *core.Effects) {
+	if now < n.nextWant {
+		return
+	}
+	divider := n.Divider(now)
+	if divider == "" {
+		return
+	}
+	want := n.want(now)
+	n.nextWant = now + WantEvery
+	if divider == n.Self && !n.dividing {
+		return
+	}
+	if divider == n.Self {
+		n.onGive(n.divide(now, n.Self, want))
+		return
+	}
+	out.Send(divider, want)
+}
+
+func (n *Node) want(now core.Millis) *Want {
+	n.round++
+	n.sent = map[uint64]core.Millis{n.round: now}
+	w := &Want{Rates: map[string]float64{}, Holds: map[string]float64{}, Round: n.round}
+	for resource := range n.limits {
+		w.Rates[resource] = n.measured(resource)
+		if h := n.holds[resource]; now < h.until {
+			w.Holds[resource] = h.rate
+		}
+	}
+	return w
+}
+
+// measured returns the demand per second since the last Want.
+func (n *Node) measured(resource string) float64 {
+	b := n.buckets[resource]
+	if b == nil {
+		return 0
+	}
+	seconds := float64(WantEvery) / 1000
+	rate := b.demand / seconds
+	b.demand = 0
+	return rate
+}
+
+// Receive takes a Want or a Give.
+func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Want:
+		if n.dividing {
+			out.Send(from, n.divide(now, from, m))
+		}
+	case *Give:
+		n.onGive(m)
+	}
+}
+
+// divide gives a host its part: what it wants and a little more, bounded by what the others hold.
+func (n *Node) divide(now core.Millis, host string, w *Want) *Give {
+	give := &Give{Rates: map[string]float64{}, Round: w.Round}
+	for _, resource := range slices.Sorted(maps.Keys(n.limits)) {
+		limit := n.limits[resource] * (1 - safeShare)
+		wanted := max(0, w.Rates[resource]*growth-n.safe(resource))
+		if n.dividing && now-n.since < Length {
+			wanted = min(wanted, w.Holds[resource])
+		}
+		amount := min(wanted, n.fairPart(now, resource, host, limit, wanted))
+		amount = max(0, min(amount, limit-n.others(now, resource, host)))
+		if n.shares[resource] == nil {
+			n.shares[resource] = map[string]share{}
+		}
+		next := n.shares[resource][host].renew(now, amount)
+		n.shares[resource][host] = next
+		give.Rates[resource] = amount
+		total := n.others(now, resource, host) + next.held(now)
+		core.Assert(amount == 0 || total <= limit*1.000001+1e-9, "shares of %s are %g, above %g", resource, total, limit)
+	}
+	return give
+}
+
+// others sums the shares of the other hosts that have not ended.
+func (n *Node) others(now core.Millis, resource, host string) float64 {
+	total := 0.0
+	for name, s := range n.shares[resource] {
+		if name != host {
+			total += s.held(now)
+		}
+	}
+	return total
+}
+
+// fairPart bounds a host so that a later one finds something left: beyond an even part it gets only what is free.
+func (n *Node) fairPart(now core.Millis, resource, host string, limit, wanted float64) float64 {
+	even := limit / float64(n.hosts)
+	if wanted <= even {
+		return wanted
+	}
+	free := limit - n.others(now, resource, host)
+	unclaimed := 0.0
+	for name, s := range n.shares[resource] {
+		if held := s.held(now); name != host && held < even*keptFree {
+			unclaimed += even*keptFree - held
+		}
+	}
+	return max(even, free-unclaimed)
+}
+
+func (n *Node) onGive(m *Give) {
+	sentAt, ok := n.sent[m.Round]
+	if !ok {
+		return
+	}
+	delete(n.sent, m.Round)
+	for resource, rate := range m.Rates {
+		n.holds[resource] = holding{rate, sentAt + Length}
+	}
+}
+
+// Use is the division of one resource for dumps.
+type Use struct {
+	Resource string
+	Limit    float64
+	Allowed  float64
+	Used     float64
+}
+
+// Status lists this host's limits.
+func (n *Node) Status(now core.Millis) []Use {
+	var out []Use
+	for _, resource := range slices.Sorted(maps.Keys(n.limits)) {
+		u := Use{Resource: resource, Limit: n.limits[resource], Allowed: n.Allowed(now, resource)}
+		if b := n.buckets[resource]; b != nil {
+			u.Used = b.used
+		}
+		out = append(out, u)
+	}
+	return out
+}
--- /dev/null
+++ b/core/host/machine.go
@@ -0,0 +1,339 @@
+package host
+
+import (
+	"math/rand/v2"
+
+	"clementinelock/core"
+	"clementinelock/core/call"
+	"clementinelock/core/ctrl"
+	"clementinelock/core/edits"
+	"clementinelock/core/grant"
+	"clementinelock/core/lease"
+	"clementinelock/core/ledger"
+	"clementinelock/core/member"
+	"clementinelock/core/plan"
+	"clementinelock/core/quorum"
+	"clementinelock/core/relay"
+	"clementinelock/core/route"
+	"clementinelock/core/slots"
+	"clementinelock/core/tree"
+)
+
+// TickEvery is how often the driver calls Tick.
+const TickEvery = 10 * core.Millisecond
+
+// Machine is one whole process. Set the exported fields before Start; calls must not overlap.
+type Machine struct {
+	Self   string
+	Region string
+	Zone   string
+	// Incarnation is greater than that of every earlier process of this host, such as its start in milliseconds.
+	Incarnation uint64
+	Rand        *rand.Rand
+	// ControlHosts lists the hosts with the control role; a host among them has a disk.
+	ControlHosts []string
+	// Seeds lists the hosts that are known before there is a tree, by zone.
+	Seeds map[string][]string
+
+	members *member.Table
+	relay   *relay.Node
+	leases  *lease.Node
+	slots   *slots.Node
+	replica *ledger.Replica
+	ledger  *ledger.Client
+	grants  *grant.Node
+	router  *route.Router
+	desk    *call.Desk
+	quorum  *quorum.Replica
+	book    *edits.Book
+	ctrl    *ctrl.Node
+
+	view      *tree.View
+	links     map[plan.Link]float64
+	directory *route.Directory
+	dirAt     core.Millis
+	pollAt    core.Millis
+	foundAt   core.Millis
+	operators map[uint64]operator
+	tickets   uint64
+	stopping  stop
+	demand    demandMeter
+	accepted  []edits.Version
+	reserved  map[string]uint64
+}
+
+// Start brings the process up with what its disk holds; hosts without a disk hand in an empty Stored. It errs when the state on disk can't be read.
+func (m *Machine) Start(now core.Millis, stored core.Stored) (core.Effects, error) {
+	out := &core.Effects{}
+	m.operators = map[uint64]operator{}
+	m.links = map[plan.Link]float64{}
+	m.reserved = map[string]uint64{}
+	m.buildMembers(now)
+	m.buildTasks(now)
+	m.buildCalls(now)
+	if !m.isControl() {
+		return *out, nil
+	}
+	err := m.buildControl(now, stored, out)
+	return *out, err
+}
+
+func (m *Machine) isControl() bool {
+	for _, name := range m.ControlHosts {
+		if name == m.Self {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) buildMembers(now core.Millis) {
+	m.members = &member.Table{
+		Self: m.Self, Region: m.Region, Zone: m.Zone, Incarnation: m.Incarnation, Rand: m.Rand, Seeds: m.Seeds,
+		Own:     m.ownEntry,
+		OnFloor: func(version uint64) { m.relay.SetFloor(version) },
+		OnNewer: func(now core.Millis, host string, version uint64, out *core.Effects) {
+			m.relay.OnNewer(now, host, version, out)
+		},
+		OnNotices: m.onNotices,
+	}
+	m.members.Start(now)
+	m.relay = &relay.Node{
+		Self: m.Self, Zone: m.Zone, Control: m.isControl(), ControlHosts: m.ControlHosts,
+		Leader: m.leader, Health: m.members, ZoneHosts: m.zoneHosts,
+		Witnessed: m.members.WitnessedVersion, PeersHeard: m.members.ZonePeersHeard,
+		OnTree: m.onTree, OnPlan: func(core.Millis, *plan.Plan, *core.Effects) {}, OwnDemand: m.ownDemand,
+	}
+	m.relay.Start(now)
+}
+
+func (m *Machine) leader() string {
+	if m.quorum == nil {
+		return ""
+	}
+	return m.quorum.LeaderName()
+}
+
+func (m *Machine) zoneHosts() []string {
+	if m.view != nil {
+		return m.view.ZoneHosts(m.Zone)
+	}
+	return m.Seeds[m.Zone]
+}
+
+func (m *Machine) buildTasks(now core.Millis) {
+	m.leases = &lease.Node{
+		Self: m.Self, Incarnation: m.Incarnation, Health: m.members,
+		OnGain: m.onGain, OnLose: m.onLose, OnHandBack: m.onHandBack,
+	}
+	m.leases.Start(now)
+	m.slots = &slots.Node{
+		Self: m.Self, Zone: m.Zone, Incarnation: m.Incarnation, Admit: m.admit, Reserve: m.reserve,
+		Holds: func(now core.Millis, zone, service string) bool {
+			return m.leases.Holds(now, slots.LeaseName(zone, service))
+		},
+		KeeperOf: func(now core.Millis, zone, service string) string {
+			keeper, _ := m.members.Keeper(now, zone, service)
+			return keeper.Host
+		},
+		OnGrant:   func(now core.Millis, g *slots.Grant, out *core.Effects) { m.desk.OnGrant(now, g, out) },
+		OnRefused: func(now core.Millis, r *slots.Refused, out *core.Effects) { m.desk.OnRefused(now, r, out) },
+	}
+	m.slots.Start()
+	m.grants = &grant.Node{Self: m.Self, Divider: m.divider}
+	m.grants.Start()
+}
+
+func (m *Machine) buildCalls(now core.Millis) {
+	m.replica = &ledger.Replica{Self: m.Self, Retention: core.Hour, LimitBytes: 1 << 20}
+	m.replica.Start(now)
+	m.ledger = &ledger.Client{
+		Self: m.Self, Incarnation: m.Incarnation, Rand: m.Rand, Local: m.replica, Replicas: m.ledgerReplicas, Gone: m.gone,
+		OnVerdict: func(now core.Millis, request uint64, v ledger.Verdict, out *core.Effects) {
+			m.desk.OnVerdict(now, request, v, out)
+		},
+		OnSettled: func(now core.Millis, request uint64, noted bool, out *core.Effects) {
+			m.desk.OnSettled(now, request, noted, out)
+		},
+	}
+	m.ledger.Start()
+	m.router = &route.Router{
+		Self: m.Self, Region: m.Region, Zone: m.Zone, Rand: m.Rand, Keepers: m.members,
+		Shares: func(region, service string) map[string]float64 { return m.relay.Plan().Of(region, service) },
+	}
+	m.desk = &call.Desk{Region: m.Region, Rand: m.Rand, Router: m.router, Slots: m.slots, Ledger: m.ledger, MayCross: m.mayCross}
+	m.desk.Start(m.Zone)
+}
+
+func (m *Machine) buildControl(now core.Millis, stored core.Stored, out *core.Effects) error {
+	m.book = edits.NewBook()
+	m.book.OnAccept = func(version edits.Version, _ *tree.View) { m.accepted = append(m.accepted, version) }
+	m.quorum = &quorum.Replica{Self: m.Self, Rand: m.Rand, Machine: m.book, Initial: m.ControlHosts}
+	m.ctrl = &ctrl.Node{
+		Self: m.Self, Replica: m.quorum, Book: m.book, Relay: m.relay,
+		ZoneReached: m.members.ZoneReached, Leaving: m.slots.IsLeaving,
+		Link: func(link plan.Link) float64 { return m.links[link] }, Deliver: m.deliver,
+	}
+	m.ctrl.Start()
+	err := m.quorum.Start(now, stored, out)
+	m.afterStep(now, out)
+	return err
+}
+
+// step runs one input and what follows from it.
+func (m *Machine) step(now core.Millis, input func(out *core.Effects)) core.Effects {
+	out := &core.Effects{}
+	input(out)
+	m.afterStep(now, out)
+	return *out
+}
+
+// afterStep brings versions that the log has accepted into force here.
+func (m *Machine) afterStep(now core.Millis, out *core.Effects) {
+	if m.ctrl == nil {
+		return
+	}
+	if len(m.accepted) > 0 {
+		last := m.accepted[len(m.accepted)-1]
+		differences := last.Differences
+		if len(m.accepted) > 1 {
+			differences = nil
+		}
+		m.accepted = nil
+		m.relay.Accept(now, m.book.View(), differences, out)
+	}
+	m.ctrl.AfterStep(now, out)
+}
+
+// Tick carries out what is due; the driver calls it every TickEvery.
+func (m *Machine) Tick(now core.Millis) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		if m.quorum != nil {
+			m.quorum.Tick(now, out)
+			m.ctrl.Tick(now, out)
+		}
+		m.members.Tick(now, out)
+		m.relay.Tick(now, out)
+		m.leases.Tick(now, out)
+		m.slots.Tick(now, out)
+		m.replica.Tick(now, out)
+		m.ledger.Tick(now, out)
+		m.grants.Tick(now, out)
+		m.desk.Tick(now, out)
+		m.tickSelf(now, out)
+	})
+}
+
+// Receive takes a message that another host sent.
+func (m *Machine) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		number, ok := numberOf[message.MessageName()]
+		if !ok {
+			return
+		}
+		m.receive(now, from, kinds[number].part, message, out)
+	})
+}
+
+func (m *Machine) receive(now core.Millis, from string, to part, message core.Message, out *core.Effects) {
+	switch to {
+	case quorumPart:
+		if m.quorum != nil {
+			m.quorum.Receive(now, from, message, out)
+		}
+	case ctrlPart:
+		if m.ctrl != nil {
+			m.ctrl.Receive(now, from, message, out)
+		}
+	case memberPart:
+		m.members.Receive(now, from, message, out)
+	case relayPart:
+		m.relay.Receive(now, from, message, out)
+	case leasePart:
+		m.leases.Receive(now, from, message, out)
+	case slotsPart:
+		m.slots.Receive(now, from, message, out)
+	case ledgerReplicaPart:
+		m.replica.Receive(now, from, message, out)
+	case ledgerClientPart:
+		m.ledger.Receive(now, from, message, out)
+	case grantPart:
+		m.grants.Receive(now, from, message, out)
+	case operatorPart:
+		m.deliver(now, message.(*ctrl.Answer), out)
+	case foundPart:
+		m.onFounding(message.(*ctrl.FoundAnswer).Founding)
+	}
+}
+
+// Synced tells that all writes up to the sequence number are on disk.
+func (m *Machine) Synced(now core.Millis, seq uint64) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		if m.quorum == nil {
+			return
+		}
+		m.quorum.Synced(now, seq, out)
+		if m.quorum.Durable() {
+			m.relay.SetDurable(m.book.View().Version)
+		}
+	})
+}
+
+// Fenced tells whether this control host's disk was found older than what it promised; the driver empties it and starts a new process.
+func (m *Machine) Fenced() bool {
+	return m.quorum != nil && m.quorum.Fenced()
+}
+
+// Arrive takes a caller's request.
+func (m *Machine) Arrive(now core.Millis, a call.Arrival) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		if m.stopping.refuses() {
+			ran := core.RanNo
+			if a.Key != "" && !a.Idempotent {
+				ran = core.RanUnknown
+			}
+			out.Refuse(a.ID, core.Refuse(core.Stopping, ran, "host %q is stopping", m.Self))
+			return
+		}
+		m.desk.Arrive(now, a, out)
+	})
+}
+
+// Cancel tells that a request's caller has gone.
+func (m *Machine) Cancel(now core.Millis, request uint64) core.Effects {
+	return m.step(now, func(out *core.Effects) { m.desk.Cancel(now, request, out) })
+}
+
+// Head takes the start of an endpoint's answer to an attempt.
+func (m *Machine) Head(now core.Millis, attempt uint64, h call.Head) core.Effects {
+	return m.step(now, func(out *core.Effects) { m.desk.OnHead(now, attempt, h, out) })
+}
+
+// End takes the end of an attempt; bits counts the request with its answer.
+func (m *Machine) End(now core.Millis, attempt uint64, e call.End, bits int64) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		m.chargeLink(now, attempt, bits, e)
+		m.desk.OnEnd(now, attempt, e, out)
+	})
+}
+
+// Report takes an endpoint's load report, or word that it could not be had.
+func (m *Machine) Report(now core.Millis, endpoint string, report core.Report, failed bool) core.Effects {
+	return m.step(now, func(*core.Effects) { m.slots.TakeReport(now, endpoint, report, failed) })
+}
+
+// Feed is the platform's list: its word on endpoints, and what others use of the links between regions.
+type Feed struct {
+	Notices []member.Notice
+	Links   map[plan.Link]float64
+}
+
+// TakeFeed takes the platform's list.
+func (m *Machine) TakeFeed(now core.Millis, feed Feed) core.Effects {
+	return m.step(now, func(out *core.Effects) {
+		m.members.TakeNotices(now, feed.Notices, out)
+		for link, used := range feed.Links {
+			m.links[link] = used
+		}
+	})
+}
--- /dev/null
+++ b/core/host/tasks.go
@@ -0,0 +1,276 @@
+package host
+
+import (
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/grant"
+	"clementinelock/core/lease"
+	"clementinelock/core/ledger"
+	"clementinelock/core/member"
+	"clementinelock/core/slots"
+	"clementinelock/core/tree"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	regionLease    = "region/"
+	mostVoters     = 5
+	ledgerReplicas = 5
+	// crossBits is taken from a link before a request is sent over it; what it really took is charged at its end.
+	crossBits = 8 * 4096
+	foundEach = core.Second
+)
+
+func linkResource(region string) string {
+	return "link/" + region
+}
+
+const regionResource = "region"
+
+// onTree takes a version that comes into force.
+func (m *Machine) onTree(now core.Millis, view *tree.View, out *core.Effects) {
+	core.Assert(m.view == nil || view.Version > m.view.Version, "version goes back from %d to %d", versionOf(m.view), view.Version)
+	m.view = view
+	m.members.SetView(view)
+	m.members.Hurry()
+	m.slots.SetView(now, view)
+	m.router.SetView(view)
+	m.desk.SetView(view)
+	m.leases.SetDefinitions(now, m.definitions(view), out)
+	m.grants.SetLimits(m.limits(view), len(view.RegionHosts(m.Region)))
+	m.replica.SetReplicas(m.ledgerReplicas(m.Region))
+	for _, region := range view.Regions {
+		if region.Name == m.Region {
+			m.replica.LimitBytes, m.replica.Retention = region.Root.LedgerBytes, region.Root.KeyRetention
+		}
+	}
+	m.dirAt = 0
+	out.Logf("relay", "Version %d is in force.", view.Version)
+}
+
+func versionOf(view *tree.View) uint64 {
+	if view == nil {
+		return 0
+	}
+	return view.Version
+}
+
+// definitions lists the tasks of this host's zone and region, which are the same at every host of them.
+func (m *Machine) definitions(view *tree.View) []lease.Definition {
+	var defs []lease.Definition
+	for _, zone := range view.Zones {
+		if zone.Region != m.Region {
+			continue
+		}
+		for _, service := range view.Services {
+			if s := view.Service(zone.Name, service); len(s.Endpoints) > 0 {
+				defs = append(defs, zoneTask(view, zone, service))
+			}
+		}
+	}
+	hosts := rotate(view.RegionHosts(m.Region), regionLease+m.Region)
+	return append(defs, lease.Definition{Name: regionLease + m.Region, Candidates: hosts, Voters: oddVoters(hosts, nil)})
+}
+
+// zoneTask is the keeping of one service in one zone. Its voters are hosts of the zone, and when they are even in number one of the region's others, so that two hosts of a zone can go on when one is lost.
+func zoneTask(view *tree.View, zone tree.Zone, service string) lease.Definition {
+	candidates := rotate(view.ZoneHosts(zone.Name), service)
+	var others []string
+	for _, host := range view.RegionHosts(zone.Region) {
+		if !slices.Contains(candidates, host) {
+			others = append(others, host)
+		}
+	}
+	return lease.Definition{
+		Name: slots.LeaseName(zone.Name, service), Candidates: candidates, Voters: oddVoters(candidates, others),
+	}
+}
+
+// oddVoters takes an odd number of voters, filled up with a witness when the hosts are two.
+func oddVoters(hosts, witnesses []string) []string {
+	voters := slices.Clone(hosts[:min(len(hosts), mostVoters)])
+	if len(voters)%2 == 1 || len(voters) == 0 {
+		return voters
+	}
+	if len(witnesses) > 0 {
+		return append(voters, witnesses[0])
+	}
+	if len(voters) > 2 {
+		return voters[:len(voters)-1]
+	}
+	return voters
+}
+
+// rotate begins the hosts' order at a place that depends on the seed, so that tasks spread.
+func rotate(hosts []string, seed string) []string {
+	if len(hosts) == 0 {
+		return nil
+	}
+	start := int(xxhash.Sum64String(seed) % uint64(len(hosts)))
+	return append(slices.Clone(hosts[start:]), hosts[:start]...)
+}
+
+func (m *Machine) limits(view *tree.View) []grant.Limit {
+	var limits []grant.Limit
+	for _, region := range view.Regions {
+		if region.Name == m.Region {
+			limits = append(limits, grant.Limit{Resource: regionResource, Rate: region.Root.RegionCapacity})
+			continue
+		}
+		limits = append(limits, grant.Limit{Resource: linkResource(region.Name), Rate: m.linkLimit(view, region.Name)})
+	}
+	return limits
+}
+
+func (m *Machine) linkLimit(view *tree.View, to string) float64 {
+	limit := 0.0
+	for _, region := range view.Regions {
+		if region.Name == m.Region || region.Name == to {
+			rate := float64(region.Root.LinkCapacity)
+			if limit == 0 || rate < limit {
+				limit = rate
+			}
+		}
+	}
+	return limit
+}
+
+func (m *Machine) onGain(now core.Millis, name string, out *core.Effects) {
+	if zone, service, ok := slots.ParseLease(name); ok {
+		m.noteReserve(now, name, zone, service)
+		m.slots.Gain(now, name, out)
+	} else {
+		m.grants.Gain(now)
+	}
+	m.members.Hurry()
+}
+
+func (m *Machine) onLose(now core.Millis, name string, out *core.Effects) {
+	zone, service, ok := slots.ParseLease(name)
+	if !ok {
+		m.grants.Lose()
+		return
+	}
+	floor := m.isFirst(zone, service) && !m.stopping.active && len(m.view.ZoneHosts(zone)) > 1
+	m.slots.Lose(now, name, floor, out)
+	m.members.Hurry()
+}
+
+func (m *Machine) isFirst(zone, service string) bool {
+	hosts := rotate(m.view.ZoneHosts(zone), service)
+	return len(hosts) > 0 && hosts[0] == m.Self
+}
+
+// onHandBack gives a task back to its first candidate.
+func (m *Machine) onHandBack(now core.Millis, name, to string, out *core.Effects) {
+	if _, _, ok := slots.ParseLease(name); ok {
+		m.slots.HandOver(now, name, to, out)
+	}
+	m.leases.Release(now, name, out)
+	m.members.Hurry()
+}
+
+// reserve leaves one slot of each endpoint to a first candidate that may be cut off and still use it, until that process has ended or left.
+func (m *Machine) reserve(now core.Millis, zone, service string) int {
+	incarnation, kept := m.reserved[slots.LeaseName(zone, service)]
+	if !kept {
+		return 0
+	}
+	first := rotate(m.view.ZoneHosts(zone), service)[0]
+	if m.members.Incarnations(first) != incarnation || m.members.Liveness(now, first) == core.Leaving {
+		return 0
+	}
+	return 1
+}
+
+// noteReserve remembers the process of a first candidate that was lost without a word.
+func (m *Machine) noteReserve(now core.Millis, name, zone, service string) {
+	delete(m.reserved, name)
+	hosts := rotate(m.view.ZoneHosts(zone), service)
+	if len(hosts) > 1 && hosts[0] != m.Self && m.members.Liveness(now, hosts[0]) != core.Leaving {
+		m.reserved[name] = m.members.Incarnations(hosts[0])
+	}
+}
+
+func (m *Machine) divider(now core.Millis) string {
+	if m.view == nil {
+		return ""
+	}
+	if m.grants.Dividing() && m.leases.Holds(now, regionLease+m.Region) {
+		return m.Self
+	}
+	for _, region := range m.view.Regions {
+		if region.Name == m.Region {
+			return m.members.RegionKeeper(now, region.Zones)
+		}
+	}
+	return ""
+}
+
+// admit takes one request from the region's grant.
+func (m *Machine) admit(now core.Millis, _ string) bool {
+	return m.grants.Take(now, regionResource, 1)
+}
+
+func (m *Machine) mayCross(now core.Millis, region string) bool {
+	return m.grants.Take(now, linkResource(region), crossBits)
+}
+
+// ledgerReplicas lists the hosts that keep a region's ledger.
+func (m *Machine) ledgerReplicas(region string) []string {
+	if m.view == nil {
+		return nil
+	}
+	hosts := m.view.RegionHosts(region)
+	return hosts[:min(len(hosts), ledgerReplicas)]
+}
+
+// gone tells whether the process that a ledger token names has ended.
+func (m *Machine) gone(now core.Millis, token ledger.Token) bool {
+	if token.Host == m.Self {
+		return token.Incarnation != m.Incarnation
+	}
+	if newest := m.members.Incarnations(token.Host); newest > token.Incarnation {
+		return true
+	}
+	return m.members.Liveness(now, token.Host) == core.Dead
+}
+
+func (m *Machine) onFounding(f edits.Founding) {
+	if f.Region == m.Region && f.Replicas[m.Self] == m.Incarnation {
+		m.replica.Found()
+	}
+}
+
+// askFounding asks the control hosts whether this region's ledger was ever begun.
+func (m *Machine) askFounding(now core.Millis, out *core.Effects) {
+	if m.view == nil || m.replica.Recovered() || now < m.foundAt || !slices.Contains(m.ledgerReplicas(m.Region), m.Self) {
+		return
+	}
+	m.foundAt = now + foundEach
+	ask := &ctrlFoundAsk{Region: m.Region, Replicas: m.ledgerReplicas(m.Region), Incarnation: m.Incarnation}
+	for _, host := range m.ControlHosts {
+		if host != m.Self {
+			out.Send(host, ask)
+			continue
+		}
+		m.ctrl.Receive(now, m.Self, ask, out)
+	}
+}
+
+// ownEntry fills in what this host tells of itself.
+func (m *Machine) ownEntry(now core.Millis, e *member.Entry) {
+	e.Version, e.Confirmed = m.relay.Version(), m.relay.Confirmed()
+	e.Region = m.grants.Dividing() && m.leases.Holds(now, regionLease+m.Region)
+	m.slots.Keeps(now, func(service string, free, waiting int) {
+		e.Keeps = append(e.Keeps, member.Keep{Service: service, Free: free, Waiting: waiting})
+	})
+}
+
+func (m *Machine) onNotices(_ core.Millis, leaving map[string]bool, out *core.Effects) {
+	m.slots.SetLeaving(leaving)
+	out.Logf("slots", "The platform names %d endpoints as leaving.", len(leaving))
+}
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,309 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+)
+
+// Lengths of time of a lease.
+const (
+	Length     = 1500 * core.Millisecond
+	Margin     = 150 * core.Millisecond
+	renewEvery = 400 * core.Millisecond
+	retryEvery = 200 * core.Millisecond
+	// HandBackAfter is how long the preferred host must be alive before the holder hands the task back.
+	HandBackAfter = 5 * core.Second
+)
+
+// Definition names a task, its candidates in their order of preference and its voters.
+type Definition struct {
+	Name       string
+	Candidates []string
+	Voters     []string
+}
+
+func (d *Definition) majority() int {
+	return len(d.Voters)/2 + 1
+}
+
+// Ask asks a voter for leases; Release gives them back instead.
+type Ask struct {
+	Incarnation uint64
+	Round       uint64
+	Names       []string
+	Release     bool
+}
+
+// Answer tells which leases the voter granted and who holds the others.
+type Answer struct {
+	Round   uint64
+	Names   []string
+	Granted []bool
+	Holders []string
+}
+
+// MessageName returns the message's name.
+func (Ask) MessageName() string { return "LeaseAsk" }
+
+// MessageName returns the message's name.
+func (Answer) MessageName() string { return "LeaseAnswer" }
+
+type promise struct {
+	holder      string
+	incarnation uint64
+	until       core.Millis
+}
+
+type claim struct {
+	until     core.Millis
+	round     uint64
+	askedAt   core.Millis
+	nextAsk   core.Millis
+	votes     map[string]bool
+	preferred core.Millis
+	handBack  bool
+}
+
+// Node is a host's part in all leases: as voter and as candidate. Set the exported fields before use.
+type Node struct {
+	Self        string
+	Incarnation uint64
+	Health      core.Health
+	// OnGain and OnLose are called when a lease is gained and when it ends.
+	OnGain func(now core.Millis, name string, out *core.Effects)
+	OnLose func(now core.Millis, name string, out *core.Effects)
+	// OnHandBack is asked to give a task back to the host; it calls Release once nothing is under way.
+	OnHandBack func(now core.Millis, name, to string, out *core.Effects)
+
+	started  core.Millis
+	defs     map[string]*Definition
+	order    []string
+	promises map[string]promise
+	claims   map[string]*claim
+	round    uint64
+	stopping bool
+}
+
+// Start takes the time of the process's start, from which old promises are waited out.
+func (n *Node) Start(now core.Millis) {
+	n.started = now
+	n.defs = map[string]*Definition{}
+	n.promises = map[string]promise{}
+	n.claims = map[string]*claim{}
+}
+
+// SetDefinitions replaces the tasks; a lease whose definition went is lost.
+func (n *Node) SetDefinitions(now core.Millis, defs []Definition, out *core.Effects) {
+	next := make(map[string]*Definition, len(defs))
+	for i := range defs {
+		next[defs[i].Name] = &defs[i]
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.claims)) {
+		if next[name] == nil || !slices.Contains(next[name].Candidates, n.Self) {
+			n.drop(now, name, out)
+			delete(n.claims, name)
+		}
+	}
+	n.defs = next
+	n.order = slices.Sorted(maps.Keys(next))
+}
+
+// Holds tells whether this host holds the lease at the time.
+func (n *Node) Holds(now core.Millis, name string) bool {
+	c := n.claims[name]
+	return c != nil && now < c.until
+}
+
+// Held lists the leases that this host holds.
+func (n *Node) Held(now core.Millis) []string {
+	var out []string
+	for _, name := range n.order {
+		if n.Holds(now, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Stop makes the host ask for no more leases; the ones that it holds are renewed until released.
+func (n *Node) Stop() {
+	n.stopping = true
+}
+
+// Tick renews, asks for and gives up leases.
+func (n *Node) Tick(now core.Millis, out *core.Effects) {
+	asks := map[string][]string{}
+	n.round++
+	for _, name := range n.order {
+		n.tickLease(now, n.defs[name], asks, out)
+	}
+	for _, voter := range slices.Sorted(maps.Keys(asks)) {
+		n.ask(now, voter, asks[voter], out)
+	}
+}
+
+func (n *Node) tickLease(now core.Millis, def *Definition, asks map[string][]string, out *core.Effects) {
+	c := n.claims[def.Name]
+	if c != nil && c.until != 0 && now >= c.until {
+		n.drop(now, def.Name, out)
+	}
+	holding := c != nil && c.until != 0
+	if !holding && !n.wants(now, def) {
+		return
+	}
+	if c == nil {
+		c = &claim{}
+		n.claims[def.Name] = c
+	}
+	if holding {
+		n.considerHandBack(now, def, c, out)
+	}
+	if now < c.nextAsk {
+		return
+	}
+	c.nextAsk = now + retryEvery
+	if holding {
+		c.nextAsk = now + renewEvery
+	}
+	c.round, c.askedAt, c.votes = n.round, now, map[string]bool{}
+	for _, voter := range def.Voters {
+		asks[voter] = append(asks[voter], def.Name)
+	}
+}
+
+// wants tells whether this host is the first candidate that is not known to be dead or leaving.
+func (n *Node) wants(now core.Millis, def *Definition) bool {
+	if n.stopping {
+		return false
+	}
+	for _, candidate := range def.Candidates {
+		if candidate == n.Self {
+			return true
+		}
+		state := n.Health.Liveness(now, candidate)
+		if state == core.Alive || state == core.Unknown && now-n.started < Length+Margin {
+			return false
+		}
+	}
+	return false
+}
+
+func (n *Node) considerHandBack(now core.Millis, def *Definition, c *claim, out *core.Effects) {
+	first := def.Candidates[0]
+	if first == n.Self || n.Health.Liveness(now, first) != core.Alive {
+		c.preferred = 0
+		return
+	}
+	if c.preferred == 0 {
+		c.preferred = now
+	}
+	if now-c.preferred >= HandBackAfter && !c.handBack {
+		c.handBack = true
+		n.OnHandBack(now, def.Name, first, out)
+	}
+}
+
+func (n *Node) ask(now core.Millis, voter string, names []string, out *core.Effects) {
+	message := &Ask{Incarnation: n.Incarnation, Round: n.round, Names: names}
+	if voter != n.Self {
+		out.Send(voter, message)
+		return
+	}
+	n.onAnswer(now, n.Self, n.vote(now, n.Self, message), out)
+}
+
+// vote grants what no other holder may still hold.
+func (n *Node) vote(now core.Millis, from string, m *Ask) *Answer {
+	answer := &Answer{Round: m.Round, Names: m.Names}
+	for _, name := range m.Names {
+		def := n.defs[name]
+		p := n.promises[name]
+		free := p.until <= now || p.holder == from && p.incarnation <= m.Incarnation
+		granted := def != nil && free && n.remembers(now, def) && slices.Contains(def.Voters, n.Self)
+		if granted {
+			p = promise{from, m.Incarnation, now + Length + Margin}
+			n.promises[name] = p
+		}
+		answer.Granted = append(answer.Granted, granted)
+		answer.Holders = append(answer.Holders, p.holder)
+	}
+	return answer
+}
+
+// remembers tells whether every promise from before this process's start is over; a sole voter made them only to itself.
+func (n *Node) remembers(now core.Millis, def *Definition) bool {
+	return len(def.Voters) == 1 || now-n.started >= Length+Margin
+}
+
+// Receive takes an Ask or an Answer.
+func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Ask:
+		if m.Release {
+			n.release(from, m)
+			return
+		}
+		out.Send(from, n.vote(now, from, m))
+	case *Answer:
+		n.onAnswer(now, from, m, out)
+	}
+}
+
+func (n *Node) release(from string, m *Ask) {
+	for _, name := range m.Names {
+		p := n.promises[name]
+		if p.holder == from && p.incarnation == m.Incarnation {
+			delete(n.promises, name)
+		}
+	}
+}
+
+func (n *Node) onAnswer(now core.Millis, from string, m *Answer, out *core.Effects) {
+	if len(m.Granted) != len(m.Names) {
+		return
+	}
+	for i, name := range m.Names {
+		c, def := n.claims[name], n.defs[name]
+		if c == nil || def == nil || c.round != m.Round || !m.Granted[i] || !slices.Contains(def.Voters, from) {
+			continue
+		}
+		c.votes[from] = true
+		if len(c.votes) < def.majority() || c.askedAt+Length <= now {
+			continue
+		}
+		gained := c.until == 0
+		c.until = max(c.until, c.askedAt+Length)
+		if gained {
+			n.OnGain(now, name, out)
+		}
+	}
+}
+
+func (n *Node) drop(now core.Millis, name string, out *core.Effects) {
+	c := n.claims[name]
+	if c == nil || c.until == 0 {
+		return
+	}
+	*c = claim{nextAsk: now}
+	n.OnLose(now, name, out)
+}
+
+// Release gives a held lease back to its voters; the caller must have stopped the task.
+func (n *Node) Release(now core.Millis, name string, out *core.Effects) {
+	c, def := n.claims[name], n.defs[name]
+	if c == nil || def == nil || c.until == 0 {
+		return
+	}
+	message := &Ask{Incarnation: n.Incarnation, Names: []string{name}, Release: true}
+	for _, voter := range def.Voters {
+		if voter == n.Self {
+			n.release(n.Self, message)
+			continue
+		}
+		out.Send(voter, message)
+	}
+	n.drop(now, name, out)
+	c.nextAsk = now + Length
+}
--- /dev/null
+++ b/core/ledger/client.go
@@ -0,0 +1,356 @@
+package ledger
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+)
+
+const (
+	resendAfter = 150 * core.Millisecond
+	settleFor   = 10 * core.Second
+	pollLow     = 20 * core.Millisecond
+	pollHigh    = 100 * core.Millisecond
+)
+
+// Claim is what a request asks of the ledger.
+type Claim struct {
+	Key      Key
+	Digest   uint64
+	Attempt  uint64
+	Deadline core.Millis
+}
+
+// Verdict answers a claim: Run when the key may be run under the token, else a stored outcome or a refusal.
+type Verdict struct {
+	Run     bool
+	Token   Token
+	Outcome *Outcome
+	Refusal *core.Refusal
+}
+
+// reservation is a claim under way.
+type reservation struct {
+	request  uint64
+	claim    Claim
+	token    Token
+	replicas []string
+	granted  map[string]bool
+	answers  map[string]*ReserveAnswer
+	began    core.Millis
+	sentAt   core.Millis
+	pollAt   core.Millis
+}
+
+// settling is a token's end that not all replicas have noted.
+type settling struct {
+	message *Settle
+	request uint64
+	waiting map[string]bool
+	total   int
+	told    bool
+	sentAt  core.Millis
+	until   core.Millis
+}
+
+// Client claims keys for the requests of its host. Set the exported fields before use.
+type Client struct {
+	Self        string
+	Incarnation uint64
+	Rand        *rand.Rand
+	Local       *Replica
+	// Replicas returns the hosts that keep a region's ledger.
+	Replicas func(region string) []string
+	// Gone tells whether the process that a token names has ended.
+	Gone func(now core.Millis, token Token) bool
+	// OnVerdict hands a claim's answer to its request.
+	OnVerdict func(now core.Millis, request uint64, verdict Verdict, out *core.Effects)
+	// OnSettled tells a request that a majority has noted its token's end, or with noted false that it can't be known.
+	OnSettled func(now core.Millis, request uint64, noted bool, out *core.Effects)
+
+	numbers      uint64
+	reservations map[Token]*reservation
+	settlings    map[Token]*settling
+}
+
+// Start prepares the client.
+func (c *Client) Start() {
+	c.reservations = map[Token]*reservation{}
+	c.settlings = map[Token]*settling{}
+}
+
+// Claim asks the key's home region for the right to run it.
+func (c *Client) Claim(now core.Millis, request uint64, claim Claim, out *core.Effects) {
+	r := &reservation{request: request, claim: claim, replicas: c.Replicas(claim.Key.Home)}
+	c.begin(now, r, out)
+}
+
+func (c *Client) begin(now core.Millis, r *reservation, out *core.Effects) {
+	c.numbers++
+	r.token = Token{c.Self, c.Incarnation, c.numbers}
+	r.granted, r.answers = map[string]bool{}, map[string]*ReserveAnswer{}
+	r.began, r.pollAt = now, 0
+	c.reservations[r.token] = r
+	c.sendReserve(now, r, out)
+}
+
+func (c *Client) sendReserve(now core.Millis, r *reservation, out *core.Effects) {
+	r.sentAt = now
+	message := &Reserve{
+		Key: r.claim.Key.Text, Digest: r.claim.Digest, Attempt: r.claim.Attempt,
+		Issued: r.claim.Key.Issued, Token: r.token, Replicas: r.replicas,
+	}
+	for _, host := range r.replicas {
+		if r.answers[host] != nil {
+			continue
+		}
+		if host == c.Self {
+			c.take(r, host, c.Local.reserve(now, message))
+			continue
+		}
+		out.Send(host, message)
+	}
+	c.decide(now, r, out)
+}
+
+// Receive takes a replica's answer.
+func (c *Client) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *ReserveAnswer:
+		r := c.reservations[m.Token]
+		if r == nil || r.pollAt != 0 || !slices.Contains(r.replicas, from) {
+			return
+		}
+		c.take(r, from, m)
+		c.decide(now, r, out)
+	case *SettleAnswer:
+		c.onSettled(now, from, m, out)
+	}
+}
+
+func (c *Client) take(r *reservation, from string, m *ReserveAnswer) {
+	r.answers[from] = m
+	if m.Granted {
+		r.granted[from] = true
+	}
+}
+
+// decide answers a claim as soon as its answer is certain.
+func (c *Client) decide(now core.Millis, r *reservation, out *core.Effects) {
+	if c.reservations[r.token] != r || r.pollAt != 0 {
+		return
+	}
+	majority := len(r.replicas)/2 + 1
+	if verdict, ok := c.certain(r); ok {
+		c.finish(now, r, verdict, out)
+		return
+	}
+	inTime := now-r.began < ReserveTimeout
+	if len(r.granted) >= majority && inTime {
+		delete(c.reservations, r.token)
+		c.OnVerdict(now, r.request, Verdict{Run: true, Token: r.token}, out)
+		return
+	}
+	open := len(r.replicas) - len(r.answers)
+	if inTime && len(r.granted)+open >= majority && len(r.replicas) > 0 {
+		return
+	}
+	c.giveWay(now, r, out)
+}
+
+// certain returns the verdicts that one replica's answer is enough for.
+func (c *Client) certain(r *reservation) (Verdict, bool) {
+	for _, host := range r.replicas {
+		a := r.answers[host]
+		if a == nil {
+			continue
+		}
+		key := r.claim.Key.Text
+		switch {
+		case a.Mismatch:
+			return Verdict{Refusal: core.Refuse(core.KeyReused, core.RanUnknown, "idempotency key %q was used with another request", key)}, true
+		case a.Entry != nil && a.Entry.State == Finished:
+			outcome := a.Entry.Outcome
+			return Verdict{Outcome: &outcome}, true
+		case a.Expired:
+			return Verdict{Refusal: core.Refuse(core.KeyExpired, core.RanUnknown, "idempotency key %q is too old", key)}, true
+		}
+	}
+	return Verdict{}, false
+}
+
+func (c *Client) finish(now core.Millis, r *reservation, verdict Verdict, out *core.Effects) {
+	delete(c.reservations, r.token)
+	c.release(now, r, out)
+	c.OnVerdict(now, r.request, verdict, out)
+}
+
+// giveWay releases a reservation without a majority, and polls again while another copy runs.
+func (c *Client) giveWay(now core.Millis, r *reservation, out *core.Effects) {
+	refusal, again := c.explain(now, r)
+	if !again || now+pollHigh >= r.claim.Deadline {
+		c.finish(now, r, Verdict{Refusal: refusal}, out)
+		return
+	}
+	c.release(now, r, out)
+	r.pollAt = now + pollLow + core.Millis(c.Rand.Int64N(int64(pollHigh-pollLow)))
+}
+
+func (c *Client) explain(now core.Millis, r *reservation) (refusal *core.Refusal, again bool) {
+	full := 0
+	for _, host := range r.replicas {
+		a := r.answers[host]
+		if a == nil {
+			continue
+		}
+		if a.Full {
+			full++
+		}
+		if a.Entry == nil {
+			continue
+		}
+		switch a.Entry.State {
+		case Closed:
+			return core.Refuse(core.KeyClosed, core.RanNo, "attempt %d of idempotency key %q is closed", r.claim.Attempt, r.claim.Key.Text), false
+		case Reserved:
+			if c.Gone(now, a.Entry.Token) {
+				return core.Refuse(core.OutcomeLost, core.RanUnknown, "the host that ran idempotency key %q is gone", r.claim.Key.Text), false
+			}
+			refusal = core.Refuse(core.InProgress, core.RanUnknown, "idempotency key %q is being run by host %q", r.claim.Key.Text, a.Entry.Token.Host)
+		}
+	}
+	if refusal != nil {
+		return refusal, true
+	}
+	if full > 0 {
+		return core.Refuse(core.LedgerFull, core.RanUnknown, "the ledger of region %q is full", r.claim.Key.Home), false
+	}
+	return core.Refuse(core.LedgerUnreached, core.RanUnknown, "%d of %d ledger replicas of region %q answered", len(r.answers), len(r.replicas), r.claim.Key.Home), false
+}
+
+func (c *Client) release(now core.Millis, r *reservation, out *core.Effects) {
+	c.settle(now, 0, r.claim, r.token, &Settle{Release: true}, out)
+}
+
+// Finish notes the outcome of a key that was run under the token.
+func (c *Client) Finish(now core.Millis, claim Claim, token Token, outcome Outcome, out *core.Effects) {
+	c.settle(now, 0, claim, token, &Settle{Outcome: outcome}, out)
+}
+
+// Release gives a token back that was not run. With closeAttempt the attempt is closed, and OnSettled tells when a majority has noted it.
+func (c *Client) Release(now core.Millis, request uint64, claim Claim, token Token, closeAttempt bool, out *core.Effects) {
+	c.settle(now, request, claim, token, &Settle{Release: true, Close: closeAttempt}, out)
+}
+
+func (c *Client) settle(now core.Millis, request uint64, claim Claim, token Token, m *Settle, out *core.Effects) {
+	m.Key, m.Digest, m.Attempt, m.Issued, m.Token = claim.Key.Text, claim.Digest, claim.Attempt, claim.Key.Issued, token
+	m.Replicas = c.Replicas(claim.Key.Home)
+	s := &settling{message: m, request: request, waiting: map[string]bool{}, total: len(m.Replicas), until: now + settleFor}
+	for _, host := range m.Replicas {
+		s.waiting[host] = true
+	}
+	c.settlings[token] = s
+	c.sendSettle(now, token, s, out)
+}
+
+func (c *Client) sendSettle(now core.Millis, token Token, s *settling, out *core.Effects) {
+	s.sentAt = now
+	for _, host := range s.message.Replicas {
+		if !s.waiting[host] {
+			continue
+		}
+		if host != c.Self {
+			out.Send(host, s.message)
+			continue
+		}
+		if c.Local.settle(now, s.message) != nil {
+			c.onSettled(now, c.Self, &SettleAnswer{Token: token}, out)
+		}
+	}
+}
+
+func (c *Client) onSettled(now core.Millis, from string, m *SettleAnswer, out *core.Effects) {
+	s := c.settlings[m.Token]
+	if s == nil {
+		return
+	}
+	delete(s.waiting, from)
+	if s.total-len(s.waiting) >= s.total/2+1 {
+		c.tell(now, s, true, out)
+	}
+	if len(s.waiting) == 0 {
+		delete(c.settlings, m.Token)
+	}
+}
+
+func (c *Client) tell(now core.Millis, s *settling, noted bool, out *core.Effects) {
+	if s.told || s.request == 0 {
+		return
+	}
+	s.told = true
+	c.OnSettled(now, s.request, noted, out)
+}
+
+// Tick sends again what was not answered and polls for keys that others run.
+func (c *Client) Tick(now core.Millis, out *core.Effects) {
+	for _, token := range slices.SortedFunc(maps.Keys(c.reservations), compareTokens) {
+		r := c.reservations[token]
+		switch {
+		case r == nil:
+		case r.pollAt != 0 && now >= r.pollAt:
+			delete(c.reservations, token)
+			c.begin(now, r, out)
+		case r.pollAt != 0:
+		case now-r.began >= ReserveTimeout || now >= r.claim.Deadline:
+			c.decideLate(now, r, out)
+		case now-r.sentAt >= resendAfter:
+			c.sendReserve(now, r, out)
+		}
+	}
+	for _, token := range slices.SortedFunc(maps.Keys(c.settlings), compareTokens) {
+		s := c.settlings[token]
+		if now >= s.until {
+			c.tell(now, s, false, out)
+			delete(c.settlings, token)
+			continue
+		}
+		if now-s.sentAt >= resendAfter {
+			c.sendSettle(now, token, s, out)
+		}
+	}
+}
+
+func (c *Client) decideLate(now core.Millis, r *reservation, out *core.Effects) {
+	if verdict, ok := c.certain(r); ok {
+		c.finish(now, r, verdict, out)
+		return
+	}
+	c.giveWay(now, r, out)
+}
+
+// Forget ends a claim whose caller went before it was answered; it returns false when there is none.
+func (c *Client) Forget(now core.Millis, request uint64, out *core.Effects) bool {
+	for _, token := range slices.SortedFunc(maps.Keys(c.reservations), compareTokens) {
+		r := c.reservations[token]
+		if r.request != request {
+			continue
+		}
+		delete(c.reservations, token)
+		if r.pollAt == 0 {
+			c.release(now, r, out)
+		}
+		return true
+	}
+	return false
+}
+
+// Unsettled counts the ends that not all replicas have noted, which a planned stop waits for.
+func (c *Client) Unsettled() int {
+	return len(c.settlings)
+}
+
+func compareTokens(a, b Token) int {
+	return int(a.Number) - int(b.Number)
+}
--- /dev/null
+++ b/core/ledger/replica.go
@@ -0,0 +1,347 @@
+package ledger
+
+import (
+	"slices"
+
+	"clementinelock/core"
+)
+
+// Lengths of time and sizes of the ledger.
+const (
+	// ReserveTimeout bounds the time from a reservation's first message to its decision.
+	ReserveTimeout = core.Second
+	// clockSkew is how far the clocks of two hosts may differ.
+	clockSkew  = 2 * core.Second
+	pullAfter  = ReserveTimeout + 200*core.Millisecond
+	pullEvery  = 250 * core.Millisecond
+	pageBytes  = 64 << 10
+	entryBytes = 256
+	maxVoid    = 8
+)
+
+// Replica notes the keys of its region. Set the exported fields before use.
+type Replica struct {
+	Self string
+	// Retention and LimitBytes come from the tree.
+	Retention  core.Millis
+	LimitBytes int64
+
+	started   core.Millis
+	replicas  []string
+	entries   map[string]*noted
+	order     []*noted
+	numbers   uint64
+	bytes     int64
+	recovered bool
+	pulls     map[string]*pull
+}
+
+type noted struct {
+	Entry
+	number uint64
+	size   int64
+	gone   bool
+}
+
+type pull struct {
+	after  uint64
+	sentAt core.Millis
+	done   bool
+}
+
+// Start takes the time of the process's start.
+func (r *Replica) Start(now core.Millis) {
+	r.started = now
+	r.entries = map[string]*noted{}
+	r.pulls = map[string]*pull{}
+}
+
+// SetReplicas takes the hosts that keep the ledger of this host's region.
+func (r *Replica) SetReplicas(replicas []string) {
+	if slices.Equal(r.replicas, replicas) {
+		return
+	}
+	r.replicas = slices.Clone(replicas)
+}
+
+func (r *Replica) member() bool {
+	return slices.Contains(r.replicas, r.Self)
+}
+
+// Recovered tells whether the replica can vote on every key.
+func (r *Replica) Recovered() bool {
+	return r.recovered
+}
+
+// Found tells that this replica is one of those that began its region's ledger, so that there is nothing that it forgot.
+func (r *Replica) Found() {
+	r.recovered = true
+}
+
+// Tick takes entries over from the others after a restart.
+func (r *Replica) Tick(now core.Millis, out *core.Effects) {
+	if r.recovered || !r.member() || now-r.started < pullAfter {
+		return
+	}
+	if now-r.started >= r.Retention+clockSkew {
+		r.recovered = true
+		out.Logf("ledger", "Votes on every key, since all older ones have expired.")
+		return
+	}
+	for _, host := range r.replicas {
+		if host == r.Self {
+			continue
+		}
+		p := r.pulls[host]
+		if p == nil {
+			p = &pull{sentAt: now - pullEvery}
+			r.pulls[host] = p
+		}
+		if !p.done && now-p.sentAt >= pullEvery {
+			p.sentAt = now
+			out.Send(host, &Pull{After: p.after, Replicas: r.replicas})
+		}
+	}
+}
+
+// needed returns how many others must have told everything, so that every majority that this replica was in is met.
+func (r *Replica) needed() int {
+	majority := len(r.replicas)/2 + 1
+	return len(r.replicas) - majority + 1
+}
+
+// Receive takes a message for a replica.
+func (r *Replica) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Reserve:
+		out.Send(from, r.reserve(now, m))
+	case *Settle:
+		if answer := r.settle(now, m); answer != nil {
+			out.Send(from, answer)
+		}
+	case *Pull:
+		out.Send(from, r.page(m))
+	case *PullAnswer:
+		r.onPage(now, from, m, out)
+	}
+}
+
+func (r *Replica) page(m *Pull) *PullAnswer {
+	answer := &PullAnswer{After: m.After, UpTo: m.After, Complete: r.recovered && slices.Equal(m.Replicas, r.replicas), Last: true}
+	size := int64(0)
+	i, _ := slices.BinarySearchFunc(r.order, m.After+1, func(n *noted, number uint64) int { return int(n.number) - int(number) })
+	for ; i < len(r.order); i++ {
+		n := r.order[i]
+		if size > pageBytes {
+			answer.Last = false
+			break
+		}
+		answer.UpTo = n.number
+		if !n.gone {
+			answer.Entries = append(answer.Entries, n.Entry)
+			size += n.size
+		}
+	}
+	return answer
+}
+
+func (r *Replica) onPage(now core.Millis, from string, m *PullAnswer, out *core.Effects) {
+	p := r.pulls[from]
+	if r.recovered || p == nil || p.done || m.After != p.after || !m.Complete {
+		return
+	}
+	for _, e := range m.Entries {
+		r.mergeEntry(now, e)
+	}
+	p.after = m.UpTo
+	p.sentAt = now - pullEvery
+	p.done = m.Last
+	done := 0
+	for _, each := range r.pulls {
+		if each.done {
+			done++
+		}
+	}
+	if done >= r.needed() {
+		r.recovered = true
+		out.Logf("ledger", "Took %d entries over and votes on every key.", len(r.entries))
+	}
+}
+
+// mergeEntry joins what another replica noted to what this one has; two different tokens leave the key to nobody.
+func (r *Replica) mergeEntry(now core.Millis, e Entry) {
+	own := r.entries[e.Key]
+	if own == nil {
+		r.add(e)
+		return
+	}
+	for _, void := range e.Void {
+		own.addVoid(void)
+	}
+	switch {
+	case own.State == Finished:
+	case e.State == Finished:
+		own.State, own.Token, own.Outcome, own.Attempt = e.State, e.Token, e.Outcome, e.Attempt
+	case e.State == Closed && own.State != Reserved:
+		own.State, own.Attempt = Closed, max(own.Attempt, e.Attempt)
+	case e.State == Reserved && own.State == Reserved && e.Token != own.Token:
+		own.Token = Token{}
+	case e.State == Reserved && own.State != Reserved:
+		own.State, own.Token, own.Attempt = Reserved, e.Token, e.Attempt
+	}
+	own.Touched = now
+}
+
+// canTell tells whether a key that is not noted here was certainly never noted here.
+func (r *Replica) canTell(issued core.Millis) bool {
+	return r.recovered || issued >= r.started+clockSkew
+}
+
+func (r *Replica) reserve(now core.Millis, m *Reserve) *ReserveAnswer {
+	answer := &ReserveAnswer{Token: m.Token}
+	if !r.member() || !slices.Equal(m.Replicas, r.replicas) {
+		answer.Recovering = true
+		return answer
+	}
+	own := r.entries[m.Key]
+	if own != nil && own.Digest != m.Digest {
+		answer.Mismatch = true
+		return answer
+	}
+	if own != nil && own.State == Finished {
+		entry := own.Entry
+		answer.Entry = &entry
+		return answer
+	}
+	if m.Issued > 0 && now-m.Issued > r.Retention {
+		answer.Expired = true
+		return answer
+	}
+	if !r.canTell(m.Issued) {
+		answer.Recovering = true
+		return answer
+	}
+	if own == nil {
+		r.reserveNew(now, m, answer)
+		return answer
+	}
+	r.reserveKnown(now, own, m, answer)
+	return answer
+}
+
+func (r *Replica) reserveNew(now core.Millis, m *Reserve, answer *ReserveAnswer) {
+	if r.bytes+entryBytes > r.LimitBytes && !r.evict(now) {
+		answer.Full = true
+		return
+	}
+	r.add(Entry{Key: m.Key, Digest: m.Digest, Attempt: m.Attempt, State: Reserved, Token: m.Token, Issued: m.Issued, Touched: now})
+	answer.Granted = true
+}
+
+func (r *Replica) reserveKnown(now core.Millis, own *noted, m *Reserve, answer *ReserveAnswer) {
+	free := own.State == Free || own.State == Closed && m.Attempt > own.Attempt
+	switch {
+	case slices.Contains(own.Void, m.Token):
+	case own.State == Reserved && own.Token == m.Token:
+		answer.Granted = true
+	case free:
+		own.State, own.Token, own.Attempt, own.Touched = Reserved, m.Token, m.Attempt, now
+		answer.Granted = true
+	}
+	if !answer.Granted {
+		entry := own.Entry
+		answer.Entry = &entry
+	}
+}
+
+// settle notes a token's end; it returns nil when this replica does not keep the key's region.
+func (r *Replica) settle(now core.Millis, m *Settle) *SettleAnswer {
+	if !r.member() || !slices.Equal(m.Replicas, r.replicas) {
+		return nil
+	}
+	own := r.entries[m.Key]
+	if own == nil {
+		own = r.add(Entry{Key: m.Key, Digest: m.Digest, Attempt: m.Attempt, State: Free, Issued: m.Issued, Touched: now})
+	}
+	own.Touched = now
+	if m.Release {
+		r.settleRelease(own, m)
+		return &SettleAnswer{Token: m.Token}
+	}
+	core.Assert(own.State != Finished || own.Token == m.Token || own.Token == Token{}, "key %q finished twice, by %v and by %v", m.Key, own.Token, m.Token)
+	own.State, own.Token, own.Outcome, own.Attempt = Finished, m.Token, m.Outcome, m.Attempt
+	r.resize(own)
+	return &SettleAnswer{Token: m.Token}
+}
+
+func (r *Replica) settleRelease(own *noted, m *Settle) {
+	own.addVoid(m.Token)
+	holds := own.State == Reserved && own.Token == m.Token
+	if holds {
+		own.State, own.Token = Free, Token{}
+	}
+	if m.Close && own.State != Finished && own.State != Reserved {
+		own.State, own.Attempt = Closed, max(own.Attempt, m.Attempt)
+	}
+}
+
+func (e *Entry) addVoid(token Token) {
+	if slices.Contains(e.Void, token) {
+		return
+	}
+	e.Void = append(e.Void, token)
+	if len(e.Void) > maxVoid {
+		e.Void = slices.Clone(e.Void[1:])
+	}
+}
+
+func (r *Replica) add(e Entry) *noted {
+	r.numbers++
+	n := &noted{Entry: e, number: r.numbers}
+	r.entries[e.Key] = n
+	r.order = append(r.order, n)
+	r.resize(n)
+	return n
+}
+
+func (r *Replica) resize(n *noted) {
+	size := int64(entryBytes + 2*len(n.Key))
+	if n.Outcome.Answer != nil {
+		size += int64(len(n.Outcome.Answer.Body)) + entryBytes
+	}
+	if r.bytes+size-n.size > r.LimitBytes && n.Outcome.Answer != nil {
+		n.Outcome.Answer = &core.StoredAnswer{Status: n.Outcome.Answer.Status}
+		size = int64(entryBytes + 2*len(n.Key))
+	}
+	r.bytes += size - n.size
+	n.size = size
+}
+
+// evict drops the oldest entries that are past their retention; it returns false when none is.
+func (r *Replica) evict(now core.Millis) bool {
+	dropped := false
+	for len(r.order) > 0 {
+		n := r.order[0]
+		if !n.gone && now-n.Touched <= r.Retention {
+			break
+		}
+		r.order = r.order[1:]
+		delete(r.entries, n.Key)
+		r.bytes -= n.size
+		dropped = true
+	}
+	return dropped
+}
+
+// Status describes the replica for dumps.
+type Status struct {
+	Replicas  []string
+	Recovered bool
+	Entries   int
+	Bytes     int64
+}
+
+// Report describes the replica.
+func (r *Replica) Report() Status {
+	return Status{Replicas: r.replicas, Recovered: r.recovered, Entries: len(r.entries), Bytes: r.bytes}
+}
--- /dev/null
+++ b/core/member/table.go
@@ -0,0 +1,501 @@
+package member
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/tree"
+)
+
+// Lengths of time of the gossip.
+const (
+	BeatEvery    = 250 * core.Millisecond
+	DeadAfter    = 1500 * core.Millisecond
+	zoneStale    = 5 * core.Second
+	zoneFanOut   = 2
+	minBeatGap   = 20 * core.Millisecond
+	growthFactor = 150 * core.Millisecond
+	// mostNotices bounds the notices in one beat.
+	mostNotices = 512
+)
+
+// Keep is a task that a host keeps, with how much of it is free and waiting.
+type Keep struct {
+	Service string
+	Free    int
+	Waiting int
+}
+
+// Entry is what a host says of itself.
+type Entry struct {
+	Name        string
+	Incarnation uint64
+	Counter     uint64
+	Leaving     bool
+	Version     uint64
+	Confirmed   uint64
+	Keeps       []Keep
+	Region      bool
+}
+
+// Report is what one zone says of itself to others.
+type Report struct {
+	Zone    string
+	Stamp   uint64
+	Down    []string
+	Leaving []string
+	Version uint64
+	Keepers map[string]KeeperAt
+	// RegionKeeper is the host of the zone that keeps the region's task, if any does.
+	RegionKeeper string
+}
+
+// KeeperAt is the keeper of one service in a zone.
+type KeeperAt struct {
+	Host    string
+	Free    int
+	Waiting int
+}
+
+// Notice is the platform's word on one endpoint; Since orders the notices of one endpoint.
+type Notice struct {
+	Endpoint string
+	Leaving  bool
+	Since    core.Millis
+}
+
+// Beat carries a host's own entry, those of its zone, the zones' reports and the notices of leaving endpoints.
+type Beat struct {
+	Zone    string
+	Entries []Entry
+	Reports []Report
+	Notices []Notice
+}
+
+// MessageName returns the message's name.
+func (Beat) MessageName() string { return "MemberBeat" }
+
+type heard struct {
+	Entry
+	at core.Millis
+}
+
+type zoneReport struct {
+	Report
+	at core.Millis
+}
+
+// Table is a host's knowledge of all hosts. Set the exported fields before use.
+type Table struct {
+	Self        string
+	Region      string
+	Zone        string
+	Incarnation uint64
+	Rand        *rand.Rand
+	// Own fills in the host's own entry before it is sent.
+	Own func(now core.Millis, entry *Entry)
+	// OnFloor is called with the version that an earlier incarnation of this host had confirmed.
+	OnFloor func(confirmed uint64)
+	// OnNewer is called when a host reports a version, so that a lagging host can ask it.
+	OnNewer func(now core.Millis, host string, version uint64, out *core.Effects)
+	// OnNotices is called when the platform's word on an endpoint has changed.
+	OnNotices func(now core.Millis, leaving map[string]bool, out *core.Effects)
+	// Seeds lists hosts that are known before there is a tree, by zone.
+	Seeds map[string][]string
+
+	counter  uint64
+	started  core.Millis
+	leaving  bool
+	zone     map[string]*heard
+	reports  map[string]*zoneReport
+	view     *tree.View
+	nextBeat core.Millis
+	lastBeat core.Millis
+	turn     int
+	notices  map[string]Notice
+}
+
+// Start takes the time of the process's start.
+func (t *Table) Start(now core.Millis) {
+	t.started = now
+	t.zone = map[string]*heard{}
+	t.reports = map[string]*zoneReport{}
+	t.notices = map[string]Notice{}
+}
+
+// SetView takes a new version of the tree.
+func (t *Table) SetView(view *tree.View) {
+	t.view = view
+}
+
+// Leave makes the host tell the others that it is leaving.
+func (t *Table) Leave() {
+	t.leaving = true
+	t.nextBeat = 0
+}
+
+// Hurry sends the next beat as soon as the shortest gap allows.
+func (t *Table) Hurry() {
+	t.nextBeat = 0
+}
+
+// zones lists the hosts by zone, from the tree or before there is one from the seeds.
+func (t *Table) zones() (names []string, hosts map[string][]string) {
+	if t.view == nil || len(t.view.Zones) == 0 {
+		return slices.Sorted(maps.Keys(t.Seeds)), t.Seeds
+	}
+	hosts = make(map[string][]string, len(t.view.Zones))
+	for _, zone := range t.view.Zones {
+		names = append(names, zone.Name)
+		hosts[zone.Name] = t.view.ZoneHosts(zone.Name)
+	}
+	return names, hosts
+}
+
+// Tick sends beats when they are due.
+func (t *Table) Tick(now core.Millis, out *core.Effects) {
+	if now < t.nextBeat || now-t.lastBeat < minBeatGap {
+		return
+	}
+	t.nextBeat = now + BeatEvery
+	t.lastBeat = now
+	t.counter++
+	beat := t.beat(now)
+	for _, target := range t.targets() {
+		out.Send(target, beat)
+	}
+}
+
+func (t *Table) beat(now core.Millis) *Beat {
+	beat := &Beat{Zone: t.Zone, Entries: []Entry{t.own(now)}}
+	for _, name := range slices.Sorted(maps.Keys(t.zone)) {
+		if h := t.zone[name]; now-h.at < t.deadAfter() {
+			beat.Entries = append(beat.Entries, h.Entry)
+		}
+	}
+	beat.Reports = append(beat.Reports, t.ownReport(now))
+	for _, zone := range slices.Sorted(maps.Keys(t.reports)) {
+		if r := t.reports[zone]; now-r.at < zoneStale && zone != t.Zone {
+			beat.Reports = append(beat.Reports, r.Report)
+		}
+	}
+	for _, endpoint := range slices.Sorted(maps.Keys(t.notices)) {
+		if len(beat.Notices) < mostNotices {
+			beat.Notices = append(beat.Notices, t.notices[endpoint])
+		}
+	}
+	return beat
+}
+
+// TakeNotices takes the platform's word on endpoints, from its list or from another host; the newest word on each counts.
+func (t *Table) TakeNotices(now core.Millis, notices []Notice, out *core.Effects) {
+	changed := false
+	for _, notice := range notices {
+		old, known := t.notices[notice.Endpoint]
+		if known && old.Since >= notice.Since || !known && !notice.Leaving {
+			continue
+		}
+		t.notices[notice.Endpoint] = notice
+		changed = changed || notice.Leaving != old.Leaving
+	}
+	if !changed {
+		return
+	}
+	t.Hurry()
+	t.OnNotices(now, t.leavingEndpoints(), out)
+}
+
+func (t *Table) leavingEndpoints() map[string]bool {
+	leaving := map[string]bool{}
+	for endpoint, notice := range t.notices {
+		if notice.Leaving {
+			leaving[endpoint] = true
+		}
+	}
+	return leaving
+}
+
+func (t *Table) own(now core.Millis) Entry {
+	e := Entry{Name: t.Self, Incarnation: t.Incarnation, Counter: t.counter, Leaving: t.leaving}
+	t.Own(now, &e)
+	return e
+}
+
+// ownReport sums up this zone; its stamp is the wall clock, which only orders reports of one zone.
+func (t *Table) ownReport(now core.Millis) Report {
+	r := Report{Zone: t.Zone, Stamp: uint64(now), Keepers: map[string]KeeperAt{}}
+	_, hosts := t.zones()
+	for _, name := range hosts[t.Zone] {
+		switch t.Liveness(now, name) {
+		case core.Dead:
+			r.Down = append(r.Down, name)
+		case core.Leaving:
+			r.Leaving = append(r.Leaving, name)
+		}
+	}
+	entries := []Entry{t.own(now)}
+	for _, h := range t.zone {
+		if now-h.at < t.deadAfter() {
+			entries = append(entries, h.Entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return compareText(a.Name, b.Name) })
+	for _, e := range entries {
+		r.Version = max(r.Version, e.Version)
+		if e.Region {
+			r.RegionKeeper = e.Name
+		}
+		for _, keep := range e.Keeps {
+			r.Keepers[keep.Service] = KeeperAt{e.Name, keep.Free, keep.Waiting}
+		}
+	}
+	return r
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// targets picks some hosts of the zone at random and one of another zone in turn.
+func (t *Table) targets() []string {
+	names, hosts := t.zones()
+	own := slices.DeleteFunc(slices.Clone(hosts[t.Zone]), func(name string) bool { return name == t.Self })
+	t.Rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+	if len(own) > zoneFanOut {
+		own = own[:zoneFanOut]
+	}
+	others := slices.DeleteFunc(slices.Clone(names), func(zone string) bool { return zone == t.Zone || len(hosts[zone]) == 0 })
+	if len(others) == 0 {
+		return own
+	}
+	for range min(2, len(others)) {
+		t.turn++
+		zone := hosts[others[t.turn%len(others)]]
+		own = append(own, zone[t.Rand.IntN(len(zone))])
+	}
+	return own
+}
+
+// deadAfter grows with the zone, since gossip takes a few more rounds in a larger one.
+func (t *Table) deadAfter() core.Millis {
+	rounds := core.Millis(0)
+	for size := len(t.zone); size > 2; size /= 2 {
+		rounds++
+	}
+	return DeadAfter + rounds*growthFactor
+}
+
+// Receive takes a beat.
+func (t *Table) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	beat, ok := message.(*Beat)
+	if !ok {
+		return
+	}
+	newest := uint64(0)
+	if beat.Zone == t.Zone {
+		for _, e := range beat.Entries {
+			t.takeEntry(now, e)
+			if e.Name == from {
+				newest = e.Version
+			}
+		}
+	}
+	for _, report := range beat.Reports {
+		t.takeReport(now, report)
+		if report.Zone == beat.Zone && newest == 0 {
+			newest = report.Version
+		}
+	}
+	t.TakeNotices(now, beat.Notices, out)
+	t.OnNewer(now, from, newest, out)
+}
+
+func (t *Table) takeEntry(now core.Millis, e Entry) {
+	if e.Name == t.Self {
+		if e.Incarnation < t.Incarnation {
+			t.OnFloor(e.Confirmed)
+		}
+		return
+	}
+	h := t.zone[e.Name]
+	newer := h == nil || e.Incarnation > h.Incarnation || e.Incarnation == h.Incarnation && e.Counter > h.Counter
+	if newer {
+		t.zone[e.Name] = &heard{e, now}
+	}
+}
+
+func (t *Table) takeReport(now core.Millis, report Report) {
+	if report.Zone == t.Zone {
+		return
+	}
+	old := t.reports[report.Zone]
+	if old == nil || report.Stamp > old.Stamp || now-old.at > zoneStale {
+		t.reports[report.Zone] = &zoneReport{report, now}
+	}
+}
+
+// Liveness returns what is known of a host: from its own counter inside the zone, from the zone's report outside it.
+func (t *Table) Liveness(now core.Millis, host string) core.Liveness {
+	if host == t.Self {
+		if t.leaving {
+			return core.Leaving
+		}
+		return core.Alive
+	}
+	zone := t.zoneOf(host)
+	if zone == t.Zone {
+		return t.livenessInZone(now, host)
+	}
+	r := t.reports[zone]
+	switch {
+	case r == nil && now-t.started < zoneStale:
+		return core.Unknown
+	case r == nil || now-r.at >= zoneStale:
+		return core.Dead
+	case slices.Contains(r.Down, host):
+		return core.Dead
+	case slices.Contains(r.Leaving, host):
+		return core.Leaving
+	default:
+		return core.Alive
+	}
+}
+
+func (t *Table) livenessInZone(now core.Millis, host string) core.Liveness {
+	h := t.zone[host]
+	switch {
+	case h == nil && now-t.started < DeadAfter:
+		return core.Unknown
+	case h == nil || now-h.at >= t.deadAfter():
+		return core.Dead
+	case h.Leaving:
+		return core.Leaving
+	default:
+		return core.Alive
+	}
+}
+
+func (t *Table) zoneOf(host string) string {
+	if t.view != nil {
+		if place, ok := t.view.Host(host); ok {
+			return place.Zone
+		}
+	}
+	for zone, hosts := range t.Seeds {
+		if slices.Contains(hosts, host) {
+			return zone
+		}
+	}
+	return ""
+}
+
+// Incarnations returns the incarnation that a host of this zone runs, or 0.
+func (t *Table) Incarnations(host string) uint64 {
+	if h := t.zone[host]; h != nil {
+		return h.Incarnation
+	}
+	return 0
+}
+
+// Keeper returns the keeper of a zone's service as last heard.
+func (t *Table) Keeper(now core.Millis, zone, service string) (KeeperAt, bool) {
+	if zone != t.Zone {
+		r := t.reports[zone]
+		if r == nil || now-r.at >= zoneStale {
+			return KeeperAt{}, false
+		}
+		k, ok := r.Keepers[service]
+		return k, ok
+	}
+	own := t.own(now)
+	if k, ok := keepOf(own, service); ok {
+		return k, true
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.zone)) {
+		h := t.zone[name]
+		if now-h.at >= t.deadAfter() {
+			continue
+		}
+		if k, ok := keepOf(h.Entry, service); ok {
+			return k, true
+		}
+	}
+	return KeeperAt{}, false
+}
+
+func keepOf(e Entry, service string) (KeeperAt, bool) {
+	for _, keep := range e.Keeps {
+		if keep.Service == service {
+			return KeeperAt{e.Name, keep.Free, keep.Waiting}, true
+		}
+	}
+	return KeeperAt{}, false
+}
+
+// RegionKeeper returns the host that keeps the region's task, or the empty string.
+func (t *Table) RegionKeeper(now core.Millis, zones []string) string {
+	for _, zone := range zones {
+		if zone == t.Zone {
+			if name := t.ownReport(now).RegionKeeper; name != "" {
+				return name
+			}
+			continue
+		}
+		if r := t.reports[zone]; r != nil && now-r.at < zoneStale && r.RegionKeeper != "" {
+			return r.RegionKeeper
+		}
+	}
+	return ""
+}
+
+// ZoneReached tells whether a zone's report is fresh.
+func (t *Table) ZoneReached(now core.Millis, zone string) bool {
+	if zone == t.Zone {
+		return true
+	}
+	r := t.reports[zone]
+	return r != nil && now-r.at < zoneStale
+}
+
+// WitnessedVersion returns the newest version that a live peer of the zone holds, and whether there is such a peer.
+func (t *Table) WitnessedVersion(now core.Millis) (uint64, bool) {
+	newest, found := uint64(0), false
+	for _, h := range t.zone {
+		if now-h.at < t.deadAfter() {
+			newest, found = max(newest, h.Version), true
+		}
+	}
+	return newest, found
+}
+
+// ZonePeersHeard tells whether every other host of the zone was heard of since the start.
+func (t *Table) ZonePeersHeard() bool {
+	_, hosts := t.zones()
+	for _, name := range hosts[t.Zone] {
+		if name != t.Self && t.zone[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Snapshot lists the entries and reports for a dump.
+func (t *Table) Snapshot(now core.Millis) (entries []Entry, reports []Report) {
+	entries = []Entry{t.own(now)}
+	for _, name := range slices.Sorted(maps.Keys(t.zone)) {
+		entries = append(entries, t.zone[name].Entry)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(t.reports)) {
+		reports = append(reports, t.reports[zone].Report)
+	}
+	return entries, reports
+}
--- /dev/null
+++ b/core/plan/demand.go
@@ -0,0 +1,58 @@
+package plan
+
+import (
+	"math"
+
+	"clementinelock/core"
+)
+
+// Rules of the estimate of demand.
+const (
+	fastSmoothing = 0.3
+	slowSmoothing = 0.05
+	marginSigmas  = 2
+	// staleAfter is the age from which the margin widens; frozenAfter that from which an estimate is kept as it is.
+	staleAfter   = 3 * core.Second
+	frozenAfter  = 30 * core.Second
+	mostWidening = 0.5
+)
+
+// Estimate is the short-horizon demand of one flow, in requests per second, with its uncertainty. It uses no former days, since busy days move with a lunar calendar.
+type Estimate struct {
+	mean     float64
+	variance float64
+	slow     float64
+	at       core.Millis
+	seen     bool
+}
+
+// Observe takes a measured rate.
+func (e *Estimate) Observe(now core.Millis, rate float64) {
+	if !e.seen {
+		e.mean, e.slow, e.seen = rate, rate, true
+	}
+	difference := rate - e.mean
+	e.mean += fastSmoothing * difference
+	e.slow += slowSmoothing * (rate - e.slow)
+	e.variance = (1 - fastSmoothing) * (e.variance + fastSmoothing*difference*difference)
+	e.at = now
+}
+
+// Value returns the demand to plan for: the mean with a margin that grows with its uncertainty and with its age. An estimate that is too old is frozen, not lowered.
+func (e *Estimate) Value(now core.Millis) float64 {
+	if !e.seen {
+		return 0
+	}
+	value := max(e.mean, e.slow) + marginSigmas*math.Sqrt(e.variance)
+	age := min(now-e.at, frozenAfter)
+	if age <= staleAfter {
+		return value
+	}
+	widening := mostWidening * float64(age-staleAfter) / float64(frozenAfter-staleAfter)
+	return value * (1 + widening)
+}
+
+// Age returns the time since the last measurement.
+func (e *Estimate) Age(now core.Millis) core.Millis {
+	return now - e.at
+}
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,304 @@
+package plan
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/tree"
+)
+
+// Flow names one region's demand for a service.
+type Flow struct {
+	Region, Service string
+}
+
+// Shares are the parts of a flow by target region; they sum to 1.
+type Shares map[string]float64
+
+// Plan is what all hosts steer by. Term and Number order the plans of all planners.
+type Plan struct {
+	Term    uint64
+	Number  uint64
+	Version uint64
+	Made    core.Millis
+	Shares  map[string]map[string]Shares
+}
+
+// Of returns a flow's shares, or nil.
+func (p *Plan) Of(region, service string) Shares {
+	if p == nil {
+		return nil
+	}
+	return p.Shares[region][service]
+}
+
+// NewerThan tells whether the plan was made after the one with the term and number; a nil plan is older than all.
+func (p *Plan) NewerThan(term, number uint64) bool {
+	if p == nil {
+		return false
+	}
+	return p.Term > term || p.Term == term && p.Number > number
+}
+
+// Older tells whether the plan was made before the one with the term and number.
+func (p *Plan) Older(term, number uint64) bool {
+	if p == nil {
+		return term > 0
+	}
+	return p.Term < term || p.Term == term && p.Number < number
+}
+
+// Newer tells whether the plan was made after another.
+func (p *Plan) Newer(other *Plan) bool {
+	return other == nil || p.NewerThan(other.Term, other.Number)
+}
+
+// Site is the capacity of one service in one region, in requests per second.
+type Site struct {
+	Region, Service string
+	Capacity        float64
+	// AfterLoss is the capacity that is left when the region's largest zone is lost.
+	AfterLoss float64
+}
+
+// Input is everything that a plan depends on.
+type Input struct {
+	View   *tree.View
+	Demand map[Flow]float64
+	Sites  []Site
+	// Bits is the mean size of a request with its answer, by service.
+	Bits map[string]float64
+	// LinkUsed is what others use of a link, in bits per second.
+	LinkUsed map[Link]float64
+	Previous *Plan
+	// Elapsed is the time since the previous plan came into force.
+	Elapsed core.Millis
+	Now     core.Millis
+}
+
+// Link names the link from one region to another.
+type Link struct {
+	From, To string
+}
+
+// room is what is left while a plan is filled.
+type room struct {
+	site   map[Flow]float64
+	region map[string]float64
+	link   map[Link]float64
+}
+
+// Result is a plan with its use of sites, regions and links, for operators.
+type Result struct {
+	Plan    *Plan
+	Refused map[Flow]float64
+	Region  map[string]float64
+	Link    map[Link]float64
+	Site    map[Flow]float64
+}
+
+// Make computes the next plan.
+func Make(in Input) Result {
+	target := Fill(in)
+	p := &Plan{Version: in.View.Version, Made: in.Now, Shares: map[string]map[string]Shares{}}
+	if in.Previous != nil {
+		p.Term, p.Number = in.Previous.Term, in.Previous.Number+1
+	}
+	for _, region := range in.View.Regions {
+		p.Shares[region.Name] = map[string]Shares{}
+	}
+	for _, service := range in.View.Services {
+		limitShift(in, service, target, p)
+	}
+	return measure(in, p)
+}
+
+// Fill assigns all demand, the most urgent class first and the nearest site first, under a common level of use that is as low as the demand allows and at least leaves the headroom.
+func Fill(in Input) map[Flow]Shares {
+	level := lowestLevel(in)
+	shares, left := fillTo(in, level)
+	if left > leftOver {
+		shares, _ = fillTo(in, 1)
+	}
+	return shares
+}
+
+const (
+	leftOver   = 1e-6
+	levelSteps = 20
+)
+
+// lowestLevel finds the smallest level of use from the wanted one up at which all demand finds room.
+func lowestLevel(in Input) float64 {
+	low := 1.0
+	for _, region := range in.View.Regions {
+		low = min(low, 1-region.Root.Headroom)
+	}
+	if _, left := fillTo(in, low); left <= leftOver {
+		return low
+	}
+	high := 1.0
+	for range levelSteps {
+		middle := (low + high) / 2
+		if _, left := fillTo(in, middle); left <= leftOver {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return high
+}
+
+// fillTo assigns demand under one level of use and returns what found no room.
+func fillTo(in Input, level float64) (map[Flow]Shares, float64) {
+	space := newRoom(in, level)
+	out := map[Flow]Shares{}
+	left := 0.0
+	for _, flow := range orderedFlows(in) {
+		shares, rest := fillFlow(in, space, flow, in.Demand[flow])
+		out[flow] = shares
+		left += rest
+	}
+	return out, left
+}
+
+func newRoom(in Input, level float64) *room {
+	space := &room{site: map[Flow]float64{}, region: map[string]float64{}, link: map[Link]float64{}}
+	for _, site := range in.Sites {
+		space.site[Flow{site.Region, site.Service}] = site.Capacity * level
+	}
+	for _, from := range in.View.Regions {
+		space.region[from.Name] = from.Root.RegionCapacity * level
+		for _, to := range in.View.Regions {
+			link := Link{from.Name, to.Name}
+			capacity := float64(min(from.Root.LinkCapacity, to.Root.LinkCapacity))
+			space.link[link] = max(0, capacity*level-in.LinkUsed[link])
+		}
+	}
+	return space
+}
+
+// orderedFlows lists the flows by class, then by name; each region's own demand comes before what overflows.
+func orderedFlows(in Input) []Flow {
+	var flows []Flow
+	for _, region := range in.View.Regions {
+		for _, service := range in.View.Services {
+			flows = append(flows, Flow{region.Name, service})
+		}
+	}
+	slices.SortStableFunc(flows, func(a, b Flow) int { return int(classOf(in.View, a.Service)) - int(classOf(in.View, b.Service)) })
+	return flows
+}
+
+func classOf(view *tree.View, service string) tree.Class {
+	class := tree.Low
+	for _, zone := range view.Zones {
+		if s := view.Service(zone.Name, service); s != nil {
+			class = min(class, s.Class)
+		}
+	}
+	return class
+}
+
+// fillFlow puts a flow's demand into the nearest room. What finds none keeps the shares' proportions.
+func fillFlow(in Input, space *room, flow Flow, demand float64) (Shares, float64) {
+	amounts := map[string]float64{}
+	rest := demand
+	for _, region := range nearest(in.View, flow.Region) {
+		amount := min(rest, space.fits(in, flow, region))
+		if amount <= 0 {
+			continue
+		}
+		space.take(in, flow, region, amount)
+		amounts[region] += amount
+		rest -= amount
+	}
+	return normalise(in, flow, amounts, demand), rest
+}
+
+func (s *room) fits(in Input, flow Flow, to string) float64 {
+	fits := min(s.site[Flow{to, flow.Service}], s.region[to])
+	if to == flow.Region {
+		return fits
+	}
+	bits := in.Bits[flow.Service]
+	if bits <= 0 {
+		return fits
+	}
+	return min(fits, s.link[Link{flow.Region, to}]/bits, s.link[Link{to, flow.Region}]/bits)
+}
+
+func (s *room) take(in Input, flow Flow, to string, amount float64) {
+	s.site[Flow{to, flow.Service}] -= amount
+	s.region[to] -= amount
+	if to == flow.Region {
+		return
+	}
+	s.link[Link{flow.Region, to}] -= amount * in.Bits[flow.Service]
+	s.link[Link{to, flow.Region}] -= amount * in.Bits[flow.Service]
+}
+
+// nearest lists the regions from one: itself first, then the others, which are all equally far, in a fixed order that starts behind it so that overflows spread.
+func nearest(view *tree.View, from string) []string {
+	var names []string
+	start := 0
+	for i, region := range view.Regions {
+		if region.Name == from {
+			start = i
+		}
+		names = append(names, region.Name)
+	}
+	return append(slices.Clone(names[start:]), names[:start]...)
+}
+
+// normalise turns amounts into shares; a flow without demand goes to the nearest site that has capacity.
+func normalise(in Input, flow Flow, amounts map[string]float64, demand float64) Shares {
+	total := 0.0
+	for _, amount := range amounts {
+		total += amount
+	}
+	if total <= demand*leftOver || total == 0 {
+		return idleShares(in, flow)
+	}
+	shares := Shares{}
+	for region, amount := range amounts {
+		shares[region] = amount / total
+	}
+	return shares
+}
+
+func idleShares(in Input, flow Flow) Shares {
+	for _, region := range nearest(in.View, flow.Region) {
+		for _, site := range in.Sites {
+			if site.Region == region && site.Service == flow.Service && site.Capacity > 0 {
+				return Shares{region: 1}
+			}
+		}
+	}
+	return Shares{flow.Region: 1}
+}
+
+// measure adds up what the plan sends where; demand beyond the sites' capacity counts as refused.
+func measure(in Input, p *Plan) Result {
+	r := Result{Plan: p, Refused: map[Flow]float64{}, Region: map[string]float64{}, Link: map[Link]float64{}, Site: map[Flow]float64{}}
+	capacity := map[Flow]float64{}
+	for _, site := range in.Sites {
+		capacity[Flow{site.Region, site.Service}] = site.Capacity
+	}
+	for _, flow := range orderedFlows(in) {
+		shares := p.Of(flow.Region, flow.Service)
+		for _, to := range slices.Sorted(maps.Keys(shares)) {
+			amount := in.Demand[flow] * shares[to]
+			place := Flow{to, flow.Service}
+			served := min(amount, max(0, capacity[place]-r.Site[place]))
+			r.Refused[flow] += amount - served
+			r.Site[place] += served
+			r.Region[to] += served
+			if to != flow.Region {
+				r.Link[Link{flow.Region, to}] += served * in.Bits[flow.Service]
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/core/plan/shift.go
@@ -0,0 +1,189 @@
+package plan
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/tree"
+)
+
+// cap is how much of a service's whole traffic may move in the time, over all its flows together; a drain, a failure and an order share it.
+func shiftAllowance(in Input, service string) float64 {
+	allowed := 1.0
+	found := false
+	for _, zone := range in.View.Zones {
+		s := in.View.Service(zone.Name, service)
+		if s == nil {
+			continue
+		}
+		rate := s.ShiftCap
+		if s.WarmUp > 0 {
+			rate = min(rate, float64(core.Minute)/float64(s.WarmUp))
+		}
+		allowed = min(allowed, rate)
+		found = true
+	}
+	if !found {
+		return 1
+	}
+	elapsed := min(in.Elapsed, core.Minute)
+	return allowed * float64(elapsed) / float64(core.Minute)
+}
+
+// limitShift moves a service's shares from the previous plan towards the target by no more than the cap.
+func limitShift(in Input, service string, target map[Flow]Shares, p *Plan) {
+	total := 0.0
+	for _, region := range in.View.Regions {
+		total += in.Demand[Flow{region.Name, service}]
+	}
+	moved := 0.0
+	for _, region := range in.View.Regions {
+		flow := Flow{region.Name, service}
+		moved += weightOf(in, flow, total) * distance(previousShares(in, flow, target), target[flow])
+	}
+	allowance := shiftAllowance(in, service)
+	step := 1.0
+	if moved > allowance && !emergency(in, service) {
+		step = allowance / moved
+	}
+	for _, region := range in.View.Regions {
+		flow := Flow{region.Name, service}
+		p.Shares[region.Name][service] = blend(previousShares(in, flow, target), target[flow], step)
+	}
+}
+
+// weightOf is a flow's part of its service's demand; without any demand all flows weigh the same.
+func weightOf(in Input, flow Flow, total float64) float64 {
+	if total <= 0 {
+		return 1 / float64(len(in.View.Regions))
+	}
+	return in.Demand[flow] / total
+}
+
+// previousShares returns the shares in force; a flow that had none starts at its target, since no traffic moves.
+func previousShares(in Input, flow Flow, target map[Flow]Shares) Shares {
+	shares := in.Previous.Of(flow.Region, flow.Service)
+	if shares == nil {
+		return target[flow]
+	}
+	return shares
+}
+
+// emergency tells whether the tree lets the loss of a whole site pass the shift cap.
+func emergency(in Input, service string) bool {
+	passes := false
+	for _, zone := range in.View.Zones {
+		if s := in.View.Service(zone.Name, service); s != nil {
+			passes = passes || s.EmergencyPasses
+		}
+	}
+	return passes && lostSite(in, service)
+}
+
+// lostSite tells whether a site that the previous plan uses has no capacity although it is not drained.
+func lostSite(in Input, service string) bool {
+	for _, site := range in.Sites {
+		if site.Service != service || site.Capacity > 0 || drainedSite(in.View, site.Region, service) {
+			continue
+		}
+		for _, region := range in.View.Regions {
+			if in.Previous.Of(region.Name, service)[site.Region] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func drainedSite(view *tree.View, region, service string) bool {
+	for _, zone := range view.Zones {
+		if zone.Region != region {
+			continue
+		}
+		if s := view.Service(zone.Name, service); s != nil && !s.Drained && s.Weight > 0 && len(s.Endpoints) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// distance is the part of a flow that moves between two plans.
+func distance(a, b Shares) float64 {
+	sum := 0.0
+	for region := range both(a, b) {
+		sum += max(0, b[region]-a[region])
+	}
+	return sum
+}
+
+func both(a, b Shares) map[string]float64 {
+	keys := map[string]float64{}
+	maps.Copy(keys, a)
+	maps.Copy(keys, b)
+	return keys
+}
+
+const leastShare = 1e-4
+
+// blend moves a part of the way from a to b and drops shares too small to matter.
+func blend(a, b Shares, step float64) Shares {
+	out := Shares{}
+	total := 0.0
+	keys := both(a, b)
+	for _, region := range slices.Sorted(maps.Keys(keys)) {
+		share := a[region] + (b[region]-a[region])*step
+		if step == 1 {
+			share = b[region]
+		}
+		if share >= leastShare {
+			out[region] = share
+			total += share
+		}
+	}
+	for region := range out {
+		out[region] /= total
+	}
+	return out
+}
+
+// Sites computes each site's capacity from the tree: the slots of the zones that are neither drained nor lost, by the mean time that a request takes.
+func Sites(view *tree.View, serviceTime map[string]core.Millis, lost func(zone string) bool, leaving func(endpoint string) bool) []Site {
+	var out []Site
+	for _, region := range view.Regions {
+		for _, service := range view.Services {
+			site := Site{Region: region.Name, Service: service}
+			largest := 0.0
+			for _, zone := range region.Zones {
+				if lost(zone) {
+					continue
+				}
+				capacity := zoneCapacity(view.Service(zone, service), serviceTime[service], leaving)
+				site.Capacity += capacity
+				largest = max(largest, capacity)
+			}
+			site.AfterLoss = site.Capacity - largest
+			out = append(out, site)
+		}
+	}
+	return out
+}
+
+// assumedServiceTime stands in for a service that was not measured yet.
+const assumedServiceTime = 10 * core.Millisecond
+
+func zoneCapacity(s *tree.Service, serviceTime core.Millis, leaving func(string) bool) float64 {
+	if s == nil || s.Drained {
+		return 0
+	}
+	if serviceTime <= 0 {
+		serviceTime = assumedServiceTime
+	}
+	slots := 0
+	for _, endpoint := range s.Endpoints {
+		if !slices.Contains(s.Leaving, endpoint) && !leaving(endpoint) {
+			slots += s.Slots
+		}
+	}
+	return float64(slots) * min(1, s.Weight) * 1000 / float64(serviceTime)
+}
--- /dev/null
+++ b/core/queue/queue.go
@@ -0,0 +1,143 @@
+package queue
+
+import (
+	"container/heap"
+
+	"clementinelock/core"
+)
+
+// Item is one waiting request.
+type Item[T any] struct {
+	Class    int
+	Deadline core.Millis
+	Value    T
+	order    uint64
+	index    int
+}
+
+// Queue orders items by class, then by deadline, then by arrival.
+type Queue[T any] struct {
+	Limit int
+	heap  itemHeap[T]
+	count uint64
+}
+
+// Len returns how many items wait.
+func (q *Queue[T]) Len() int {
+	return len(q.heap)
+}
+
+// Push adds an item; when the queue is full it returns the item that has to go, which may be the new one.
+func (q *Queue[T]) Push(class int, deadline core.Millis, value T) (added *Item[T], evicted *Item[T]) {
+	q.count++
+	item := &Item[T]{Class: class, Deadline: deadline, Value: value, order: q.count}
+	if len(q.heap) < q.Limit {
+		heap.Push(&q.heap, item)
+		return item, nil
+	}
+	worst := q.worst()
+	if worst == nil || worst.Class <= class {
+		return nil, item
+	}
+	heap.Remove(&q.heap, worst.index)
+	heap.Push(&q.heap, item)
+	return item, worst
+}
+
+// worst returns the item of the lowest class that was added last.
+func (q *Queue[T]) worst() *Item[T] {
+	var worst *Item[T]
+	for _, item := range q.heap {
+		if worst == nil || item.Class > worst.Class || item.Class == worst.Class && item.order > worst.order {
+			worst = item
+		}
+	}
+	return worst
+}
+
+// Pop takes the first item that can still be done within the length of time; those that can't are handed to late.
+func (q *Queue[T]) Pop(now, needs core.Millis, late func(T)) (T, bool) {
+	for len(q.heap) > 0 {
+		item := heap.Pop(&q.heap).(*Item[T])
+		if item.Deadline-now < needs {
+			late(item.Value)
+			continue
+		}
+		return item.Value, true
+	}
+	var none T
+	return none, false
+}
+
+// Expire hands all items whose deadline has passed to late.
+func (q *Queue[T]) Expire(now core.Millis, late func(T)) {
+	var gone []*Item[T]
+	for _, item := range q.heap {
+		if item.Deadline <= now {
+			gone = append(gone, item)
+		}
+	}
+	for _, item := range gone {
+		heap.Remove(&q.heap, item.index)
+		late(item.Value)
+	}
+}
+
+// Remove takes out the first item for which matches is true.
+func (q *Queue[T]) Remove(matches func(T) bool) bool {
+	for _, item := range q.heap {
+		if matches(item.Value) {
+			heap.Remove(&q.heap, item.index)
+			return true
+		}
+	}
+	return false
+}
+
+// Drain empties the queue into each, first item first.
+func (q *Queue[T]) Drain(each func(T)) {
+	for len(q.heap) > 0 {
+		each(heap.Pop(&q.heap).(*Item[T]).Value)
+	}
+}
+
+type itemHeap[T any] []*Item[T]
+
+func (h itemHeap[T]) Len() int { return len(h) }
+
+func (h itemHeap[T]) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	if a.Deadline != b.Deadline {
+		return a.Deadline < b.Deadline
+	}
+	return a.order < b.order
+}
+
+func (h itemHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *itemHeap[T]) Push(x any) {
+	item := x.(*Item[T])
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	item := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return item
+}
+
+// Each calls f for every waiting item, in no order.
+func (q *Queue[T]) Each(f func(T)) {
+	for _, item := range q.heap {
+		f(item.Value)
+	}
+}
--- /dev/null
+++ b/core/quorum/election.go
@@ -0,0 +1,182 @@
+package quorum
+
+import (
+	"strconv"
+
+	"clementinelock/core"
+)
+
+func memberKey(m Member) string {
+	return m.Name + "#" + strconv.FormatUint(m.Incarnation, 10)
+}
+
+func (r *Replica) selfVoter() bool {
+	me, ok := r.members.has(r.Self, r.vote.Incarnation)
+	return ok && me.Voter
+}
+
+// campaign asks for votes; with pre it first asks whether they would be granted, and changes no term.
+func (r *Replica) campaign(now core.Millis, pre bool, out *core.Effects) {
+	r.resetElection(now)
+	if !r.selfVoter() {
+		return
+	}
+	r.leader = ""
+	r.granted = map[string]bool{r.Self: true}
+	ask := VoteAsk{Pre: pre, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm(), Transfer: r.transfer}
+	if pre {
+		r.role = PreCandidate
+	} else {
+		r.role = Candidate
+		r.vote.Term++
+		r.vote.For = r.Self
+		r.write(core.Write{Vote: r.voteCopy()}, out)
+	}
+	for _, member := range r.members.voters() {
+		if member.Name == r.Self {
+			continue
+		}
+		ask.Header = r.header(member.Name)
+		if pre {
+			ask.Term++
+		}
+		message := ask
+		r.sendSynced(member.Name, &message, out)
+	}
+	r.countVotes(now, out)
+}
+
+func (r *Replica) onVoteAsk(now core.Millis, from string, m *VoteAsk, out *core.Effects) {
+	if r.leaderIsLive(now) && !m.Transfer {
+		return
+	}
+	if m.Term > r.vote.Term && !m.Pre {
+		r.stepDown(now, m.Term, "", out)
+	}
+	current := m.LastTerm > r.log.lastTerm() || m.LastTerm == r.log.lastTerm() && m.LastIndex >= r.log.lastIndex()
+	free := r.vote.For == "" || r.vote.For == from
+	grant := r.joined && current && m.Term >= r.minVote && (m.Pre && m.Term > r.vote.Term || m.Term == r.vote.Term && free)
+	if grant && !m.Pre {
+		r.vote.For = from
+		r.resetElection(now)
+		r.write(core.Write{Vote: r.voteCopy()}, out)
+	}
+	answer := &VoteAnswer{Header: r.header(from), Pre: m.Pre, Granted: grant}
+	answer.ToIncarnation = m.Incarnation
+	if grant {
+		answer.Term = m.Term
+	}
+	r.sendSynced(from, answer, out)
+}
+
+// leaderIsLive tells whether a leader was heard within the shortest election time, so that a replica that was cut off can't depose it.
+func (r *Replica) leaderIsLive(now core.Millis) bool {
+	if r.role == Leader {
+		return true
+	}
+	return r.leader != "" && now-r.heardAt < ElectionLow
+}
+
+func (r *Replica) onVoteAnswer(now core.Millis, from string, m *VoteAnswer, out *core.Effects) {
+	if !m.Granted {
+		if m.Term > r.vote.Term {
+			r.stepDown(now, m.Term, "", out)
+		}
+		return
+	}
+	fits := r.role == PreCandidate && m.Pre && m.Term == r.vote.Term+1 || r.role == Candidate && !m.Pre && m.Term == r.vote.Term
+	if !fits {
+		return
+	}
+	r.granted[from] = true
+	r.countVotes(now, out)
+}
+
+func (r *Replica) countVotes(now core.Millis, out *core.Effects) {
+	votes := 0
+	for _, member := range r.members.voters() {
+		if r.granted[member.Name] {
+			votes++
+		}
+	}
+	if votes < r.members.majority() {
+		return
+	}
+	if r.role == PreCandidate {
+		r.campaign(now, false, out)
+		return
+	}
+	r.lead(now, out)
+}
+
+func (r *Replica) lead(now core.Millis, out *core.Effects) {
+	r.role = Leader
+	r.leader = r.Self
+	r.transfer = false
+	r.peers = map[string]*progress{}
+	r.reads = nil
+	r.beatAt = now
+	r.syncPeers(now)
+	r.appendEntry(now, entry{Type: entryNothing}, out)
+	out.Logf("quorum", "Leads term %d.", r.vote.Term)
+}
+
+// syncPeers makes a progress for each member and drops those of former members.
+func (r *Replica) syncPeers(now core.Millis) {
+	next := map[string]*progress{}
+	for _, member := range r.members {
+		key := memberKey(member)
+		if member.Name == r.Self && member.Incarnation == r.vote.Incarnation {
+			continue
+		}
+		p := r.peers[key]
+		if p == nil {
+			p = &progress{next: r.log.lastIndex() + 1, heard: now, moved: now}
+		}
+		next[key] = p
+	}
+	r.peers = next
+}
+
+// stepDown becomes a follower in the term; the leader's name is empty when it is not known.
+func (r *Replica) stepDown(now core.Millis, term uint64, leader string, out *core.Effects) {
+	wasLeader := r.role == Leader
+	r.role = Follower
+	r.leader = leader
+	r.transfer = false
+	if term > r.vote.Term {
+		r.vote.Term = term
+		r.vote.For = ""
+		r.write(core.Write{Vote: r.voteCopy()}, out)
+	}
+	if !wasLeader {
+		return
+	}
+	r.resetElection(now)
+	r.failReads(now, out)
+	out.Logf("quorum", "Stops leading at term %d.", r.vote.Term)
+}
+
+func (r *Replica) onTimeoutNow(now core.Millis, _ string, m *TimeoutNow, out *core.Effects) {
+	if m.Term != r.vote.Term || r.role == Leader || !r.joined {
+		return
+	}
+	r.transfer = true
+	r.campaign(now, false, out)
+}
+
+// Transfer hands leadership to the most advanced follower, before a planned stop; it returns false when none is caught up.
+func (r *Replica) Transfer(now core.Millis, out *core.Effects) bool {
+	if r.role != Leader {
+		return true
+	}
+	for _, member := range r.members.voters() {
+		p := r.peers[memberKey(member)]
+		if p == nil || p.match != r.log.lastIndex() || now-p.heard > ElectionLow {
+			continue
+		}
+		out.Send(member.Name, &TimeoutNow{Header: r.header(member.Name)})
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/core/quorum/install.go
@@ -0,0 +1,112 @@
+package quorum
+
+import (
+	"clementinelock/core"
+)
+
+// installBuffer collects the chunks of a snapshot.
+type installBuffer struct {
+	index uint64
+	from  string
+	data  []byte
+}
+
+func (r *Replica) sendInstall(now core.Millis, member Member, p *progress, out *core.Effects) {
+	snapshot := r.log.snapshot
+	if p.installIndex != snapshot.Index {
+		p.installIndex = snapshot.Index
+		p.installOffset = 0
+		p.installSent = 0
+	}
+	if now-p.installSent < resendAfter {
+		return
+	}
+	r.sendChunk(now, member, p, out)
+}
+
+func (r *Replica) sendChunk(now core.Millis, member Member, p *progress, out *core.Effects) {
+	snapshot := r.log.snapshot
+	end := min(p.installOffset+chunkBytes, len(snapshot.Data))
+	header := r.header(member.Name)
+	header.ToIncarnation = member.Incarnation
+	p.installSent = now
+	out.Send(member.Name, &Install{
+		Header: header, Index: snapshot.Index, SnapshotTerm: snapshot.Term,
+		Offset: p.installOffset, Data: snapshot.Data[p.installOffset:end], Done: end == len(snapshot.Data),
+	})
+}
+
+func (r *Replica) onInstall(now core.Millis, from string, m *Install, out *core.Effects) {
+	answer := &InstallAnswer{Index: m.Index}
+	if m.Term >= r.vote.Term {
+		r.follow(now, from, m.Term, out)
+		r.takeChunk(now, from, m, answer, out)
+	}
+	answer.Header = r.header(from)
+	answer.ToIncarnation = m.Incarnation
+	r.sendSynced(from, answer, out)
+}
+
+func (r *Replica) takeChunk(now core.Millis, from string, m *Install, answer *InstallAnswer, out *core.Effects) {
+	if m.Index <= r.commit {
+		answer.Done = true
+		return
+	}
+	if r.incoming.index != m.Index || r.incoming.from != from {
+		r.incoming = installBuffer{index: m.Index, from: from}
+	}
+	if m.Offset == len(r.incoming.data) {
+		r.incoming.data = append(r.incoming.data, m.Data...)
+		if m.Done {
+			r.install(now, core.Snapshot{Index: m.Index, Term: m.SnapshotTerm, Data: r.incoming.data}, out)
+			r.incoming = installBuffer{}
+			answer.Done = true
+			return
+		}
+	}
+	answer.Offset = len(r.incoming.data)
+}
+
+// install replaces the state by a snapshot; records after it are kept only when they match it.
+func (r *Replica) install(now core.Millis, snapshot core.Snapshot, out *core.Effects) {
+	matches := r.log.termAt(snapshot.Index) == snapshot.Term
+	err := r.restore(snapshot)
+	core.Assert(err == nil, "snapshot %d can't be restored: %v", snapshot.Index, err)
+	truncate := uint64(0)
+	if !matches {
+		r.log.records = nil
+		r.forgetSynced(snapshot.Index)
+		truncate = snapshot.Index + 1
+		r.log.snapshot = snapshot
+	} else {
+		r.log.compact(snapshot)
+	}
+	r.scanMembers()
+	r.write(core.Write{Snapshot: &snapshot, TruncateFrom: truncate}, out)
+	r.checkJoined(now)
+}
+
+func (r *Replica) onInstallAnswer(now core.Millis, from string, m *InstallAnswer, out *core.Effects) {
+	if m.Term > r.vote.Term {
+		r.stepDown(now, m.Term, "", out)
+		return
+	}
+	p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
+	if r.role != Leader || p == nil {
+		return
+	}
+	p.heard = now
+	member, _ := r.members.has(from, m.Incarnation)
+	if m.Done {
+		p.match = max(p.match, m.Index)
+		p.next = p.match + 1
+		p.installIndex = 0
+		r.sendRecords(now, member, p, out)
+		return
+	}
+	if m.Index != p.installIndex || m.Offset == p.installOffset {
+		return
+	}
+	p.installOffset = min(m.Offset, len(r.log.snapshot.Data))
+	r.sendChunk(now, member, p, out)
+}
--- /dev/null
+++ b/core/quorum/join.go
@@ -0,0 +1,159 @@
+package quorum
+
+import (
+	"slices"
+
+	"clementinelock/core"
+)
+
+// newcomer is a host whose incarnation is not a member yet.
+type newcomer struct {
+	incarnation uint64
+	heard       core.Millis
+}
+
+// hello announces a started replica until enough others have said that its disk is as new as its promises.
+func (r *Replica) hello(now core.Millis, out *core.Effects) {
+	if now < r.helloAt {
+		return
+	}
+	r.helloAt = now + helloEvery
+	for _, member := range r.members {
+		if member.Name == r.Self {
+			continue
+		}
+		message := &Hello{Boot: r.vote.Boot, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
+		message.Header = r.header(member.Name)
+		message.ToIncarnation = 0
+		r.sendSynced(member.Name, message, out)
+	}
+}
+
+func (r *Replica) onHello(now core.Millis, from string, m *Hello, out *core.Effects) {
+	_, member := r.members.has(from, m.Incarnation)
+	mark := r.boots[from]
+	answer := &HelloAnswer{Header: r.header(from), Boot: m.Boot}
+	answer.ToIncarnation = m.Incarnation
+	answer.Fenced = mark.Incarnation == m.Incarnation && mark.Boot >= m.Boot
+	if r.role == Leader {
+		p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
+		answer.Fenced = answer.Fenced || p != nil && p.match > m.LastIndex
+		r.noteBoot(now, from, m, member && !answer.Fenced, out)
+	}
+	if _, known := r.members.find(from); !member && r.role == Leader && (known || r.expected[from]) {
+		r.newcomers[from] = newcomer{m.Incarnation, now}
+	}
+	r.sendSynced(from, answer, out)
+}
+
+// noteBoot puts a member's start into the log.
+func (r *Replica) noteBoot(now core.Millis, from string, m *Hello, member bool, out *core.Effects) {
+	mark := bootMark{from, m.Incarnation, m.Boot}
+	if !member || r.boots[from] == mark {
+		return
+	}
+	for _, record := range r.log.records[r.applied-r.log.snapshot.Index:] {
+		if e := decodeEntry(record.Data); e.Type == entryBoot && e.Boot == mark {
+			return
+		}
+	}
+	r.appendEntry(now, entry{Type: entryBoot, Boot: mark}, out)
+}
+
+func (r *Replica) onHelloAnswer(now core.Millis, from string, m *HelloAnswer, out *core.Effects) {
+	if m.ToIncarnation != r.vote.Incarnation || m.Boot != r.vote.Boot || r.joined {
+		return
+	}
+	if m.Fenced {
+		r.fenced = true
+		out.Logf("quorum", "Is fenced: the disk is older than what this replica promised.")
+		return
+	}
+	if _, ok := r.members.has(from, m.Incarnation); !ok {
+		return
+	}
+	if m.Term > r.vote.Term {
+		r.stepDown(now, m.Term, r.leader, out)
+	}
+	r.minVote = max(r.minVote, m.Term+1)
+	r.joinVotes[from] = true
+	r.checkJoined(now)
+}
+
+// checkJoined lets the replica take part once it is a voter and a majority, itself counted, knows nothing against its disk; a new incarnation has no former promises.
+func (r *Replica) checkJoined(now core.Millis) {
+	if r.joined || !r.selfVoter() {
+		return
+	}
+	if !r.fresh && len(r.joinVotes)+1 < r.members.majority() {
+		return
+	}
+	r.joined = true
+	r.resetElection(now)
+}
+
+// admit takes one newcomer in as a learner, or makes one caught-up learner a voter in its host's former place.
+func (r *Replica) admit(now core.Millis, out *core.Effects) {
+	if r.membersAt > r.commit || r.log.termAt(r.commit) != r.vote.Term {
+		return
+	}
+	for _, member := range r.members {
+		p := r.peers[memberKey(member)]
+		if member.Voter || p == nil || now-p.heard > ElectionLow || p.match+promoteWithin < r.log.lastIndex() || p.match < r.membersAt {
+			continue
+		}
+		next := r.members.swapIn(member.Name, member.Incarnation)
+		r.appendEntry(now, entry{Type: entryMembers, Members: next}, out)
+		out.Logf("quorum", "Makes %s a voter.", member.Name)
+		return
+	}
+	r.admitNewcomer(now, out)
+}
+
+func (r *Replica) admitNewcomer(now core.Millis, out *core.Effects) {
+	names := make([]string, 0, len(r.newcomers))
+	for name := range r.newcomers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		who := r.newcomers[name]
+		delete(r.newcomers, name)
+		if _, already := r.members.has(name, who.incarnation); already || now-who.heard > ElectionHigh {
+			continue
+		}
+		next := slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == name && !m.Voter })
+		next = append(next, Member{Name: name, Incarnation: who.incarnation})
+		r.appendEntry(now, entry{Type: entryMembers, Members: next}, out)
+		out.Logf("quorum", "Takes %s in as a learner.", name)
+		return
+	}
+}
+
+// Expect lets the leader take in a host that is not a member yet, once it says hello.
+func (r *Replica) Expect(name string) *core.Refusal {
+	if r.role != Leader {
+		return core.Refuse(core.NoLeader, core.RanNo, "host %q does not lead", r.Self)
+	}
+	r.expected[name] = true
+	return nil
+}
+
+// Remove takes a member out of the group; it returns a refusal when this replica does not lead, a change is under way or the member is not known.
+func (r *Replica) Remove(now core.Millis, name string, out *core.Effects) *core.Refusal {
+	if r.role != Leader {
+		return core.Refuse(core.NoLeader, core.RanNo, "host %q does not lead", r.Self)
+	}
+	if r.membersAt > r.commit {
+		return core.Refuse(core.VersionConflict, core.RanNo, "another membership change is under way")
+	}
+	member, ok := r.members.find(name)
+	if !ok {
+		return core.Refuse(core.NotFound, core.RanNo, "host %q is not a member", name)
+	}
+	if len(r.members.voters()) == 1 && member.Voter {
+		return core.Refuse(core.Invalid, core.RanNo, "host %q is the last voter", name)
+	}
+	r.appendEntry(now, entry{Type: entryMembers, Members: r.members.without(name, member.Incarnation)}, out)
+	return nil
+}
--- /dev/null
+++ b/core/quorum/members.go
@@ -0,0 +1,110 @@
+package quorum
+
+import (
+	"slices"
+
+	"clementinelock/core/codec"
+)
+
+// Member is one replica of the group; a learner has Voter false.
+type Member struct {
+	Name        string
+	Incarnation uint64
+	Voter       bool
+}
+
+// Members is the group as one record of the log sets it.
+type Members []Member
+
+func (m Members) find(name string) (Member, bool) {
+	i := slices.IndexFunc(m, func(each Member) bool { return each.Name == name && each.Voter })
+	if i < 0 {
+		i = slices.IndexFunc(m, func(each Member) bool { return each.Name == name })
+	}
+	if i < 0 {
+		return Member{}, false
+	}
+	return m[i], true
+}
+
+func (m Members) has(name string, incarnation uint64) (Member, bool) {
+	for _, each := range m {
+		if each.Name == name && each.Incarnation == incarnation {
+			return each, true
+		}
+	}
+	return Member{}, false
+}
+
+func (m Members) voters() Members {
+	var out Members
+	for _, each := range m {
+		if each.Voter {
+			out = append(out, each)
+		}
+	}
+	return out
+}
+
+func (m Members) majority() int {
+	return len(m.voters())/2 + 1
+}
+
+// without returns the members less the one of that name and incarnation.
+func (m Members) without(name string, incarnation uint64) Members {
+	return slices.DeleteFunc(slices.Clone(m), func(each Member) bool {
+		return each.Name == name && each.Incarnation == incarnation
+	})
+}
+
+// swapIn makes a caught-up learner a voter and drops its host's former incarnation in the same step: the former one can't vote any more, since its host now runs the new one.
+func (m Members) swapIn(name string, incarnation uint64) Members {
+	var out Members
+	for _, each := range m {
+		if each.Name != name {
+			out = append(out, each)
+		}
+	}
+	return append(out, Member{Name: name, Incarnation: incarnation, Voter: true})
+}
+
+// entry kinds of a record's data.
+const (
+	entryNothing uint8 = iota
+	entryCommand
+	entryMembers
+	entryBoot
+)
+
+type entry struct {
+	Type    uint8
+	Command []byte
+	Members Members
+	Boot    bootMark
+}
+
+// bootMark records that a replica started, so that an older copy of its disk is known later.
+type bootMark struct {
+	Name        string
+	Incarnation uint64
+	Boot        uint64
+}
+
+func (e entry) encode() []byte {
+	return codec.Encode(e)
+}
+
+func decodeEntry(data []byte) entry {
+	e, err := codec.Decode[entry](data)
+	if err != nil {
+		panic("invariant broken: a record of the log can't be decoded: " + err.Error())
+	}
+	return e
+}
+
+// groupState is what a snapshot holds beside the state machine's own bytes.
+type groupState struct {
+	Members Members
+	Boots   map[string]bootMark
+	State   []byte
+}
--- /dev/null
+++ b/core/quorum/random_test.go
@@ -0,0 +1,382 @@
+package quorum_test
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/core/quorum"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// tally is a state machine that remembers which commands it applied.
+type tally struct {
+	applied []uint64
+	indexes []uint64
+}
+
+func (t *tally) Apply(index uint64, command []byte) {
+	t.applied = append(t.applied, binary.LittleEndian.Uint64(command))
+	t.indexes = append(t.indexes, index)
+}
+
+func (t *tally) Snapshot() []byte {
+	var data []byte
+	for _, number := range t.applied {
+		data = binary.LittleEndian.AppendUint64(data, number)
+	}
+	return data
+}
+
+func (t *tally) Restore(data []byte) error {
+	t.applied = nil
+	for ; len(data) > 0; data = data[8:] {
+		t.applied = append(t.applied, binary.LittleEndian.Uint64(data))
+	}
+	return nil
+}
+
+// process makes a replica a process of the fake world.
+type process struct {
+	*quorum.Replica
+}
+
+func (p process) Tick(now core.Millis) core.Effects {
+	out := core.Effects{}
+	p.Replica.Tick(now, &out)
+	return out
+}
+
+func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	out := core.Effects{}
+	p.Replica.Receive(now, from, message, &out)
+	return out
+}
+
+// group is a group of replicas under random faults.
+type group struct {
+	*fake.World
+	t         testing.TB
+	names     []string
+	disks     map[string]*fake.Disk
+	replicas  map[string]*quorum.Replica
+	tallies   map[string]*tally
+	leaders   map[uint64]string
+	committed []uint64
+	next      uint64
+	proposed  map[uint64]core.Millis
+	acked     map[uint64]bool
+	applied   map[uint64]core.Millis
+	reads     map[uint64]func(bool)
+	history   []porcupine.Operation
+	elections int
+}
+
+func newGroup(t testing.TB, seed uint64, size int) *group {
+	g := &group{
+		World: fake.NewWorld(seed), t: t, disks: map[string]*fake.Disk{}, replicas: map[string]*quorum.Replica{},
+		tallies: map[string]*tally{}, leaders: map[uint64]string{}, proposed: map[uint64]core.Millis{}, acked: map[uint64]bool{}, applied: map[uint64]core.Millis{}, reads: map[uint64]func(bool){},
+	}
+	g.Delay = func(string, string) core.Millis { return 18 + core.Millis(g.Rand.IntN(5)) }
+	g.Carry = g.carry
+	for i := range size {
+		name := "host-" + strconv.Itoa(i)
+		g.names = append(g.names, name)
+		g.disks[name] = fake.NewDisk(1)
+	}
+	for _, name := range g.names {
+		g.start(name)
+	}
+	return g
+}
+
+func (g *group) start(name string) {
+	t := &tally{}
+	r := &quorum.Replica{Self: name, Rand: rand.New(rand.NewPCG(g.Rand.Uint64(), 1)), Machine: t, Initial: g.names}
+	r.OnRead = func(_ core.Millis, ticket uint64, confirmed bool, _ *core.Effects) {
+		if done := g.reads[ticket]; done != nil {
+			delete(g.reads, ticket)
+			done(confirmed)
+		}
+	}
+	g.replicas[name], g.tallies[name] = r, t
+	out := core.Effects{}
+	if err := r.Start(g.Now, g.disks[name].Stored, &out); err != nil {
+		g.t.Fatal(err)
+	}
+	g.Do(name, out)
+	g.Start(name, process{r})
+}
+
+func (g *group) crash(name string) {
+	g.Crash(name)
+	g.disks[name].Crash(g.Rand.IntN(3))
+}
+
+// carry syncs writes after a while and checks the invariants after each step.
+func (g *group) carry(host string, e core.Effects) {
+	r := g.replicas[host]
+	if len(e.Writes) > 0 {
+		disk, last := g.disks[host], e.Writes[len(e.Writes)-1].Seq
+		disk.Queue(e.Writes...)
+		g.At(g.Now+1+core.Millis(g.Rand.IntN(4)), func() {
+			if g.replicas[host] != r || !g.Up(host) {
+				return
+			}
+			disk.Sync(last)
+			out := core.Effects{}
+			r.Synced(g.Now, last, &out)
+			g.Do(host, out)
+		})
+	}
+	g.check(host, r)
+}
+
+func (g *group) check(host string, r *quorum.Replica) {
+	if r.IsLeader() {
+		if other := g.leaders[r.Term()]; other != "" && other != host {
+			g.t.Fatalf("term %d has the leaders %s and %s", r.Term(), other, host)
+		}
+		if g.leaders[r.Term()] == "" {
+			g.elections++
+		}
+		g.leaders[r.Term()] = host
+	}
+	applied := g.tallies[host].applied
+	for i := range min(len(applied), len(g.committed)) {
+		if applied[i] != g.committed[i] {
+			g.t.Fatalf("%s applied %d at place %d, where %d was applied before", host, applied[i], i, g.committed[i])
+		}
+	}
+	if len(applied) > len(g.committed) {
+		for _, number := range applied[len(g.committed):] {
+			g.applied[number] = g.Now
+		}
+		g.committed = append([]uint64(nil), applied...)
+	}
+}
+
+func (g *group) leader() *quorum.Replica {
+	for _, name := range g.names {
+		if g.Up(name) && g.replicas[name].IsLeader() {
+			return g.replicas[name]
+		}
+	}
+	return nil
+}
+
+// propose hands a command to any leader and notes when it is applied there.
+func (g *group) propose() {
+	r := g.leader()
+	if r == nil {
+		return
+	}
+	g.next++
+	number := g.next
+	out := core.Effects{}
+	_, ok := r.Propose(g.Now, binary.LittleEndian.AppendUint64(nil, number), &out)
+	if ok {
+		g.proposed[number] = g.Now
+	}
+	g.Do(r.Self, out)
+	g.watch(r, number, g.Now)
+}
+
+// watch acknowledges a command to its operator once the leader that took it has applied it.
+func (g *group) watch(r *quorum.Replica, number uint64, began core.Millis) {
+	if g.replicas[r.Self] != r || g.Now-began > 10*core.Second {
+		return
+	}
+	for _, applied := range g.tallies[r.Self].applied {
+		if applied == number {
+			g.acked[number] = true
+			g.history = append(g.history, porcupine.Operation{ClientId: int(number), Input: operation{number, false}, Call: int64(began), Return: int64(g.Now)})
+			return
+		}
+	}
+	g.At(g.Now+10, func() { g.watch(r, number, began) })
+}
+
+type operation struct {
+	number uint64
+	read   bool
+}
+
+// read asks a replica that believes to lead for a linearizable read of the number of commands.
+func (g *group) read() {
+	for _, name := range g.names {
+		r := g.replicas[name]
+		if !g.Up(name) || !r.IsLeader() {
+			continue
+		}
+		ticket := g.Rand.Uint64()
+		began, machine := g.Now, g.tallies[name]
+		g.reads[ticket] = func(confirmed bool) {
+			if confirmed {
+				seen := append([]uint64(nil), machine.applied...)
+				g.history = append(g.history, porcupine.Operation{ClientId: int(ticket >> 1), Input: operation{0, true}, Output: seen, Call: int64(began), Return: int64(g.Now)})
+			}
+		}
+		out := core.Effects{}
+		r.Read(g.Now, ticket, &out)
+		g.Do(name, out)
+	}
+}
+
+// fault makes one random fault or mends one.
+func (g *group) fault() {
+	name := g.names[g.Rand.IntN(len(g.names))]
+	other := g.names[g.Rand.IntN(len(g.names))]
+	switch g.Rand.IntN(9) {
+	case 0:
+		if g.Up(name) && g.upCount() > 1+len(g.names)/2 {
+			g.crash(name)
+		}
+	case 1, 2:
+		if !g.Up(name) {
+			g.start(name)
+		}
+	case 3:
+		g.Cut(name, other, true)
+	case 4:
+		g.Isolate(name, g.names, true)
+	case 5, 6:
+		g.Heal()
+	case 7:
+		g.Freeze(name, true)
+		g.At(g.Now+core.Millis(g.Rand.IntN(3000)), func() { g.Freeze(name, false) })
+	case 8:
+		g.replace(name)
+	}
+}
+
+// replace gives a host an empty disk, when all others are up and have what was committed.
+func (g *group) replace(name string) {
+	for _, other := range g.names {
+		status := g.replicas[other].Report(g.Now)
+		caughtUp := len(g.tallies[other].applied) == len(g.committed)
+		if !g.Up(other) || !status.Joined || other != name && !caughtUp {
+			return
+		}
+	}
+	g.crash(name)
+	g.disks[name] = fake.NewDisk(g.Rand.Uint64()>>1 + 2)
+	g.start(name)
+}
+
+func (g *group) upCount() int {
+	count := 0
+	for _, name := range g.names {
+		if g.Up(name) {
+			count++
+		}
+	}
+	return count
+}
+
+func (g *group) mend() {
+	g.Heal()
+	g.Loss, g.Repeat = 0, 0
+	for _, name := range g.names {
+		g.Freeze(name, false)
+		if !g.Up(name) {
+			g.start(name)
+		}
+	}
+}
+
+func runGroup(t testing.TB, seed uint64) {
+	g := newGroup(t, seed, 3+2*int(seed%2))
+	g.Loss, g.Repeat = 0.02*float64(seed%3), 0.02
+	for range 150 {
+		g.For(core.Millis(g.Rand.IntN(200)))
+		switch g.Rand.IntN(3) {
+		case 0:
+			g.fault()
+		case 1:
+			g.propose()
+		case 2:
+			g.read()
+		}
+	}
+	g.mend()
+	g.For(15 * core.Second)
+	g.finish(seed)
+}
+
+// finish checks that the group works again, has lost nothing and was linearizable.
+func (g *group) finish(seed uint64) {
+	before := len(g.committed)
+	g.propose()
+	g.For(3 * core.Second)
+	if len(g.committed) <= before {
+		for _, name := range g.names {
+			g.t.Logf("%s: %+v", name, g.replicas[name].Report(g.Now))
+		}
+		g.t.Fatalf("seed %d: no command is committed after all faults were mended", seed)
+	}
+	present := map[uint64]int{}
+	for _, number := range g.committed {
+		present[number]++
+	}
+	for number := range g.acked {
+		if present[number] != 1 {
+			g.t.Fatalf("seed %d: acknowledged command %d is there %d times", seed, number, present[number])
+		}
+	}
+	// A command that was never acknowledged took effect before a replica applied it.
+	for number := range present {
+		if !g.acked[number] {
+			g.history = append(g.history, porcupine.Operation{ClientId: int(number), Input: operation{number, false}, Call: int64(g.proposed[number]), Return: int64(g.applied[number])})
+		}
+	}
+	if result := porcupine.CheckOperationsTimeout(logModel(g.committed), g.history, time.Minute); result != porcupine.Ok {
+		g.t.Fatalf("seed %d: the history of %d operations is not linearizable: %s", seed, len(g.history), result)
+	}
+}
+
+// logModel is a list that commands are appended to and that reads return whole. Since replicas agree on one order, an append takes effect only at its place in that order, which keeps the search short.
+func logModel(committed []uint64) porcupine.Model {
+	place := map[uint64]int{}
+	for i, number := range committed {
+		place[number] = i
+	}
+	return porcupine.Model{
+		Init: func() any { return 0 },
+		Step: func(state, input, output any) (bool, any) {
+			op, count := input.(operation), state.(int)
+			if op.read {
+				return slices.Equal(output.([]uint64), committed[:count]), state
+			}
+			return place[op.number] == count, count + 1
+		},
+	}
+}
+
+// seeds returns how many seeds a test runs: a few hundred, or as many as SEEDS says.
+func seeds(standard uint64) uint64 {
+	if text := os.Getenv("SEEDS"); text != "" {
+		if n, err := strconv.ParseUint(text, 10, 64); err == nil {
+			return n
+		}
+	}
+	return standard
+}
+
+func TestRandomFaults(t *testing.T) {
+	for part := range uint64(8) {
+		t.Run(strconv.FormatUint(part, 10), func(t *testing.T) {
+			t.Parallel()
+			for seed := part + 1; seed <= seeds(300); seed += 8 {
+				runGroup(t, seed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/quorum/replica.go
@@ -0,0 +1,401 @@
+package quorum
+
+import (
+	"math/rand/v2"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+)
+
+// Lengths of time and sizes of the protocol.
+const (
+	HeartbeatEvery  = 100 * core.Millisecond
+	ElectionLow     = 700 * core.Millisecond
+	ElectionHigh    = 1100 * core.Millisecond
+	helloEvery      = 200 * core.Millisecond
+	resendAfter     = 150 * core.Millisecond
+	appendBytes     = 64 << 10
+	chunkBytes      = 64 << 10
+	snapshotRecords = 1024
+	keptRecords     = 256
+	promoteWithin   = 16
+)
+
+// Role is what a replica is in its term.
+type Role string
+
+// The roles of a replica.
+const (
+	Follower     Role = "Follower"
+	PreCandidate Role = "PreCandidate"
+	Candidate    Role = "Candidate"
+	Leader       Role = "Leader"
+)
+
+// Machine is the state that the replicated log drives.
+type Machine interface {
+	// Apply carries out a committed command; it must depend on nothing but its arguments and the state.
+	Apply(index uint64, command []byte)
+	// Snapshot encodes the whole state.
+	Snapshot() []byte
+	// Restore replaces the state; it errs on bytes that Snapshot did not make.
+	Restore(data []byte) error
+}
+
+// progress is what a leader knows of one other replica.
+type progress struct {
+	match, next   uint64
+	heard         core.Millis
+	moved         core.Millis
+	round         uint64
+	installOffset int
+	installIndex  uint64
+	installSent   core.Millis
+}
+
+type heldSend struct {
+	seq  uint64
+	send core.Send
+}
+
+type pendingRead struct {
+	ticket, index, round uint64
+}
+
+// Replica is one member of the group; set the exported fields before Start.
+type Replica struct {
+	Self    string
+	Rand    *rand.Rand
+	Machine Machine
+	// Initial lists the first voters by name; all have incarnation 1.
+	Initial []string
+	// OnRead is called when the read with the ticket may be answered; confirmed is false when the leader was deposed first.
+	OnRead func(now core.Millis, ticket uint64, confirmed bool, out *core.Effects)
+
+	role       Role
+	vote       core.Vote
+	log        recordLog
+	members    Members
+	membersAt  uint64
+	boots      map[string]bootMark
+	commit     uint64
+	applied    uint64
+	synced     uint64
+	leader     string
+	heardAt    core.Millis
+	electionAt core.Millis
+	beatAt     core.Millis
+	granted    map[string]bool
+	peers      map[string]*progress
+	round      uint64
+	reads      []pendingRead
+	joined     bool
+	joinVotes  map[string]bool
+	helloAt    core.Millis
+	minVote    uint64
+	fenced     bool
+	fresh      bool
+	expected   map[string]bool
+	transfer   bool
+	writeSeq   uint64
+	syncedSeq  uint64
+	syncedUpTo map[uint64]uint64
+	held       []heldSend
+	incoming   installBuffer
+	newcomers  map[string]newcomer
+}
+
+// Status is the replica's state for dumps and operators.
+type Status struct {
+	Role        Role
+	Term        uint64
+	Leader      string
+	Commit      uint64
+	Applied     uint64
+	LastIndex   uint64
+	Incarnation uint64
+	Joined      bool
+	Fenced      bool
+	Members     []MemberStatus
+}
+
+// MemberStatus is one member with how far it is, as the leader knows it.
+type MemberStatus struct {
+	Member
+	Match     uint64
+	HeardAgo  core.Millis
+	Reachable bool
+}
+
+// Start takes up what the disk held; the driver must carry out the effects before it hands in anything else.
+func (r *Replica) Start(now core.Millis, stored core.Stored, out *core.Effects) error {
+	r.role = Follower
+	r.vote = stored.Vote
+	r.vote.Boot++
+	r.boots = map[string]bootMark{}
+	r.joinVotes = map[string]bool{}
+	r.syncedUpTo = map[uint64]uint64{}
+	r.newcomers = map[string]newcomer{}
+	r.expected = map[string]bool{}
+	for _, name := range r.Initial {
+		r.members = append(r.members, Member{Name: name, Incarnation: 1, Voter: true})
+	}
+	if err := r.restore(stored.Snapshot); err != nil {
+		return err
+	}
+	r.log = recordLog{snapshot: stored.Snapshot, records: stored.Records}
+	r.synced = r.log.lastIndex()
+	r.scanMembers()
+	r.write(core.Write{Vote: r.voteCopy()}, out)
+	r.commitTo(now, stored.Vote.Commit, out)
+	r.resetElection(now)
+	r.heardAt = now - ElectionHigh
+	_, member := r.members.has(r.Self, r.vote.Incarnation)
+	r.fresh = !member
+	r.checkJoined(now)
+	return nil
+}
+
+func (r *Replica) restore(snapshot core.Snapshot) error {
+	r.commit = snapshot.Index
+	r.applied = snapshot.Index
+	if snapshot.Index == 0 {
+		return nil
+	}
+	state, err := codec.Decode[groupState](snapshot.Data)
+	if err != nil {
+		return err
+	}
+	r.members = state.Members
+	r.boots = state.Boots
+	if r.boots == nil {
+		r.boots = map[string]bootMark{}
+	}
+	return r.Machine.Restore(state.State)
+}
+
+// scanMembers takes the newest members' record in the log, committed or not.
+func (r *Replica) scanMembers() {
+	state := r.snapshotState()
+	r.members, r.membersAt = state, r.log.snapshot.Index
+	for _, record := range r.log.records {
+		e := decodeEntry(record.Data)
+		if e.Type == entryMembers {
+			r.members, r.membersAt = e.Members, record.Index
+		}
+	}
+}
+
+func (r *Replica) snapshotState() Members {
+	if r.log.snapshot.Index == 0 {
+		var initial Members
+		for _, name := range r.Initial {
+			initial = append(initial, Member{Name: name, Incarnation: 1, Voter: true})
+		}
+		return initial
+	}
+	state, err := codec.Decode[groupState](r.log.snapshot.Data)
+	core.Assert(err == nil, "own snapshot at %d can't be decoded: %v", r.log.snapshot.Index, err)
+	return state.Members
+}
+
+func (r *Replica) voteCopy() *core.Vote {
+	v := r.vote
+	return &v
+}
+
+// write hands a write to the driver and remembers how much of the log is synced after it.
+func (r *Replica) write(w core.Write, out *core.Effects) {
+	r.writeSeq++
+	w.Seq = r.writeSeq
+	r.syncedUpTo[w.Seq] = r.log.lastIndex()
+	out.Writes = append(out.Writes, w)
+}
+
+// Synced tells that all writes up to the sequence number are on disk.
+func (r *Replica) Synced(now core.Millis, seq uint64, out *core.Effects) {
+	for r.syncedSeq < seq {
+		r.syncedSeq++
+		r.synced = min(r.syncedUpTo[r.syncedSeq], r.log.lastIndex())
+		delete(r.syncedUpTo, r.syncedSeq)
+	}
+	kept := r.held[:0]
+	for _, h := range r.held {
+		if h.seq <= seq {
+			out.Sends = append(out.Sends, h.send)
+		} else {
+			kept = append(kept, h)
+		}
+	}
+	r.held = kept
+	if r.role == Leader {
+		r.advanceCommit(now, out)
+	}
+}
+
+// sendSynced sends a message once every write so far is on disk.
+func (r *Replica) sendSynced(to string, message core.Message, out *core.Effects) {
+	if r.syncedSeq == r.writeSeq {
+		out.Send(to, message)
+		return
+	}
+	r.held = append(r.held, heldSend{r.writeSeq, core.Send{To: to, Message: message}})
+}
+
+func (r *Replica) header(to string) Header {
+	target, _ := r.members.find(to)
+	return Header{Term: r.vote.Term, Incarnation: r.vote.Incarnation, ToIncarnation: target.Incarnation}
+}
+
+// Tick carries out what is due at the time.
+func (r *Replica) Tick(now core.Millis, out *core.Effects) {
+	if r.fenced {
+		return
+	}
+	if !r.joined {
+		r.hello(now, out)
+		return
+	}
+	if r.role == Leader {
+		r.tickLeader(now, out)
+		return
+	}
+	if !r.selfVoter() {
+		r.joined = false
+		return
+	}
+	if now >= r.electionAt {
+		r.campaign(now, true, out)
+	}
+}
+
+func (r *Replica) resetElection(now core.Millis) {
+	r.electionAt = now + ElectionLow + core.Millis(r.Rand.Int64N(int64(ElectionHigh-ElectionLow)))
+}
+
+// Receive takes a message of this package from another replica.
+func (r *Replica) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	if r.fenced {
+		return
+	}
+	switch m := message.(type) {
+	case *Hello:
+		r.onHello(now, from, m, out)
+		return
+	case *HelloAnswer:
+		r.onHelloAnswer(now, from, m, out)
+		return
+	}
+	header := headerOf(message)
+	if header.ToIncarnation != 0 && header.ToIncarnation != r.vote.Incarnation {
+		return
+	}
+	if !r.accepts(from, header, message) {
+		return
+	}
+	r.dispatch(now, from, message, out)
+}
+
+// accepts drops what a former incarnation of a member sends.
+func (r *Replica) accepts(from string, header Header, message core.Message) bool {
+	if _, ok := r.members.has(from, header.Incarnation); ok {
+		return true
+	}
+	// A replica that lags may not know its leader's newest members yet.
+	switch message.(type) {
+	case *Append, *Install:
+		return true
+	case *VoteAsk:
+		_, known := r.members.find(from)
+		return !known
+	}
+	return false
+}
+
+func (r *Replica) dispatch(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *VoteAsk:
+		r.onVoteAsk(now, from, m, out)
+	case *VoteAnswer:
+		r.onVoteAnswer(now, from, m, out)
+	case *Append:
+		r.onAppend(now, from, m, out)
+	case *AppendAnswer:
+		r.onAppendAnswer(now, from, m, out)
+	case *Install:
+		r.onInstall(now, from, m, out)
+	case *InstallAnswer:
+		r.onInstallAnswer(now, from, m, out)
+	case *TimeoutNow:
+		r.onTimeoutNow(now, from, m, out)
+	}
+}
+
+func headerOf(message core.Message) Header {
+	switch m := message.(type) {
+	case *VoteAsk:
+		return m.Header
+	case *VoteAnswer:
+		return m.Header
+	case *Append:
+		return m.Header
+	case *AppendAnswer:
+		return m.Header
+	case *Install:
+		return m.Header
+	case *InstallAnswer:
+		return m.Header
+	case *TimeoutNow:
+		return m.Header
+	}
+	return Header{}
+}
+
+// LeaderName returns the leader as this replica knows it, or the empty string.
+func (r *Replica) LeaderName() string {
+	return r.leader
+}
+
+// IsLeader tells whether this replica believes that it leads.
+func (r *Replica) IsLeader() bool {
+	return r.role == Leader
+}
+
+// Durable tells whether everything that this replica has applied is on its disk.
+func (r *Replica) Durable() bool {
+	return r.syncedSeq == r.writeSeq
+}
+
+// Fenced tells whether this replica's disk was found older than what it promised; it must be emptied before a restart.
+func (r *Replica) Fenced() bool {
+	return r.fenced
+}
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 {
+	return r.vote.Term
+}
+
+// Report describes the replica.
+func (r *Replica) Report(now core.Millis) Status {
+	s := Status{
+		Role: r.role, Term: r.vote.Term, Leader: r.leader, Commit: r.commit, Applied: r.applied,
+		LastIndex: r.log.lastIndex(), Incarnation: r.vote.Incarnation, Joined: r.joined, Fenced: r.fenced,
+	}
+	for _, member := range r.members {
+		s.Members = append(s.Members, r.memberStatus(now, member))
+	}
+	return s
+}
+
+func (r *Replica) memberStatus(now core.Millis, member Member) MemberStatus {
+	if member.Name == r.Self && member.Incarnation == r.vote.Incarnation {
+		return MemberStatus{Member: member, Match: r.synced, Reachable: true}
+	}
+	p := r.peers[memberKey(member)]
+	if p == nil {
+		return MemberStatus{Member: member, HeardAgo: -1}
+	}
+	ago := now - p.heard
+	return MemberStatus{Member: member, Match: p.match, HeardAgo: ago, Reachable: ago < ElectionHigh}
+}
