--- /dev/null
+++ b/core/quorum/replicate.go
@@ -0,0 +1,282 @@
+package quorum
+
+import (
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+)
+
+// Propose appends a command to the leader's log; it returns false when this replica does not lead.
+func (r *Replica) Propose(now core.Millis, command []byte, out *core.Effects) (index uint64, ok bool) {
+	if r.role != Leader {
+		return 0, false
+	}
+	return r.appendEntry(now, entry{Type: entryCommand, Command: command}, out), true
+}
+
+func (r *Replica) appendEntry(now core.Millis, e entry, out *core.Effects) uint64 {
+	record := core.Record{Index: r.log.lastIndex() + 1, Term: r.vote.Term, Data: e.encode()}
+	r.log.records = append(r.log.records, record)
+	if e.Type == entryMembers {
+		r.members, r.membersAt = e.Members, record.Index
+		r.syncPeers(now)
+	}
+	r.write(core.Write{Records: []core.Record{record}}, out)
+	for _, member := range r.members {
+		if p := r.peers[memberKey(member)]; p != nil {
+			r.sendRecords(now, member, p, out)
+		}
+	}
+	return record.Index
+}
+
+func (r *Replica) tickLeader(now core.Millis, out *core.Effects) {
+	if now < r.beatAt {
+		return
+	}
+	r.beatAt = now + HeartbeatEvery
+	if !r.hearsMajority(now) {
+		out.Logf("quorum", "Hears no majority.")
+		r.stepDown(now, r.vote.Term, "", out)
+		return
+	}
+	r.round++
+	for _, member := range r.members {
+		if p := r.peers[memberKey(member)]; p != nil {
+			r.beat(now, member, p, out)
+		}
+	}
+	r.admit(now, out)
+	r.advanceCommit(now, out)
+}
+
+func (r *Replica) hearsMajority(now core.Millis) bool {
+	heard := 0
+	for _, member := range r.members.voters() {
+		p := r.peers[memberKey(member)]
+		if p == nil && member.Name == r.Self || p != nil && now-p.heard < ElectionHigh {
+			heard++
+		}
+	}
+	return heard >= r.members.majority()
+}
+
+// beat sends a heartbeat, and again what was not acknowledged in time.
+func (r *Replica) beat(now core.Millis, member Member, p *progress, out *core.Effects) {
+	if p.match < r.log.lastIndex() && now-p.moved >= resendAfter {
+		p.next = min(p.next, max(p.match+1, 1))
+		r.sendRecords(now, member, p, out)
+		return
+	}
+	if r.log.termAt(p.match) == 0 && p.match != 0 || p.match < r.log.snapshot.Index {
+		r.sendInstall(now, member, p, out)
+		return
+	}
+	r.sendAppend(member, p.match, nil, out)
+}
+
+func (r *Replica) sendAppend(member Member, prev uint64, records []core.Record, out *core.Effects) {
+	header := r.header(member.Name)
+	header.ToIncarnation = member.Incarnation
+	out.Send(member.Name, &Append{
+		Header: header, PrevIndex: prev, PrevTerm: r.log.termAt(prev),
+		Records: records, Commit: r.commit, Round: r.round,
+	})
+}
+
+func (r *Replica) sendRecords(now core.Millis, member Member, p *progress, out *core.Effects) {
+	if p.next <= r.log.snapshot.Index {
+		r.sendInstall(now, member, p, out)
+		return
+	}
+	records := r.log.from(p.next, appendBytes)
+	r.sendAppend(member, p.next-1, records, out)
+	p.next += uint64(len(records))
+	p.moved = now
+}
+
+func (r *Replica) onAppend(now core.Millis, from string, m *Append, out *core.Effects) {
+	answer := &AppendAnswer{Round: m.Round}
+	if m.Term < r.vote.Term {
+		r.answerAppend(from, m.Incarnation, answer, out)
+		return
+	}
+	r.follow(now, from, m.Term, out)
+	switch {
+	case m.PrevIndex < r.log.snapshot.Index:
+		answer.Matches, answer.Match = true, r.log.snapshot.Index
+		if m.PrevIndex+uint64(len(m.Records)) > r.log.snapshot.Index {
+			covered := r.log.snapshot.Index - m.PrevIndex
+			r.merge(now, m.Records[covered:], out)
+			answer.Match = m.PrevIndex + uint64(len(m.Records))
+		}
+	case m.PrevIndex > r.log.lastIndex() || r.log.termAt(m.PrevIndex) != m.PrevTerm:
+		answer.Hint = r.hintFor(m.PrevIndex)
+	default:
+		r.merge(now, m.Records, out)
+		answer.Matches, answer.Match = true, m.PrevIndex+uint64(len(m.Records))
+	}
+	if answer.Matches {
+		r.commitTo(now, min(m.Commit, answer.Match), out)
+	}
+	r.answerAppend(from, m.Incarnation, answer, out)
+}
+
+func (r *Replica) answerAppend(to string, incarnation uint64, answer *AppendAnswer, out *core.Effects) {
+	answer.Header = r.header(to)
+	answer.ToIncarnation = incarnation
+	r.sendSynced(to, answer, out)
+}
+
+func (r *Replica) follow(now core.Millis, leader string, term uint64, out *core.Effects) {
+	core.Assert(r.role != Leader || term > r.vote.Term, "two leaders in term %d: %s and %s", term, r.Self, leader)
+	if r.role != Follower || term > r.vote.Term || r.leader != leader {
+		r.stepDown(now, term, leader, out)
+	}
+	r.heardAt = now
+	r.resetElection(now)
+}
+
+// hintFor returns the last index of an earlier term, so that the leader goes back a term at a time.
+func (r *Replica) hintFor(prev uint64) uint64 {
+	hint := min(prev-1, r.log.lastIndex())
+	term := r.log.termAt(hint)
+	for hint > r.log.snapshot.Index && hint > r.commit && r.log.termAt(hint) == term {
+		hint--
+	}
+	return max(hint, r.log.snapshot.Index)
+}
+
+// merge appends the records that the log lacks and drops what conflicts with them.
+func (r *Replica) merge(now core.Millis, records []core.Record, out *core.Effects) {
+	for i, record := range records {
+		if record.Index <= r.log.lastIndex() && r.log.termAt(record.Index) == record.Term {
+			continue
+		}
+		truncate := uint64(0)
+		if record.Index <= r.log.lastIndex() {
+			core.Assert(record.Index > r.commit, "committed record %d would be overwritten", record.Index)
+			truncate = record.Index
+			r.log.truncateFrom(record.Index)
+			r.forgetSynced(truncate - 1)
+		}
+		fresh := slices.Clone(records[i:])
+		r.log.records = append(r.log.records, fresh...)
+		r.scanAfterMerge(truncate, fresh)
+		r.write(core.Write{TruncateFrom: truncate, Records: fresh}, out)
+		r.checkJoined(now)
+		return
+	}
+}
+
+// forgetSynced lowers what earlier writes will have synced, since the records after the index are dropped.
+func (r *Replica) forgetSynced(index uint64) {
+	r.synced = min(r.synced, index)
+	for seq, upTo := range r.syncedUpTo {
+		r.syncedUpTo[seq] = min(upTo, index)
+	}
+}
+
+func (r *Replica) scanAfterMerge(truncate uint64, fresh []core.Record) {
+	if truncate != 0 && truncate <= r.membersAt {
+		r.scanMembers()
+		return
+	}
+	for _, record := range fresh {
+		e := decodeEntry(record.Data)
+		if e.Type == entryMembers {
+			r.members, r.membersAt = e.Members, record.Index
+		}
+	}
+}
+
+func (r *Replica) onAppendAnswer(now core.Millis, from string, m *AppendAnswer, out *core.Effects) {
+	if m.Term > r.vote.Term {
+		r.stepDown(now, m.Term, "", out)
+		return
+	}
+	p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
+	if r.role != Leader || m.Term != r.vote.Term || p == nil {
+		return
+	}
+	p.heard = now
+	p.round = max(p.round, m.Round)
+	member, _ := r.members.has(from, m.Incarnation)
+	if !m.Matches {
+		p.next = max(min(m.Hint+1, r.log.lastIndex()+1), p.match+1)
+		r.sendRecords(now, member, p, out)
+		return
+	}
+	if m.Match > p.match {
+		p.match = m.Match
+		p.moved = now
+	}
+	p.next = max(p.next, p.match+1)
+	if p.next <= r.log.lastIndex() && p.match+1 == p.next {
+		r.sendRecords(now, member, p, out)
+	}
+	r.advanceCommit(now, out)
+	r.confirmReads(now, out)
+}
+
+// advanceCommit commits what a majority of voters has synced in the leader's own term.
+func (r *Replica) advanceCommit(now core.Millis, out *core.Effects) {
+	var matches []uint64
+	for _, member := range r.members.voters() {
+		if member.Name == r.Self && member.Incarnation == r.vote.Incarnation {
+			matches = append(matches, r.synced)
+		} else if p := r.peers[memberKey(member)]; p != nil {
+			matches = append(matches, p.match)
+		}
+	}
+	if len(matches) < r.members.majority() {
+		return
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-r.members.majority()]
+	if index > r.commit && r.log.termAt(index) == r.vote.Term {
+		r.commitTo(now, index, out)
+		r.confirmReads(now, out)
+	}
+}
+
+func (r *Replica) commitTo(now core.Millis, index uint64, out *core.Effects) {
+	index = min(index, r.log.lastIndex())
+	if index <= r.commit {
+		return
+	}
+	r.commit = index
+	r.vote.Commit = index
+	for r.applied < r.commit {
+		r.applied++
+		r.applyEntry(now, r.applied, decodeEntry(r.log.at(r.applied).Data), out)
+	}
+	r.write(core.Write{Vote: r.voteCopy()}, out)
+	r.compact(out)
+}
+
+func (r *Replica) applyEntry(now core.Millis, index uint64, e entry, out *core.Effects) {
+	switch e.Type {
+	case entryCommand:
+		r.Machine.Apply(index, e.Command)
+	case entryBoot:
+		r.boots[e.Boot.Name] = e.Boot
+	case entryMembers:
+		_, still := e.Members.has(r.Self, r.vote.Incarnation)
+		if r.role == Leader && !still {
+			r.stepDown(now, r.vote.Term, "", out)
+		}
+	}
+}
+
+// compact makes a snapshot once enough records are applied, and keeps some for followers that lag a little.
+func (r *Replica) compact(out *core.Effects) {
+	if r.applied-r.log.snapshot.Index < snapshotRecords+keptRecords || r.membersAt > r.applied {
+		return
+	}
+	data := codec.Encode(groupState{Members: r.members, Boots: r.boots, State: r.Machine.Snapshot()})
+	snapshot := core.Snapshot{Index: r.applied, Term: r.log.termAt(r.applied), Data: data}
+	r.log.compact(snapshot)
+	r.write(core.Write{Snapshot: &snapshot}, out)
+}
--- /dev/null
+++ b/core/relay/node.go
@@ -0,0 +1,493 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/plan"
+	"clementinelock/core/tree"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Lengths of time and counts of the distribution.
+const (
+	syncEvery     = 500 * core.Millisecond
+	parentSilent  = 1200 * core.Millisecond
+	avoidParent   = 3 * core.Second
+	childSilent   = 2500 * core.Millisecond
+	askNewerEvery = 200 * core.Millisecond
+	bootWait      = 1500 * core.Millisecond
+	confirmKept   = 30 * core.Second
+	demandKept    = 3 * core.Second
+	keptDeltas    = 512
+	zoneRelays    = 2
+)
+
+type child struct {
+	heard core.Millis
+	have  uint64
+}
+
+type confirmAt struct {
+	Confirm
+	at core.Millis
+}
+
+type demandAt struct {
+	Demand
+	at core.Millis
+}
+
+// Node is a host's part in the distribution. Set the exported fields before use.
+type Node struct {
+	Self    string
+	Zone    string
+	Control bool
+	// ControlHosts lists the control hosts; Leader names the one that leads, when this host knows it.
+	ControlHosts []string
+	Leader       func() string
+	Health       core.Health
+	// ZoneHosts lists the zone's hosts, from the tree or before there is one from the settings.
+	ZoneHosts func() []string
+	// Witnessed returns the newest version that a live peer of the zone holds, and whether there is such a peer.
+	Witnessed func(now core.Millis) (uint64, bool)
+	// PeersHeard tells whether all peers of the zone were heard of since the start.
+	PeersHeard func() bool
+	// OnTree takes a version that comes into force; OnPlan takes a newer plan.
+	OnTree func(now core.Millis, view *tree.View, out *core.Effects)
+	OnPlan func(now core.Millis, p *plan.Plan, out *core.Effects)
+	// OwnDemand returns what this host itself is asked for.
+	OwnDemand func(now core.Millis) []FlowDemand
+
+	started   core.Millis
+	view      *tree.View
+	deltas    []Delta
+	plan      *plan.Plan
+	floor     uint64
+	durable   uint64
+	confirmed uint64
+	waiting   *tree.Tree
+	parent    string
+	answered  core.Millis
+	chosenAt  core.Millis
+	avoid     map[string]core.Millis
+	nextSync  core.Millis
+	askedAt   core.Millis
+	children  map[string]*child
+	confirms  map[string]*confirmAt
+	demands   map[string]*demandAt
+}
+
+// Start takes the time of the process's start.
+func (n *Node) Start(now core.Millis) {
+	n.started = now
+	n.avoid = map[string]core.Millis{}
+	n.children = map[string]*child{}
+	n.confirms = map[string]*confirmAt{}
+	n.demands = map[string]*demandAt{}
+}
+
+// Version returns the version in force here; 0 before there is one.
+func (n *Node) Version() uint64 {
+	if n.view == nil {
+		return 0
+	}
+	return n.view.Version
+}
+
+// Confirmed returns the version that this host has confirmed.
+func (n *Node) Confirmed() uint64 {
+	return n.confirmed
+}
+
+// Plan returns the newest plan.
+func (n *Node) Plan() *plan.Plan {
+	return n.plan
+}
+
+// SetFloor takes the version that this host had confirmed before it restarted.
+func (n *Node) SetFloor(version uint64) {
+	n.floor = max(n.floor, version)
+}
+
+// SetDurable takes the version that is on this host's own disk.
+func (n *Node) SetDurable(version uint64) {
+	n.durable = max(n.durable, version)
+}
+
+// Accept takes a version from this host's own control replica.
+func (n *Node) Accept(now core.Millis, view *tree.View, differences []tree.Difference, out *core.Effects) {
+	if view.Version == 0 {
+		return
+	}
+	n.adopt(now, view, Delta{view.Version, differences}, out)
+}
+
+// adopt brings a version into force; an older one is ignored.
+func (n *Node) adopt(now core.Millis, view *tree.View, delta Delta, out *core.Effects) {
+	if view.Version <= n.Version() || view.Version < n.floor {
+		return
+	}
+	if len(delta.Differences) > 0 && view.Version == n.Version()+1 {
+		n.deltas = append(n.deltas, delta)
+		if len(n.deltas) > keptDeltas {
+			n.deltas = slices.Clone(n.deltas[len(n.deltas)-keptDeltas:])
+		}
+	} else {
+		n.deltas = nil
+	}
+	n.view = view
+	n.waiting = nil
+	n.OnTree(now, view, out)
+	n.confirm(now)
+	n.push(now, out)
+	n.nextSync = now
+}
+
+// SetPlan takes a plan that this host made or was sent; an older one is ignored.
+func (n *Node) SetPlan(now core.Millis, p *plan.Plan, out *core.Effects) {
+	if p == nil || !p.Newer(n.plan) {
+		return
+	}
+	n.plan = p
+	n.OnPlan(now, p, out)
+	for _, name := range slices.Sorted(maps.Keys(n.children)) {
+		if now-n.children[name].heard < childSilent {
+			out.Send(name, &Update{Version: n.Version(), Base: n.Version(), Plan: p})
+		}
+	}
+}
+
+func (n *Node) push(now core.Millis, out *core.Effects) {
+	for _, name := range slices.Sorted(maps.Keys(n.children)) {
+		c := n.children[name]
+		if now-c.heard < childSilent {
+			out.Send(name, n.updateFor(c.have))
+			c.have = n.Version()
+		}
+	}
+}
+
+// updateFor returns what a host with the version lacks.
+func (n *Node) updateFor(have uint64) *Update {
+	u := &Update{Version: n.Version(), Base: have}
+	if n.view == nil || have >= n.Version() {
+		return u
+	}
+	missing := n.Version() - have
+	if have == 0 || uint64(len(n.deltas)) < missing {
+		u.Snapshot = n.view.Tree
+		return u
+	}
+	u.Deltas = n.deltas[uint64(len(n.deltas))-missing:]
+	return u
+}
+
+// Tick keeps in touch with the parent and confirms what is in force.
+func (n *Node) Tick(now core.Millis, out *core.Effects) {
+	n.tryWaiting(now, out)
+	n.confirm(now)
+	if n.parent != "" && now-max(n.answered, n.chosenAt) >= parentSilent {
+		out.Logf("relay", "Hears nothing from %s.", n.parent)
+		n.avoid[n.parent] = now + avoidParent
+		n.parent = ""
+		n.nextSync = now
+	}
+	if now < n.nextSync {
+		return
+	}
+	n.nextSync = now + syncEvery
+	n.chooseParent(now)
+	if n.parent != "" {
+		out.Send(n.parent, n.sync(now))
+	}
+}
+
+// chooseParent keeps the parent while it may be one, else takes the first that is not known to be dead.
+func (n *Node) chooseParent(now core.Millis) {
+	options := n.parents(now)
+	if n.parent != "" && slices.Contains(options, n.parent) {
+		return
+	}
+	for _, pass := range []bool{true, false} {
+		for _, name := range options {
+			if pass && (now < n.avoid[name] || n.Health.Liveness(now, name) == core.Dead) {
+				continue
+			}
+			n.parent, n.chosenAt = name, now
+			return
+		}
+	}
+	n.parent = ""
+}
+
+// parents lists the hosts that this one may ask, in its own order.
+func (n *Node) parents(now core.Millis) []string {
+	if n.Control {
+		leader := n.Leader()
+		if leader == "" || leader == n.Self {
+			return nil
+		}
+		return []string{leader}
+	}
+	relays := n.relays(now)
+	if slices.Contains(relays, n.Self) || len(relays) == 0 {
+		return rendezvous(n.Self, n.ControlHosts)
+	}
+	return append(rendezvous(n.Self, relays), rendezvous(n.Self, n.ControlHosts)...)
+}
+
+// relays lists the zone's relays: its first hosts, in an order of the zone's own, that are not known to be dead or leaving.
+func (n *Node) relays(now core.Millis) []string {
+	var out []string
+	for _, name := range rendezvous(n.Zone, n.ZoneHosts()) {
+		state := n.Health.Liveness(now, name)
+		if state == core.Alive || state == core.Unknown {
+			out = append(out, name)
+		}
+		if len(out) == zoneRelays {
+			break
+		}
+	}
+	return out
+}
+
+// rendezvous orders names by a hash with the seed, so that different seeds prefer different names.
+func rendezvous(seed string, names []string) []string {
+	out := slices.Clone(names)
+	slices.SortFunc(out, func(a, b string) int {
+		ha, hb := xxhash.Sum64String(seed+"\x00"+a), xxhash.Sum64String(seed+"\x00"+b)
+		switch {
+		case ha < hb:
+			return -1
+		case ha > hb:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return out
+}
+
+func (n *Node) sync(now core.Millis) *Sync {
+	s := &Sync{Have: n.Version(), Confirms: n.freshConfirms(now), Demands: []Demand{n.demand(now)}}
+	if n.plan != nil {
+		s.Term, s.Number = n.plan.Term, n.plan.Number
+	}
+	return s
+}
+
+func (n *Node) freshConfirms(now core.Millis) []Confirm {
+	out := []Confirm{n.OwnConfirm()}
+	for _, name := range slices.Sorted(maps.Keys(n.confirms)) {
+		c := n.confirms[name]
+		if now-c.at >= confirmKept {
+			delete(n.confirms, name)
+			continue
+		}
+		if name == n.Self {
+			continue
+		}
+		relayed := c.Confirm
+		relayed.Age += now - c.at
+		out = append(out, relayed)
+	}
+	return out
+}
+
+// OwnConfirm describes what is in force at this host.
+func (n *Node) OwnConfirm() Confirm {
+	c := Confirm{Host: n.Self, Have: n.Version(), Version: n.confirmed, Parent: n.parent}
+	switch {
+	case n.view == nil && n.floor > 0:
+		c.Reason = "waits for the version that it had confirmed before its restart"
+	case n.view == nil:
+		c.Reason = "has no version yet"
+	case n.confirmed < n.Version():
+		c.Reason = "waits until a peer of its zone holds the version"
+	case n.parent == "" && !n.Control:
+		c.Reason = "reaches no parent"
+	}
+	return c
+}
+
+// demand sums this host's demand and that of the hosts below it.
+func (n *Node) demand(now core.Millis) Demand {
+	sums := map[plan.Flow]FlowDemand{}
+	addFlows(sums, n.OwnDemand(now))
+	for _, name := range slices.Sorted(maps.Keys(n.demands)) {
+		d := n.demands[name]
+		if now-d.at+d.Age >= demandKept {
+			delete(n.demands, name)
+			continue
+		}
+		addFlows(sums, d.Flows)
+	}
+	out := Demand{Source: n.Self}
+	for _, flow := range slices.SortedFunc(maps.Keys(sums), compareFlows) {
+		out.Flows = append(out.Flows, sums[flow])
+	}
+	return out
+}
+
+func compareFlows(a, b plan.Flow) int {
+	switch {
+	case a.Region+"/"+a.Service < b.Region+"/"+b.Service:
+		return -1
+	case a == b:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// addFlows adds rates and averages times and sizes by rate.
+func addFlows(sums map[plan.Flow]FlowDemand, flows []FlowDemand) {
+	for _, f := range flows {
+		s := sums[f.Flow]
+		total := s.Rate + f.Rate
+		if total > 0 {
+			s.ServiceTime = core.Millis((float64(s.ServiceTime)*s.Rate + float64(f.ServiceTime)*f.Rate) / total)
+			s.Bits = (s.Bits*s.Rate + f.Bits*f.Rate) / total
+		}
+		s.Flow, s.Rate = f.Flow, total
+		sums[f.Flow] = s
+	}
+}
+
+// Demand returns the whole demand that this host knows of.
+func (n *Node) Demand(now core.Millis) []FlowDemand {
+	return n.demand(now).Flows
+}
+
+// InForce lists what hosts have confirmed, as far as this host was told.
+func (n *Node) InForce(now core.Millis) []Confirm {
+	return n.freshConfirms(now)
+}
+
+// confirm confirms the version in force once it would outlive this host's restart: a peer of the zone or the own disk holds it, or there is no peer.
+func (n *Node) confirm(now core.Millis) {
+	if n.view == nil || n.confirmed >= n.view.Version {
+		return
+	}
+	witnessed, hasPeer := n.Witnessed(now)
+	held := max(witnessed, n.durable)
+	if !hasPeer && (!n.Control || n.durable >= n.view.Version) {
+		held = n.view.Version
+	}
+	before := n.confirmed
+	n.confirmed = max(n.confirmed, min(held, n.view.Version))
+	if n.confirmed > before {
+		n.nextSync = now
+	}
+}
+
+// Receive takes a Sync or an Update.
+func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Sync:
+		n.onSync(now, from, m, out)
+	case *Update:
+		n.onUpdate(now, from, m, out)
+	}
+}
+
+func (n *Node) onSync(now core.Millis, from string, m *Sync, out *core.Effects) {
+	update := n.updateFor(m.Have)
+	if n.plan.NewerThan(m.Term, m.Number) {
+		update.Plan = n.plan
+	}
+	out.Send(from, update)
+	if n.plan.Older(m.Term, m.Number) {
+		n.ask(now, from, out)
+	}
+	if m.Once {
+		return
+	}
+	n.children[from] = &child{heard: now, have: max(m.Have, n.Version())}
+	for _, c := range m.Confirms {
+		n.takeConfirm(now, c)
+	}
+	for _, d := range m.Demands {
+		n.demands[d.Source] = &demandAt{d, now}
+	}
+}
+
+func (n *Node) takeConfirm(now core.Millis, c Confirm) {
+	old := n.confirms[c.Host]
+	if old != nil && old.Age+now-old.at < c.Age {
+		return
+	}
+	n.confirms[c.Host] = &confirmAt{c, now}
+}
+
+func (n *Node) onUpdate(now core.Millis, from string, m *Update, out *core.Effects) {
+	if from == n.parent {
+		n.answered = now
+	}
+	n.SetPlan(now, m.Plan, out)
+	switch {
+	case m.Snapshot != nil && m.Snapshot.Version > n.Version():
+		n.takeSnapshot(now, m.Snapshot, out)
+	case len(m.Deltas) > 0 && m.Base <= n.Version() && n.view != nil:
+		n.takeDeltas(now, m.Deltas, out)
+	case m.Version > n.Version() && m.Version > n.floor:
+		n.ask(now, from, out)
+	}
+}
+
+func (n *Node) takeSnapshot(now core.Millis, snapshot *tree.Tree, out *core.Effects) {
+	if snapshot.Nodes == nil || tree.Check(snapshot) != nil {
+		out.Logf("relay", "Was sent a tree that is not valid.")
+		return
+	}
+	if n.waiting == nil || snapshot.Version > n.waiting.Version {
+		n.waiting = snapshot
+	}
+	n.tryWaiting(now, out)
+}
+
+// tryWaiting brings a whole tree into force, after a start only once no peer of the zone can have a newer one that this host had confirmed.
+func (n *Node) tryWaiting(now core.Millis, out *core.Effects) {
+	if n.waiting == nil || n.waiting.Version < n.floor {
+		return
+	}
+	if n.view == nil && !n.PeersHeard() && now-n.started < bootWait {
+		return
+	}
+	n.adopt(now, tree.NewView(n.waiting), Delta{}, out)
+	n.waiting = nil
+}
+
+func (n *Node) takeDeltas(now core.Millis, deltas []Delta, out *core.Effects) {
+	for _, d := range deltas {
+		if d.Version != n.Version()+1 {
+			continue
+		}
+		next, err := n.view.Tree.With(tree.Changes(d.Differences))
+		if err != nil {
+			out.Logf("relay", "Was sent a change that can't be read: %v.", err)
+			return
+		}
+		n.adopt(now, tree.NewView(next), d, out)
+	}
+}
+
+// OnNewer asks a host that has a newer version than this one, whoever it is.
+func (n *Node) OnNewer(now core.Millis, host string, version uint64, out *core.Effects) {
+	if version <= n.Version() || now-n.askedAt < askNewerEvery {
+		return
+	}
+	n.askedAt = now
+	n.ask(now, host, out)
+}
+
+func (n *Node) ask(_ core.Millis, host string, out *core.Effects) {
+	s := &Sync{Have: n.Version(), Once: true}
+	if n.plan != nil {
+		s.Term, s.Number = n.plan.Term, n.plan.Number
+	}
+	out.Send(host, s)
+}
--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,33 @@
+package retry
+
+// mostSaved is how many unspent extra attempts a budget keeps.
+const mostSaved = 10
+
+// Budget earns a part of an extra attempt with each first attempt; Ratio is set before use.
+type Budget struct {
+	Ratio float64
+	saved float64
+	spent uint64
+	first uint64
+}
+
+// First notes a first attempt.
+func (b *Budget) First() {
+	b.first++
+	b.saved = min(mostSaved, b.saved+b.Ratio)
+}
+
+// Spend takes one extra attempt out of the budget; it returns false when none is left.
+func (b *Budget) Spend() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	b.spent++
+	return true
+}
+
+// Counts returns the first attempts and the extra ones.
+func (b *Budget) Counts() (first, extra uint64) {
+	return b.first, b.spent
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds how many extra attempts a service's requests may make.
+package retry
--- /dev/null
+++ b/core/route/router.go
@@ -0,0 +1,178 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/member"
+	"clementinelock/core/tree"
+)
+
+// noteKept is how long a keeper's own word about its free slots goes before gossip.
+const noteKept = 300 * core.Millisecond
+
+// Target is an availability zone that may serve a request, with its keeper.
+type Target struct {
+	Zone    string
+	Region  string
+	Keeper  string
+	Free    int
+	Waiting int
+}
+
+// Keepers tells who keeps a zone's service and whether a zone is reached.
+type Keepers interface {
+	core.Health
+	// Keeper returns the keeper of a zone's service as last heard.
+	Keeper(now core.Millis, zone, service string) (member.KeeperAt, bool)
+	// ZoneReached tells whether anything was heard of the zone lately.
+	ZoneReached(now core.Millis, zone string) bool
+}
+
+// Shares returns the planned shares of a region's demand for a service, by target region; nil when there is no plan.
+type Shares func(region, service string) map[string]float64
+
+type noteKey struct {
+	zone, service string
+}
+
+type note struct {
+	free, waiting int
+	at            core.Millis
+}
+
+// Router orders targets for one host. Set the exported fields before use.
+type Router struct {
+	Self    string
+	Region  string
+	Zone    string
+	Rand    *rand.Rand
+	Keepers Keepers
+	Shares  Shares
+
+	view  *tree.View
+	notes map[noteKey]note
+}
+
+// SetView takes a new version of the tree.
+func (r *Router) SetView(view *tree.View) {
+	r.view = view
+	r.notes = map[noteKey]note{}
+}
+
+// Note remembers what a keeper said of its free slots.
+func (r *Router) Note(now core.Millis, zone, service string, free, waiting int) {
+	r.notes[noteKey{zone, service}] = note{free, waiting, now}
+}
+
+// PickRegion draws the region for a request by the plan's shares; without a plan it is the own region, or the nearest that has the service.
+func (r *Router) PickRegion(service string) string {
+	shares := r.Shares(r.Region, service)
+	draw := r.Rand.Float64()
+	for _, region := range r.view.Regions {
+		draw -= shares[region.Name]
+		if shares[region.Name] > 0 && draw < 0 {
+			return region.Name
+		}
+	}
+	if len(shares) > 0 {
+		return r.Region
+	}
+	return r.nearestWith(service)
+}
+
+// nearestWith returns the own region when it has the service, else the first one by name that does.
+func (r *Router) nearestWith(service string) string {
+	first := ""
+	for _, region := range r.view.Regions {
+		if !r.regionHas(region, service) {
+			continue
+		}
+		if region.Name == r.Region {
+			return r.Region
+		}
+		if first == "" {
+			first = region.Name
+		}
+	}
+	if first == "" {
+		return r.Region
+	}
+	return first
+}
+
+func (r *Router) regionHas(region tree.Region, service string) bool {
+	for _, zone := range region.Zones {
+		if s := r.view.Service(zone, service); s != nil && len(s.Endpoints) > 0 && !s.Drained {
+			return true
+		}
+	}
+	return false
+}
+
+// Others lists the other regions that the tree lets an emergency pass to, nearest first.
+func (r *Router) Others(service string) []string {
+	own := r.view.Service(r.Zone, service)
+	if own == nil || !own.EmergencyPasses {
+		return nil
+	}
+	var out []string
+	for _, region := range r.view.Regions {
+		if region.Name != r.Region && r.regionHas(region, service) {
+			out = append(out, region.Name)
+		}
+	}
+	return out
+}
+
+// Targets orders the zones of a region for a service: free ones first, the own zone before others, then by how many wait.
+func (r *Router) Targets(now core.Millis, region, service string) []Target {
+	var out []Target
+	for _, zone := range r.view.Zones {
+		if zone.Region != region {
+			continue
+		}
+		if target, ok := r.target(now, zone, service); ok {
+			out = append(out, target)
+		}
+	}
+	r.Rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, r.compare)
+	return out
+}
+
+func (r *Router) target(now core.Millis, zone tree.Zone, service string) (Target, bool) {
+	s := r.view.Service(zone.Name, service)
+	if s == nil || s.Drained || len(s.Endpoints) == 0 {
+		return Target{}, false
+	}
+	keeper, ok := r.Keepers.Keeper(now, zone.Name, service)
+	if !ok || r.Keepers.Liveness(now, keeper.Host) == core.Dead {
+		return Target{}, false
+	}
+	t := Target{zone.Name, zone.Region, keeper.Host, keeper.Free, keeper.Waiting}
+	if n, ok := r.notes[noteKey{zone.Name, service}]; ok && now-n.at < noteKept && keeper.Host != r.Self {
+		t.Free, t.Waiting = n.free, n.waiting
+	}
+	return t, true
+}
+
+func (r *Router) compare(a, b Target) int {
+	if (a.Free > 0) != (b.Free > 0) {
+		if a.Free > 0 {
+			return -1
+		}
+		return 1
+	}
+	if a.Free > 0 && (a.Zone == r.Zone) != (b.Zone == r.Zone) {
+		if a.Zone == r.Zone {
+			return -1
+		}
+		return 1
+	}
+	if a.Free > 0 {
+		return b.Free - a.Free
+	}
+	return a.Waiting - b.Waiting
+}
--- /dev/null
+++ b/core/slots/keeper.go
@@ -0,0 +1,375 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/queue"
+	"clementinelock/core/tree"
+)
+
+const (
+	// tokenGrace is how much longer than its deadline a slot counts as used when its host says nothing.
+	tokenGrace = 200 * core.Millisecond
+	whoEvery   = 200 * core.Millisecond
+)
+
+// waiter is an ask that waits for a slot.
+type waiter struct {
+	from     string
+	ask      *Ask
+	deadline core.Millis
+}
+
+// granted is a slot in use.
+type granted struct {
+	token    Token
+	endpoint string
+	from     string
+	ask      askID
+	until    core.Millis
+}
+
+// askID names an ask over all hosts.
+type askID struct {
+	from        string
+	incarnation uint64
+	ask         uint64
+}
+
+// keeper counts the slots of one service in one zone.
+type keeper struct {
+	node      *Node
+	zone      string
+	service   string
+	settings  *tree.Service
+	endpoints map[string]*endpoint
+	active    bool
+	floorOnly bool
+	reserve   int
+	queue     queue.Queue[waiter]
+	slots     map[Token]*granted
+	byAsk     map[askID]Token
+	closing   string
+	handedTo  string
+	service0  float64
+	round     uint64
+	whoAt     core.Millis
+	waitWho   map[string]bool
+	uses      uint64
+}
+
+func newKeeper(node *Node, zone, service string) *keeper {
+	return &keeper{
+		node: node, zone: zone, service: service, endpoints: map[string]*endpoint{},
+		slots: map[Token]*granted{}, byAsk: map[askID]Token{}, waitWho: map[string]bool{},
+	}
+}
+
+// setSettings takes new settings; an endpoint that appears while the keeper runs is cold.
+func (k *keeper) setSettings(now core.Millis, s *tree.Service) {
+	first := k.settings == nil
+	k.settings = s
+	k.queue.Limit = s.QueueLimit
+	for _, name := range s.Endpoints {
+		if k.endpoints[name] != nil {
+			continue
+		}
+		e := &endpoint{name: name}
+		if !first {
+			e.warmFrom = now
+		}
+		k.endpoints[name] = e
+	}
+	for _, name := range slices.Sorted(maps.Keys(k.endpoints)) {
+		if !slices.Contains(s.Endpoints, name) && k.endpoints[name].inUse == 0 {
+			delete(k.endpoints, name)
+		}
+	}
+}
+
+// start begins to keep the service: slots that a former keeper gave out count as used until their hosts or the endpoints have told of them.
+func (k *keeper) start(now core.Millis, known bool) {
+	k.active, k.closing, k.handedTo, k.floorOnly = true, "", "", false
+	k.waitWho = map[string]bool{}
+	k.round++
+	if known {
+		return
+	}
+	for _, host := range k.node.hosts() {
+		if host != k.node.Self {
+			k.waitWho[host] = true
+		}
+	}
+	for _, e := range k.endpoints {
+		e.unknown = max(0, k.settings.Slots-e.inUse)
+		e.unknownFrom = now
+		e.unknownUntil = now + k.settings.MaxDeadline + tokenGrace
+	}
+}
+
+// mayGive tells whether this host still has the right to give slots: the lease, or as its first candidate that lost it the reserved ones.
+func (k *keeper) mayGive(now core.Millis) bool {
+	return k.active && k.closing == "" && (k.floorOnly || k.node.Holds(now, k.zone, k.service))
+}
+
+// askWho asks the hosts that have not yet told which slots they hold.
+func (k *keeper) askWho(now core.Millis, out *core.Effects) {
+	if len(k.waitWho) == 0 || now < k.whoAt {
+		return
+	}
+	k.whoAt = now + whoEvery
+	for _, host := range slices.Sorted(maps.Keys(k.waitWho)) {
+		out.Send(host, &Who{Zone: k.zone, Service: k.service, Round: k.round})
+	}
+}
+
+// takeHeld learns which slots a host holds; once every host has told, nothing is unknown.
+func (k *keeper) takeHeld(now core.Millis, from string, m *Held, out *core.Effects) {
+	if m.Round != k.round || !k.waitWho[from] {
+		return
+	}
+	k.adopt(now, from, m.Slots)
+	delete(k.waitWho, from)
+	if len(k.waitWho) > 0 {
+		return
+	}
+	for _, e := range k.endpoints {
+		e.unknown, e.unknownUntil = 0, 0
+	}
+	k.serve(now, out)
+}
+
+func (k *keeper) adopt(now core.Millis, from string, held []HeldSlot) {
+	for _, h := range held {
+		e := k.endpoints[h.Endpoint]
+		if e == nil || k.slots[h.Token] != nil {
+			continue
+		}
+		k.slots[h.Token] = &granted{token: h.Token, endpoint: h.Endpoint, from: from, until: now + h.Remaining + tokenGrace}
+		e.inUse++
+		e.unknown = max(0, e.unknown-1)
+	}
+}
+
+// onAsk gives a slot at once, queues the ask or refuses it.
+func (k *keeper) onAsk(now core.Millis, from string, m *Ask, out *core.Effects) {
+	id := askID{from, m.Incarnation, m.Ask}
+	if token, ok := k.byAsk[id]; ok {
+		k.grant(now, from, m, token, k.slots[token].endpoint, out)
+		return
+	}
+	if k.isWaiting(id) {
+		return
+	}
+	if !k.mayGive(now) {
+		k.refuse(now, from, m, core.NoUpstream, 0, true, out)
+		return
+	}
+	if m.Remaining <= 0 {
+		k.refuse(now, from, m, core.DeadlinePassed, 0, false, out)
+		return
+	}
+	if k.queue.Len() == 0 {
+		if e := k.pick(now, m.Exclude); e != nil && k.node.admit(now, k.service) {
+			k.give(now, from, m, e, out)
+			return
+		}
+	}
+	k.wait(now, from, m, out)
+}
+
+func (k *keeper) isWaiting(id askID) bool {
+	found := false
+	k.queue.Each(func(w waiter) {
+		found = found || w.from == id.from && w.ask.Ask == id.ask && w.ask.Incarnation == id.incarnation
+	})
+	return found
+}
+
+func (k *keeper) wait(now core.Millis, from string, m *Ask, out *core.Effects) {
+	expected := k.expectedWait(now)
+	switch {
+	case k.capacity(now) == 0:
+		k.refuse(now, from, m, core.NoUpstream, 0, false, out)
+		return
+	case !m.Wait:
+		k.refuse(now, from, m, core.Overloaded, expected, false, out)
+		return
+	case expected > k.settings.QueueWait || expected+core.Millis(k.service0) > m.Remaining:
+		k.refuse(now, from, m, core.Overloaded, expected, false, out)
+		return
+	}
+	_, evicted := k.queue.Push(0, now+m.Remaining, waiter{from, m, now + m.Remaining})
+	if evicted != nil {
+		k.refuse(now, evicted.Value.from, evicted.Value.ask, core.Overloaded, expected, false, out)
+	}
+}
+
+// expectedWait estimates how long a new waiter would wait, from the mean time that a slot is used.
+func (k *keeper) expectedWait(now core.Millis) core.Millis {
+	capacity := max(1, k.capacity(now))
+	return core.Millis(float64(k.queue.Len()+1) * k.service0 / float64(capacity))
+}
+
+// capacity counts the slots that this keeper may use now, in use or not.
+func (k *keeper) capacity(now core.Millis) int {
+	total := 0
+	ejected := k.ejected(now)
+	median := k.medianLatency()
+	for _, name := range k.settings.Endpoints {
+		if e := k.endpoints[name]; k.usable(now, e, ejected) {
+			total += k.limit(now, e, median)
+		}
+	}
+	return total
+}
+
+// free counts the slots that could be given now.
+func (k *keeper) free(now core.Millis) int {
+	if !k.mayGive(now) {
+		return 0
+	}
+	total := 0
+	ejected := k.ejected(now)
+	median := k.medianLatency()
+	for _, name := range k.settings.Endpoints {
+		if e := k.endpoints[name]; k.usable(now, e, ejected) {
+			total += max(0, k.limit(now, e, median)-e.used(now))
+		}
+	}
+	return max(0, total-k.queue.Len())
+}
+
+func (k *keeper) refuse(now core.Millis, from string, m *Ask, kind core.Kind, retry core.Millis, moved bool, out *core.Effects) {
+	if retry == 0 {
+		retry = core.Answers[kind].RetryAfter
+	}
+	k.node.reply(now, from, &Refused{
+		Ask: m.Ask, Kind: kind, RetryAfter: retry, Moved: moved,
+		Zone: k.zone, Service: k.service, Waiting: k.queue.Len(),
+	}, out)
+}
+
+func (k *keeper) give(now core.Millis, from string, m *Ask, e *endpoint, out *core.Effects) {
+	k.uses++
+	k.node.tokens++
+	token := Token{k.node.Self, k.node.Incarnation, k.node.tokens}
+	id := askID{from, m.Incarnation, m.Ask}
+	e.inUse++
+	e.lastUsed = k.uses
+	core.Assert(e.used(now) <= k.settings.Slots || e.unknown > 0, "endpoint %s has %d requests on %d slots", e.name, e.used(now), k.settings.Slots)
+	k.slots[token] = &granted{token: token, endpoint: e.name, from: from, ask: id, until: now + m.Remaining + tokenGrace}
+	k.byAsk[id] = token
+	k.grant(now, from, m, token, e.name, out)
+}
+
+func (k *keeper) grant(now core.Millis, to string, m *Ask, token Token, endpoint string, out *core.Effects) {
+	k.node.reply(now, to, &Grant{
+		Ask: m.Ask, Token: token, Endpoint: endpoint, Zone: k.zone, Service: k.service, Free: k.free(now),
+	}, out)
+}
+
+// serve gives free slots to what waits.
+func (k *keeper) serve(now core.Millis, out *core.Effects) {
+	if !k.mayGive(now) {
+		return
+	}
+	for k.queue.Len() > 0 {
+		e := k.pick(now, nil)
+		if e == nil || !k.node.admit(now, k.service) {
+			return
+		}
+		w, ok := k.queue.Pop(now, core.Millis(k.service0), func(late waiter) {
+			k.refuse(now, late.from, late.ask, core.DeadlinePassed, 0, false, out)
+		})
+		if !ok {
+			return
+		}
+		ask := *w.ask
+		ask.Remaining = w.deadline - now
+		if better := k.pick(now, ask.Exclude); better != nil {
+			e = better
+		}
+		k.give(now, w.from, &ask, e, out)
+	}
+}
+
+func (k *keeper) onDone(now core.Millis, m *Done, out *core.Effects) {
+	g := k.slots[m.Token]
+	if g == nil {
+		return
+	}
+	k.forget(g)
+	if e := k.endpoints[g.endpoint]; e != nil {
+		e.takeResult(now, m.Result)
+	}
+	if !m.Result.Unused && !m.Result.Failed && !m.Result.Shed {
+		k.learnServiceTime(m.Result.Latency)
+	}
+	k.serve(now, out)
+}
+
+func (k *keeper) learnServiceTime(latency core.Millis) {
+	if k.service0 == 0 {
+		k.service0 = float64(latency)
+		return
+	}
+	k.service0 += smoothing * (float64(latency) - k.service0)
+}
+
+func (k *keeper) forget(g *granted) {
+	delete(k.slots, g.token)
+	delete(k.byAsk, g.ask)
+	if e := k.endpoints[g.endpoint]; e != nil {
+		e.inUse--
+		core.Assert(e.inUse >= 0, "endpoint %s has %d requests", e.name, e.inUse)
+	}
+}
+
+func (k *keeper) withdraw(now core.Millis, from string, m *Withdraw, out *core.Effects) {
+	id := askID{from, m.Incarnation, m.Ask}
+	if token, ok := k.byAsk[id]; ok {
+		k.forget(k.slots[token])
+		k.serve(now, out)
+		return
+	}
+	k.queue.Remove(func(w waiter) bool {
+		return w.from == from && w.ask.Ask == m.Ask && w.ask.Incarnation == m.Incarnation
+	})
+}
+
+// tick frees slots whose deadline is over and lets go of what has waited too long.
+func (k *keeper) tick(now core.Millis, out *core.Effects) {
+	for token, g := range k.slots {
+		if now >= g.until {
+			k.forget(k.slots[token])
+		}
+	}
+	k.queue.Expire(now, func(w waiter) {
+		k.refuse(now, w.from, w.ask, core.DeadlinePassed, 0, false, out)
+	})
+	if !k.active {
+		return
+	}
+	k.askWho(now, out)
+	k.serve(now, out)
+}
+
+// stop ends the keeping, but for the reserved slots when floor is true; what waits is told to ask again elsewhere.
+func (k *keeper) stop(now core.Millis, floor bool, out *core.Effects) {
+	k.active, k.floorOnly, k.closing = floor, floor, ""
+	k.queue.Drain(func(w waiter) {
+		k.refuse(now, w.from, w.ask, core.NoUpstream, 0, true, out)
+	})
+}
+
+func (k *keeper) heldSlots(now core.Millis) []HeldSlot {
+	var out []HeldSlot
+	for _, g := range k.slots {
+		out = append(out, HeldSlot{g.token, g.endpoint, g.until - now})
+	}
+	slices.SortFunc(out, func(a, b HeldSlot) int { return int(a.Token.Number) - int(b.Token.Number) })
+	return out
+}
--- /dev/null
+++ b/core/slots/node.go
@@ -0,0 +1,433 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"clementinelock/core"
+	"clementinelock/core/tree"
+)
+
+const leasePrefix = "slots/"
+
+// LeaseName returns the name of the lease for keeping a zone's service.
+func LeaseName(zone, service string) string {
+	return leasePrefix + zone + "/" + service
+}
+
+// ParseLease takes a lease's name apart; ok is false for the lease of another task.
+func ParseLease(name string) (zone, service string, ok bool) {
+	rest, found := strings.CutPrefix(name, leasePrefix)
+	if !found {
+		return "", "", false
+	}
+	zone, service, ok = strings.Cut(rest, "/")
+	return zone, service, ok
+}
+
+// Node is a host's part in all slots: it keeps services and holds slots. Set the exported fields before use.
+type Node struct {
+	Self        string
+	Zone        string
+	Incarnation uint64
+	// Admit asks the region's grant for one more request of the service; nil admits all.
+	Admit func(now core.Millis, service string) bool
+	// OnGrant and OnRefused hand an ask's answer to the request that asked.
+	OnGrant   func(now core.Millis, m *Grant, out *core.Effects)
+	OnRefused func(now core.Millis, m *Refused, out *core.Effects)
+	// Reserve returns how many slots of each endpoint are left to the first candidate, which may be cut off and still use them.
+	Reserve func(now core.Millis, zone, service string) int
+	// KeeperOf returns the host that keeps a zone's service now, or the empty string.
+	KeeperOf func(now core.Millis, zone, service string) string
+	// Holds tells whether the lease is held now.
+	Holds func(now core.Millis, zone, service string) bool
+
+	view            *tree.View
+	keepers         map[string]*keeper
+	order           []string
+	tokens          uint64
+	held            map[Token]*use
+	undone          map[Token]*undone
+	platformLeaving map[string]bool
+	handovers       map[string][]HeldSlot
+	asked           map[uint64]asked
+	told            map[string]told
+}
+
+// asked is an ask that was not answered yet.
+type asked struct {
+	lease  string
+	sentAt core.Millis
+}
+
+// told is the last keeper that this host told of its slots.
+type told struct {
+	keeper string
+	at     core.Millis
+}
+
+// use is a slot that this host holds for a request.
+type use struct {
+	zone, service, endpoint string
+	until                   core.Millis
+}
+
+// undone is a Done that its keeper has not acknowledged.
+type undone struct {
+	message *Done
+	sentAt  core.Millis
+	until   core.Millis
+}
+
+const doneAgain = 250 * core.Millisecond
+
+// Start prepares the node.
+func (n *Node) Start() {
+	n.keepers = map[string]*keeper{}
+	n.held = map[Token]*use{}
+	n.undone = map[Token]*undone{}
+	n.platformLeaving = map[string]bool{}
+	n.handovers = map[string][]HeldSlot{}
+	n.asked = map[uint64]asked{}
+	n.told = map[string]told{}
+}
+
+// SetView takes a new version of the tree.
+func (n *Node) SetView(now core.Millis, view *tree.View) {
+	n.view = view
+	for _, service := range view.Services {
+		name := LeaseName(n.Zone, service)
+		if n.keepers[name] == nil {
+			n.keepers[name] = newKeeper(n, n.Zone, service)
+		}
+		if s := view.Service(n.Zone, service); s != nil {
+			n.keepers[name].setSettings(now, s)
+		}
+	}
+	n.order = slices.Sorted(maps.Keys(n.keepers))
+}
+
+// SetLeaving takes the platform's list of leaving endpoints; they get no new work from now on.
+func (n *Node) SetLeaving(leaving map[string]bool) {
+	n.platformLeaving = leaving
+}
+
+// IsLeaving tells whether the platform says that the endpoint is leaving.
+func (n *Node) IsLeaving(endpoint string) bool {
+	return n.platformLeaving[endpoint]
+}
+
+func (n *Node) hosts() []string {
+	if n.view == nil {
+		return nil
+	}
+	return n.view.HostNames()
+}
+
+// Gain begins to keep what the lease names.
+func (n *Node) Gain(now core.Millis, lease string, out *core.Effects) {
+	k := n.keepers[lease]
+	if k == nil || k.settings == nil {
+		return
+	}
+	handed, known := n.handovers[lease]
+	delete(n.handovers, lease)
+	k.start(now, known)
+	k.adopt(now, "", handed)
+	out.Logf("slots", "Keeps %s in %s.", k.service, k.zone)
+	k.askWho(now, out)
+}
+
+// Lose stops keeping what the lease names; with floor the host goes on with the reserved slots.
+func (n *Node) Lose(now core.Millis, lease string, floor bool, out *core.Effects) {
+	k := n.keepers[lease]
+	if k == nil || !k.active {
+		return
+	}
+	k.stop(now, floor, out)
+	out.Logf("slots", "No longer keeps %s in %s.", k.service, k.zone)
+}
+
+// HandOver stops keeping a service and passes its slots on to the next keeper.
+func (n *Node) HandOver(now core.Millis, lease, to string, out *core.Effects) {
+	k := n.keepers[lease]
+	if k == nil {
+		return
+	}
+	message := &Handover{Zone: k.zone, Service: k.service, Slots: k.heldSlots(now)}
+	k.stop(now, false, out)
+	k.handedTo = to
+	out.Send(to, message)
+}
+
+// Keeps lists what this host keeps, with its free slots and waiting asks.
+func (n *Node) Keeps(now core.Millis, each func(service string, free, waiting int)) {
+	for _, name := range n.order {
+		if k := n.keepers[name]; k.active && k.closing == "" {
+			each(k.service, k.free(now), k.queue.Len())
+		}
+	}
+}
+
+func (n *Node) admit(now core.Millis, service string) bool {
+	return n.Admit == nil || n.Admit(now, service)
+}
+
+// Tick carries out what is due.
+func (n *Node) Tick(now core.Millis, out *core.Effects) {
+	for _, name := range n.order {
+		k := n.keepers[name]
+		if k.settings == nil {
+			continue
+		}
+		n.refreshRights(now, k)
+		k.tick(now, out)
+	}
+	for _, token := range slices.SortedFunc(maps.Keys(n.undone), compareTokens) {
+		n.resendDone(now, token, out)
+	}
+	for token, u := range n.held {
+		if now >= u.until+tokenGrace {
+			delete(n.held, token)
+		}
+	}
+}
+
+// refreshRights ends a keeping whose lease is over and sets what is left to the first candidate.
+func (n *Node) refreshRights(now core.Millis, k *keeper) {
+	if n.Reserve != nil {
+		k.reserve = n.Reserve(now, k.zone, k.service)
+	}
+}
+
+func (n *Node) resendDone(now core.Millis, token Token, out *core.Effects) {
+	u := n.undone[token]
+	if now >= u.until {
+		delete(n.undone, token)
+		return
+	}
+	if now-u.sentAt >= doneAgain {
+		n.sendDone(now, u, out)
+	}
+}
+
+// sendDone tells the keeper that gave the slot, and the present one when it is another.
+func (n *Node) sendDone(now core.Millis, u *undone, out *core.Effects) {
+	u.sentAt = now
+	m := u.message
+	if m.Token.Keeper != n.Self {
+		out.Send(m.Token.Keeper, m)
+	}
+	present := n.KeeperOf(now, m.Zone, m.Service)
+	if present != "" && present != m.Token.Keeper && present != n.Self {
+		out.Send(present, m)
+	}
+}
+
+func compareTokens(a, b Token) int {
+	if a.Number != b.Number {
+		return int(a.Number) - int(b.Number)
+	}
+	return strings.Compare(a.Keeper, b.Keeper)
+}
+
+// Ask sends an ask to a keeper, which may be this host.
+func (n *Node) Ask(now core.Millis, keeper string, m *Ask, out *core.Effects) {
+	m.Incarnation = n.Incarnation
+	n.asked[m.Ask] = asked{LeaseName(m.Zone, m.Service), now}
+	if keeper != n.Self {
+		out.Send(keeper, m)
+		return
+	}
+	n.onAsk(now, n.Self, m, out)
+}
+
+// Withdraw takes an ask back.
+func (n *Node) Withdraw(now core.Millis, keeper string, m *Withdraw, out *core.Effects) {
+	m.Incarnation = n.Incarnation
+	delete(n.asked, m.Ask)
+	if keeper != n.Self {
+		out.Send(keeper, m)
+		return
+	}
+	n.onWithdraw(now, n.Self, m, out)
+}
+
+// Use notes that a request of this host uses the slot.
+func (n *Node) Use(token Token, zone, service, endpoint string, until core.Millis) {
+	n.held[token] = &use{zone, service, endpoint, until}
+}
+
+// Done gives a slot back and sees to it that the keeper learns of it.
+func (n *Node) Done(now core.Millis, token Token, zone, service string, result Result, out *core.Effects) {
+	until := now + 10*core.Second
+	if u := n.held[token]; u != nil {
+		until = u.until + tokenGrace
+	}
+	delete(n.held, token)
+	m := &Done{Token: token, Zone: zone, Service: service, Result: result}
+	n.onDone(now, m, out)
+	if token.Keeper == n.Self {
+		return
+	}
+	u := &undone{message: m, until: until}
+	n.undone[token] = u
+	n.sendDone(now, u, out)
+}
+
+// Undone counts the slots whose return their keeper has not acknowledged.
+func (n *Node) Undone() int {
+	return len(n.undone)
+}
+
+// InUse counts the slots that this host holds.
+func (n *Node) InUse() int {
+	return len(n.held)
+}
+
+// Receive takes one of the package's messages.
+func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	switch m := message.(type) {
+	case *Ask:
+		n.onAsk(now, from, m, out)
+	case *Withdraw:
+		n.onWithdraw(now, from, m, out)
+	case *Grant:
+		n.onGrant(now, m, out)
+	case *Refused:
+		delete(n.asked, m.Ask)
+		n.OnRefused(now, m, out)
+	case *Done:
+		n.onDone(now, m, out)
+		out.Send(from, &DoneAnswer{Token: m.Token})
+	case *DoneAnswer:
+		delete(n.undone, m.Token)
+	case *Who:
+		n.told[LeaseName(m.Zone, m.Service)] = told{from, now}
+		out.Send(from, &Held{Zone: m.Zone, Service: m.Service, Round: m.Round, Slots: n.heldFor(now, m.Zone, m.Service)})
+	case *Held:
+		if k := n.keepers[LeaseName(m.Zone, m.Service)]; k != nil && k.active {
+			k.takeHeld(now, from, m, out)
+		}
+	case *Handover:
+		n.handovers[LeaseName(m.Zone, m.Service)] = m.Slots
+	}
+}
+
+// onGrant takes a slot, unless another keeper was told in the meantime that this host does not hold it.
+func (n *Node) onGrant(now core.Millis, m *Grant, out *core.Effects) {
+	a, ok := n.asked[m.Ask]
+	if !ok {
+		n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
+		return
+	}
+	delete(n.asked, m.Ask)
+	if t := n.told[a.lease]; t.keeper != "" && t.keeper != m.Token.Keeper && a.sentAt <= t.at {
+		n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
+		n.OnRefused(now, &Refused{Ask: m.Ask, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
+		return
+	}
+	n.OnGrant(now, m, out)
+}
+
+func (n *Node) heldFor(now core.Millis, zone, service string) []HeldSlot {
+	var out []HeldSlot
+	for _, token := range slices.SortedFunc(maps.Keys(n.held), compareTokens) {
+		if u := n.held[token]; u.zone == zone && u.service == service {
+			out = append(out, HeldSlot{token, u.endpoint, max(0, u.until-now)})
+		}
+	}
+	return out
+}
+
+func (n *Node) onAsk(now core.Millis, from string, m *Ask, out *core.Effects) {
+	k := n.keepers[LeaseName(m.Zone, m.Service)]
+	if k == nil || k.settings == nil {
+		n.reply(now, from, &Refused{Ask: m.Ask, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
+		return
+	}
+	k.onAsk(now, from, m, out)
+}
+
+func (n *Node) onWithdraw(now core.Millis, from string, m *Withdraw, out *core.Effects) {
+	if k := n.keepers[LeaseName(m.Zone, m.Service)]; k != nil {
+		k.withdraw(now, from, m, out)
+	}
+}
+
+func (n *Node) onDone(now core.Millis, m *Done, out *core.Effects) {
+	k := n.keepers[LeaseName(m.Zone, m.Service)]
+	if k == nil {
+		return
+	}
+	if k.handedTo != "" && k.slots[m.Token] != nil {
+		out.Send(k.handedTo, m)
+	}
+	k.onDone(now, m, out)
+}
+
+// reply answers an ask, by a message or when the asking host is this one directly.
+func (n *Node) reply(now core.Millis, to string, message core.Message, out *core.Effects) {
+	if to != n.Self {
+		out.Send(to, message)
+		return
+	}
+	n.Receive(now, to, message, out)
+}
+
+// TakeReport learns an endpoint's own report; failed tells that it could not be asked.
+func (n *Node) TakeReport(now core.Millis, address string, report core.Report, failed bool) {
+	for _, name := range n.order {
+		e := n.keepers[name].endpoints[address]
+		if e == nil {
+			continue
+		}
+		if failed {
+			e.fail(now)
+			continue
+		}
+		e.takeReport(now, report)
+	}
+}
+
+// Polled lists the endpoints whose reports this host should ask for.
+func (n *Node) Polled() []string {
+	var out []string
+	for _, name := range n.order {
+		k := n.keepers[name]
+		if k.active && k.settings != nil {
+			out = append(out, k.settings.Endpoints...)
+		}
+	}
+	return out
+}
+
+// EndpointStatus is one endpoint for dumps and operators.
+type EndpointStatus struct {
+	Service, Zone, Endpoint string
+	InUse, Unknown, Slots   int
+	Latency                 core.Millis
+	Ejected, Leaving        bool
+	Waiting                 int
+}
+
+// Status lists the endpoints that this host keeps.
+func (n *Node) Status(now core.Millis) []EndpointStatus {
+	var out []EndpointStatus
+	for _, name := range n.order {
+		k := n.keepers[name]
+		if !k.active || k.settings == nil {
+			continue
+		}
+		for _, address := range k.settings.Endpoints {
+			e := k.endpoints[address]
+			out = append(out, EndpointStatus{
+				Service: k.service, Zone: k.zone, Endpoint: address, InUse: e.inUse, Unknown: e.used(now) - e.inUse,
+				Slots: k.settings.Slots, Latency: core.Millis(e.latency), Ejected: now < e.ejectedUntil,
+				Leaving: k.leaving(address), Waiting: k.queue.Len(),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/caller/exchange.go
@@ -0,0 +1,163 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"clementinelock/core"
+	"clementinelock/core/call"
+	"clementinelock/io/fetch"
+	"clementinelock/io/proto"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// replayBytes is how much of a body is read ahead, so that it can be sent again.
+const replayBytes = 64 << 10
+
+// Delivery is what a request ends with: one field is set.
+type Delivery struct {
+	Refusal *core.Refusal
+	Stored  *core.StoredAnswer
+	// Attempt streams; Finish must be told of its end.
+	Attempt *fetch.Attempt
+	Capture int64
+	Finish  func(end call.End, bits int64)
+}
+
+// Exchange is one caller's request under way.
+type Exchange struct {
+	Arrival  call.Arrival
+	Request  fetch.Request
+	delivery chan Delivery
+	body     *guardedBody
+}
+
+// Deliver hands the request its end; it is called once.
+func (e *Exchange) Deliver(d Delivery) {
+	e.delivery <- d
+}
+
+// idempotentMethods may be repeated.
+var idempotentMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodPut: true, http.MethodDelete: true, http.MethodTrace: true,
+}
+
+// newExchange reads a request's head and the first part of its body.
+func newExchange(id uint64, service, rest string, r *http.Request) (*Exchange, error) {
+	deadline, err := proto.ParseDeadline(r.Header.Get(proto.Deadline))
+	if err != nil {
+		return nil, err
+	}
+	attempt, err := parseAttempt(r.Header.Get(proto.Attempt))
+	if err != nil {
+		return nil, err
+	}
+	e := &Exchange{delivery: make(chan Delivery, 1)}
+	prefix, whole, err := readAhead(r)
+	if err != nil {
+		return nil, err
+	}
+	e.Request = fetch.Request{
+		Method: r.Method, Path: targetOf(rest, r), Host: r.Host, Header: r.Header, Trailer: r.Trailer,
+		Prefix: prefix, Length: int64(len(prefix)), Idempotent: idempotentMethods[r.Method],
+	}
+	if !whole {
+		e.body = &guardedBody{reader: r.Body}
+		e.Request.Rest, e.Request.Length = e.body, r.ContentLength
+	}
+	e.Arrival = call.Arrival{
+		ID: id, Service: service, Idempotent: e.Request.Idempotent, Remaining: deadline,
+		Attempt: attempt, Replayable: whole,
+	}
+	e.setKey(service, r)
+	return e, nil
+}
+
+func (e *Exchange) setKey(service string, r *http.Request) {
+	key := r.Header.Get(proto.IdempotencyKey)
+	if key == "" || e.Arrival.Idempotent {
+		return
+	}
+	// Callers with different credentials may use the same key for different things.
+	scope := xxhash.Sum64String(r.Header.Get("Authorization"))
+	e.Arrival.KeyText = key
+	e.Arrival.Key = service + " " + strconv.FormatUint(scope, 16) + " " + key
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Method + " " + e.Request.Path + "\n")
+	_, _ = digest.WriteString(strconv.FormatInt(e.Request.Length, 10) + "\n")
+	_, _ = digest.Write(e.Request.Prefix)
+	e.Arrival.Digest = digest.Sum64()
+}
+
+func parseAttempt(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	attempt, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || attempt == 0 {
+		return 0, errors.New("header " + proto.Attempt + ": " + strconv.Quote(text) + " is not a number from 1 up")
+	}
+	return attempt, nil
+}
+
+func targetOf(rest string, r *http.Request) string {
+	target := "/" + strings.TrimPrefix(rest, "/")
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	return target
+}
+
+// readAhead reads the body's start; whole tells that this was all of it.
+func readAhead(r *http.Request) (prefix []byte, whole bool, err error) {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil, true, nil
+	}
+	if r.ContentLength > replayBytes || r.ContentLength < 0 && r.Header.Get("Expect") != "" {
+		return nil, false, nil
+	}
+	var buffer bytes.Buffer
+	n, err := io.Copy(&buffer, io.LimitReader(r.Body, replayBytes))
+	if err != nil {
+		return nil, false, err
+	}
+	if n < replayBytes {
+		return buffer.Bytes(), true, nil
+	}
+	return buffer.Bytes(), false, nil
+}
+
+// guardedBody keeps an attempt from reading a caller's body after its handler has returned.
+type guardedBody struct {
+	mutex  sync.Mutex
+	reader io.Reader
+	closed bool
+}
+
+// Read reads from the caller, or errs once the handler has returned.
+func (g *guardedBody) Read(p []byte) (int, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return g.reader.Read(p)
+}
+
+func (e *Exchange) closeBody() {
+	if e.body == nil {
+		return
+	}
+	// A read under way ends when the server closes the body, so the lock is not waited for here.
+	go func() {
+		e.body.mutex.Lock()
+		e.body.closed = true
+		e.body.mutex.Unlock()
+	}()
+}
--- /dev/null
+++ b/io/clock/clock.go
@@ -0,0 +1,41 @@
+package clock
+
+import (
+	"sync"
+	"time"
+
+	"clementinelock/core"
+)
+
+// slewPer bounds how fast the clock follows the wall clock: one millisecond in this many.
+const slewPer = 20
+
+// Clock never goes back and never jumps: it runs on the monotonic clock and follows the wall clock slowly.
+type Clock struct {
+	mutex  sync.Mutex
+	base   time.Time
+	offset time.Duration
+	last   core.Millis
+	slewed time.Time
+}
+
+// New returns a clock that starts at the wall clock's time.
+func New() *Clock {
+	now := time.Now()
+	return &Clock{base: now, slewed: now}
+}
+
+// Now returns the time.
+func (c *Clock) Now() core.Millis {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	steady := now.Sub(c.base)
+	// Round strips the monotonic reading, so that the difference is that of the wall clock.
+	behind := now.Round(0).Sub(c.base.Round(0)) - steady - c.offset
+	most := now.Sub(c.slewed) / slewPer
+	c.offset += max(-most, min(most, behind))
+	c.slewed = now
+	c.last = max(c.last, core.Millis(c.base.Add(steady+c.offset).UnixMilli()))
+	return c.last
+}
--- /dev/null
+++ b/io/config/lines.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Lines maps the keys of a document, written with dots, to their lines.
+type Lines struct {
+	File string
+	at   map[string]int
+}
+
+// ReadLines indexes a document's keys; a document that can't be parsed gives an empty index.
+func ReadLines(file string, data []byte) *Lines {
+	l := &Lines{File: file, at: map[string]int{}}
+	parser := unstable.Parser{}
+	parser.Reset(data)
+	table := ""
+	counts := map[string]int{}
+	for parser.NextExpression() {
+		node := parser.Expression()
+		name, line := keyOf(&parser, node)
+		switch node.Kind {
+		case unstable.Table:
+			table = name
+			l.note(table, line)
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+			l.note(table, line)
+		case unstable.KeyValue:
+			l.note(join(table, name), line)
+		}
+	}
+	return l
+}
+
+func keyOf(parser *unstable.Parser, node *unstable.Node) (name string, line int) {
+	var parts []string
+	keys := node.Key()
+	for keys.Next() {
+		part := keys.Node()
+		parts = append(parts, string(part.Data))
+		if line == 0 {
+			line = parser.Shape(part.Raw).Start.Line
+		}
+	}
+	return strings.Join(parts, "."), line
+}
+
+func join(table, name string) string {
+	if table == "" {
+		return name
+	}
+	return table + "." + name
+}
+
+func (l *Lines) note(key string, line int) {
+	if _, known := l.at[key]; !known {
+		l.at[key] = line
+	}
+}
+
+// Errorf makes an error that names the file, the key's line or that of the nearest table above it, and the key.
+func (l *Lines) Errorf(key, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	for at := key; at != ""; at = parentKey(at) {
+		if line, ok := l.at[at]; ok {
+			return fmt.Errorf("%s:%d: key %q: %s", l.File, line, key, text)
+		}
+	}
+	return fmt.Errorf("%s: key %q: %s", l.File, key, text)
+}
+
+func parentKey(key string) string {
+	dot := strings.LastIndexByte(key, '.')
+	if dot < 0 {
+		return ""
+	}
+	return key[:dot]
+}
+
+// explain turns the library's errors into ones that name file, line and key.
+func explain(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := &strict.Errors[0]
+		row, _ := first.Position()
+		return fmt.Errorf("%s:%d: key %q: no such key", file, row, strings.Join(first.Key(), "."))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, column := decode.Position()
+		return fmt.Errorf("%s:%d:%d: key %q: %s", file, row, column, strings.Join(decode.Key(), "."), decode.Error())
+	}
+	return fmt.Errorf("%s: %w", file, err)
+}
--- /dev/null
+++ b/io/config/trees.go
@@ -0,0 +1,202 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"clementinelock/core/tree"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// The words that give a tree file its shape.
+const (
+	rootWord     = "Root"
+	regionsWord  = "Regions"
+	zonesWord    = "Zones"
+	servicesWord = "Services"
+)
+
+// ReadTree reads and checks a tree file.
+func ReadTree(file string) (*tree.Tree, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseTree(file, data)
+}
+
+// ParseTree reads and checks a tree; file names the text in errors.
+func ParseTree(file string, data []byte) (*tree.Tree, error) {
+	var document map[string]any
+	if err := toml.Unmarshal(data, &document); err != nil {
+		return nil, explain(file, err)
+	}
+	p := &treeParser{lines: ReadLines(file, data), tree: &tree.Tree{Nodes: map[tree.Path]tree.Values{}}}
+	if err := p.document(document); err != nil {
+		return nil, err
+	}
+	if err := tree.Check(p.tree); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return p.tree, nil
+}
+
+type treeParser struct {
+	lines *Lines
+	tree  *tree.Tree
+}
+
+func (p *treeParser) document(document map[string]any) error {
+	for _, word := range slices.Sorted(maps.Keys(document)) {
+		table, ok := document[word].(map[string]any)
+		switch {
+		case !ok:
+			return p.lines.Errorf(word, "expected the table %s or %s", rootWord, regionsWord)
+		case word == rootWord:
+			if err := p.node(rootWord, tree.Parts{}, table, ""); err != nil {
+				return err
+			}
+		case word == regionsWord:
+			if err := p.each(regionsWord, table, func(key, name string, inner map[string]any) error {
+				return p.node(key, tree.Parts{Region: name}, inner, zonesWord)
+			}); err != nil {
+				return err
+			}
+		default:
+			return p.lines.Errorf(word, "no such key; expected %s or %s", rootWord, regionsWord)
+		}
+	}
+	return nil
+}
+
+func (p *treeParser) each(key string, table map[string]any, visit func(key, name string, inner map[string]any) error) error {
+	for _, name := range slices.Sorted(maps.Keys(table)) {
+		inner, ok := table[name].(map[string]any)
+		if !ok {
+			return p.lines.Errorf(key+"."+name, "expected a table")
+		}
+		if err := visit(key+"."+name, name, inner); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// node takes the settings of one node; below names the word that its children stand under.
+func (p *treeParser) node(key string, parts tree.Parts, table map[string]any, below string) error {
+	for _, name := range slices.Sorted(maps.Keys(table)) {
+		inner, isTable := table[name].(map[string]any)
+		var err error
+		switch {
+		case isTable && name == servicesWord && parts.Service == "":
+			err = p.each(key+"."+name, inner, func(key, service string, inner map[string]any) error {
+				next := parts
+				next.Service = service
+				return p.node(key, next, inner, "")
+			})
+		case isTable && name == below && below != "":
+			err = p.each(key+"."+name, inner, func(key, zone string, inner map[string]any) error {
+				return p.node(key, tree.Parts{Region: parts.Region, Zone: zone}, inner, "")
+			})
+		case isTable:
+			err = p.lines.Errorf(key+"."+name, "no such table")
+		default:
+			err = p.setting(key+"."+name, tree.PathOf(parts), name, table[name])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *treeParser) setting(key string, path tree.Path, name string, value any) error {
+	row, err := tree.FindSetting(name)
+	if err != nil {
+		return p.lines.Errorf(key, "%v", err)
+	}
+	text, err := textOf(value)
+	if err != nil {
+		return p.lines.Errorf(key, "%v; expected %s", err, row.Expects)
+	}
+	if err := row.Check(path, text); err != nil {
+		return p.lines.Errorf(key, "%v", err)
+	}
+	if p.tree.Nodes[path] == nil {
+		p.tree.Nodes[path] = tree.Values{}
+	}
+	p.tree.Nodes[path][name] = text
+	return nil
+}
+
+// textOf writes a TOML value as the tree keeps it.
+func textOf(value any) (string, error) {
+	switch v := value.(type) {
+	case string:
+		return v, nil
+	case bool:
+		return strconv.FormatBool(v), nil
+	case int64:
+		return strconv.FormatInt(v, 10), nil
+	case float64:
+		return strconv.FormatFloat(v, 'g', -1, 64), nil
+	case []any:
+		var items []string
+		for _, item := range v {
+			text, ok := item.(string)
+			if !ok {
+				return "", fmt.Errorf("the list holds %v, which is no text", item)
+			}
+			items = append(items, text)
+		}
+		return strings.Join(items, ", "), nil
+	}
+	return "", fmt.Errorf("a value of type %T is not allowed", value)
+}
+
+// WriteTree writes a tree as a file that ReadTree reads.
+func WriteTree(t *tree.Tree) []byte {
+	var out bytes.Buffer
+	for _, path := range t.Paths() {
+		parts, err := tree.ParsePath(path)
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(&out, "[%s]\n", tableOf(parts))
+		values := t.Nodes[path]
+		for _, name := range slices.Sorted(maps.Keys(values)) {
+			fmt.Fprintf(&out, "%s = %s\n", name, quoted(values[name]))
+		}
+		out.WriteString("\n")
+	}
+	return out.Bytes()
+}
+
+func tableOf(parts tree.Parts) string {
+	table := rootWord
+	if parts.Region != "" {
+		table = regionsWord + "." + parts.Region
+	}
+	if parts.Zone != "" {
+		table += "." + zonesWord + "." + parts.Zone
+	}
+	if parts.Service != "" {
+		table += "." + servicesWord + "." + parts.Service
+	}
+	return table
+}
+
+// quoted writes a value as a TOML string, which every setting accepts.
+func quoted(text string) string {
+	data, err := toml.Marshal(map[string]string{"V": text})
+	if err != nil {
+		return strconv.Quote(text)
+	}
+	return strings.TrimSpace(strings.TrimPrefix(strings.TrimSpace(string(data)), "V ="))
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,369 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/io/caller"
+	"clementinelock/io/certs"
+	"clementinelock/io/clock"
+	"clementinelock/io/config"
+	"clementinelock/io/disk"
+	"clementinelock/io/feed"
+	"clementinelock/io/fetch"
+	"clementinelock/io/link"
+	"clementinelock/io/logs"
+	"clementinelock/io/metric"
+	"clementinelock/io/oper"
+	"clementinelock/io/proto"
+
+	"github.com/gorilla/mux"
+)
+
+const (
+	connectionsPerEndpoint = 36
+	headerWithin           = 5 * time.Second
+	closeWithin            = 2 * time.Second
+	stopCheckEvery         = 20 * time.Millisecond
+)
+
+// Daemon is one host. Set the exported fields before Run.
+type Daemon struct {
+	Settings config.Settings
+	LogTo    io.Writer
+
+	driver  *driver
+	keys    *certs.Keys
+	network *link.Network
+	metrics *metric.Set
+	servers []*http.Server
+	log     *logs.Logger
+	cancel  context.CancelFunc
+	failure chan error
+	wait    sync.WaitGroup
+	stopped chan struct{}
+	lookups atomic.Uint64
+}
+
+// Run starts the host and returns when it has stopped; the error is nil after a planned stop or when the context has ended.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	return d.Wait()
+}
+
+// Start brings the host up; it errs on keys, addresses or a data folder that can't be used.
+func (d *Daemon) Start(ctx context.Context) error {
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.failure = make(chan error, 8)
+	d.stopped = make(chan struct{})
+	d.log = logs.New(d.LogTo, d.Settings.Host, d.Settings.LogLevel)
+	err := d.build(ctx)
+	if err == nil {
+		err = d.serve(ctx)
+	}
+	if err != nil {
+		d.cancel()
+		d.close()
+	}
+	return err
+}
+
+func (d *Daemon) build(ctx context.Context) error {
+	s := &d.Settings
+	d.keys = &certs.Keys{
+		Files:   certs.Files{Certificate: s.Keys.Certificate, Key: s.Keys.Key, Authority: s.Keys.Authority},
+		OnError: func(err error) { d.log.Error("certs", err) },
+	}
+	if err := d.keys.Load(); err != nil {
+		return err
+	}
+	d.driver = newDriver(ctx)
+	d.driver.clock = clock.New()
+	d.driver.log = d.log
+	d.driver.fetch = fetch.New(connectionsPerEndpoint)
+	d.driver.failed = func(err error) { d.failure <- err }
+	d.network = &link.Network{
+		Self: s.Host, Address: s.PeerAddress, Keys: d.keys, Receive: d.driver.receive,
+		OnError: func(host string, err error) { d.log.Debug("link", fmt.Sprintf("Host %s: %v.", host, err)) },
+	}
+	d.driver.network = d.network
+	if err := d.network.Listen(ctx); err != nil {
+		return err
+	}
+	d.network.SetAddresses(s.Addresses())
+	d.metrics = metric.New(d.driver)
+	d.driver.latency = func(service string, seconds float64) { d.metrics.Latency.WithLabelValues(service).Observe(seconds) }
+	return d.startMachine()
+}
+
+// startMachine makes the machine and starts it with what the disk holds.
+func (d *Daemon) startMachine() error {
+	s := &d.Settings
+	now := d.driver.clock.Now()
+	d.driver.machine = &host.Machine{
+		Self: s.Host, Region: s.Region, Zone: s.Zone, Incarnation: uint64(now),
+		Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		ControlHosts: s.ControlHosts(), Seeds: s.Seeds(),
+	}
+	stored, err := d.openFolder()
+	if err != nil {
+		return err
+	}
+	effects, err := d.driver.machine.Start(now, stored)
+	if err != nil {
+		return fmt.Errorf("data folder %q: %w", s.DataFolder, err)
+	}
+	d.driver.carryOut(effects)
+	return nil
+}
+
+func (d *Daemon) openFolder() (core.Stored, error) {
+	if !d.Settings.IsControl() {
+		return core.Stored{}, nil
+	}
+	d.driver.folder = &disk.Folder{Path: d.Settings.DataFolder}
+	if err := d.driver.folder.Open(); err != nil {
+		return core.Stored{}, err
+	}
+	return d.driver.folder.Load()
+}
+
+// serve opens the addresses and starts the goroutines.
+func (d *Daemon) serve(ctx context.Context) error {
+	s := &d.Settings
+	server := &caller.Server{Host: s.Host, Desk: d.driver, OnLookup: d.countLookup}
+	callers := d.newServer(server.Handler())
+	callers.Protocols = new(http.Protocols)
+	callers.Protocols.SetHTTP1(true)
+	callers.Protocols.SetHTTP2(true)
+	callers.Protocols.SetUnencryptedHTTP2(true)
+	if s.CallerTLS {
+		callers.TLSConfig = d.keys.Config([]string{"h2", "http/1.1"}, certs.Hosts, certs.Operators)
+		callers.TLSConfig.ClientAuth = 0
+		callers.TLSConfig.VerifyConnection = nil
+	}
+	operators := d.newServer(oper.Handler(d.driver))
+	operators.TLSConfig = d.keys.Config(nil, certs.Operators)
+	listeners := []struct {
+		address string
+		server  *http.Server
+	}{{s.CallerAddress, callers}, {s.OperatorAddress, operators}, {s.StatusAddress, d.newServer(d.status())}}
+	for _, each := range listeners {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return err
+		}
+		d.servers = append(d.servers, each.server)
+		d.goRun(func() { d.serveOn(each.server, listener) })
+	}
+	d.goRun(func() { d.failUnlessDone(ctx, d.network.Run(ctx)) })
+	d.goRun(func() { d.driver.tick(ctx) })
+	d.goRun(func() { d.readFeed(ctx) })
+	d.goRun(func() { d.watchFence(ctx) })
+	if d.driver.folder != nil {
+		d.goRun(func() { d.driver.write(ctx) })
+	}
+	d.log.Info("host", fmt.Sprintf("Serves callers on %s.", s.CallerAddress))
+	return nil
+}
+
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerWithin, ErrorLog: nil}
+}
+
+func (d *Daemon) serveOn(server *http.Server, listener net.Listener) {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.failure <- err
+	}
+}
+
+func (d *Daemon) goRun(run func()) {
+	d.wait.Add(1)
+	go func() {
+		defer d.wait.Done()
+		run()
+	}()
+}
+
+func (d *Daemon) failUnlessDone(ctx context.Context, err error) {
+	if err != nil && ctx.Err() == nil {
+		d.failure <- err
+	}
+}
+
+// status serves metrics, health and the dump.
+func (d *Daemon) status() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", d.metrics.Handler())
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if ready, reason := d.driver.Ready(); !ready {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+		}
+	})
+	router.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) { proto.WriteJSON(w, http.StatusOK, d.driver.Dump()) })
+	return router
+}
+
+// Dump returns the host's state.
+func (d *Daemon) Dump() host.Dump {
+	return d.driver.Dump()
+}
+
+func (d *Daemon) countLookup() {
+	d.lookups.Add(1)
+	d.metrics.Lookups.Inc()
+}
+
+// readFeed takes the platform's list again and again.
+func (d *Daemon) readFeed(ctx context.Context) {
+	if d.Settings.Feed == "" {
+		return
+	}
+	ticker := time.NewTicker(d.Settings.FeedEvery.Duration())
+	defer ticker.Stop()
+	for {
+		list, err := feed.Read(ctx, d.Settings.Feed)
+		if err == nil {
+			d.driver.step(func(now core.Millis) core.Effects { return d.driver.machine.TakeFeed(now, list) })
+		} else if ctx.Err() == nil {
+			d.log.Error("feed", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchFence ends the process when its disk was found older than its promises, after moving the disk's files aside.
+func (d *Daemon) watchFence(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.driver.mutex.Lock()
+		fenced := d.driver.machine.Fenced()
+		d.driver.mutex.Unlock()
+		if !fenced {
+			continue
+		}
+		err := d.driver.folder.Reset(strconv.FormatInt(time.Now().UnixMilli(), 10))
+		d.failure <- errors.Join(fmt.Errorf("data folder %q is older than what this replica promised; its files were moved aside, start again", d.Settings.DataFolder), err)
+		return
+	}
+}
+
+// Stop begins a planned stop: callers are led elsewhere, nothing in flight is cut off. Wait returns when it is done.
+func (d *Daemon) Stop() {
+	d.driver.step(d.driver.machine.Stop)
+	go func() {
+		end := time.Now().Add(d.Settings.StopWithin.Duration())
+		for {
+			done, open := d.driver.stopped()
+			if done {
+				d.log.Info("host", "Stops: nothing is in flight.")
+				break
+			}
+			if time.Now().After(end) {
+				d.log.Error("host", fmt.Errorf("stops after %s with %d requests cut off", d.Settings.StopWithin, open))
+				break
+			}
+			time.Sleep(stopCheckEvery)
+		}
+		d.finish()
+	}()
+}
+
+func (d *driver) stopped() (done bool, open int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.machine.Stopped()
+}
+
+// finish lets the servers write their last answers and ends the host.
+func (d *Daemon) finish() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	for _, server := range d.servers {
+		_ = server.Shutdown(ctx)
+	}
+	select {
+	case <-d.stopped:
+	default:
+		close(d.stopped)
+	}
+}
+
+// Kill ends the host at once, as a crash would.
+func (d *Daemon) Kill() {
+	d.cancel()
+}
+
+// Wait returns when the host has stopped.
+func (d *Daemon) Wait() error {
+	var err error
+	select {
+	case err = <-d.failure:
+		d.log.Error("host", err)
+	case <-d.stopped:
+	case <-d.driver.context.Done():
+	}
+	d.cancel()
+	d.close()
+	d.wait.Wait()
+	return err
+}
+
+func (d *Daemon) close() {
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	if d.driver == nil {
+		return
+	}
+	if d.driver.fetch != nil {
+		d.driver.fetch.Close()
+	}
+	if d.driver.folder != nil {
+		d.driver.mutex.Lock()
+		d.driver.dead = true
+		d.driver.mutex.Unlock()
+		_ = d.driver.folder.Close()
+	}
+}
+
+// Roles tells which roles the settings give the host.
+func (d *Daemon) Roles() []string {
+	return slices.Clone(d.Settings.Roles)
+}
+
+// Lookups returns how many look-ups the host has answered.
+func (d *Daemon) Lookups() uint64 {
+	return d.lookups.Load()
+}
--- /dev/null
+++ b/io/disk/write.go
@@ -0,0 +1,223 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+)
+
+// Apply carries out writes in their order and returns once all are synced.
+func (f *Folder) Apply(writes ...core.Write) error {
+	var data []byte
+	rewrite := false
+	for _, w := range writes {
+		next := frame{Vote: w.Vote, TruncateFrom: w.TruncateFrom, Records: w.Records}
+		if w.Snapshot != nil {
+			if err := f.writeSnapshot(*w.Snapshot); err != nil {
+				return err
+			}
+			f.moveTo(*w.Snapshot)
+			rewrite = true
+		}
+		if err := f.take(next); err != nil {
+			return fmt.Errorf("write %d: %w", w.Seq, err)
+		}
+		data = appendFrame(data, f.size+int64(len(data)), next)
+	}
+	if rewrite {
+		return f.rewrite()
+	}
+	return f.append(data)
+}
+
+func (f *Folder) append(data []byte) error {
+	if _, err := f.log.WriteAt(data, f.size); err != nil {
+		return err
+	}
+	if err := f.log.Sync(); err != nil {
+		return err
+	}
+	f.size += int64(len(data))
+	return f.writeMark()
+}
+
+// moveTo drops the records that a snapshot covers.
+func (f *Folder) moveTo(snapshot core.Snapshot) {
+	covered := int64(snapshot.Index) - int64(f.state.Snapshot.Index)
+	if covered >= int64(len(f.state.Records)) {
+		f.state.Records = nil
+	} else if covered > 0 {
+		f.state.Records = append([]core.Record(nil), f.state.Records[covered:]...)
+	}
+	f.state.Snapshot = core.Snapshot{Index: snapshot.Index, Term: snapshot.Term, Data: snapshot.Data}
+}
+
+// rewrite begins a new log file with the present state and puts it in the place of the old one.
+func (f *Folder) rewrite() error {
+	f.generation++
+	vote := f.state.Vote
+	h := &head{Generation: f.generation, SnapshotIndex: f.state.Snapshot.Index}
+	body := frame{Head: h, Vote: &vote, Records: f.state.Records}
+	// The head's size depends on the number in it, so it is computed until it stands.
+	data := appendFrame(nil, 0, body)
+	for int64(len(data)) != h.InitialBytes {
+		h.InitialBytes = int64(len(data))
+		data = appendFrame(nil, 0, body)
+	}
+	if err := writeWhole(f.Path, logName, data); err != nil {
+		return err
+	}
+	if err := f.reopenLog(int64(len(data))); err != nil {
+		return err
+	}
+	return f.dropSnapshots()
+}
+
+func (f *Folder) reopenLog(size int64) error {
+	if err := f.log.Close(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(f.Path, logName), os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	f.log, f.size = log, size
+	return f.writeMark()
+}
+
+func (f *Folder) dropSnapshots() error {
+	entries, err := os.ReadDir(f.Path)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		number, found := strings.CutPrefix(entry.Name(), snapshotName)
+		if !found || number == strconv.FormatUint(f.state.Snapshot.Index, 10) {
+			continue
+		}
+		if err := os.Remove(filepath.Join(f.Path, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeMark notes how far the log is synced, in two places in turn, so that one is always whole.
+func (f *Folder) writeMark() error {
+	var slot [markSlot]byte
+	binary.LittleEndian.PutUint64(slot[0:], f.generation)
+	binary.LittleEndian.PutUint64(slot[8:], uint64(f.size))
+	binary.LittleEndian.PutUint32(slot[16:], crc32.Checksum(slot[:16], checksums))
+	f.markTurn = 1 - f.markTurn
+	if _, err := f.mark.WriteAt(slot[:], f.markTurn*markSlot); err != nil {
+		return err
+	}
+	return f.mark.Sync()
+}
+
+// readMark returns how far this log file is synced, as far as the mark tells.
+func (f *Folder) readMark() (int64, error) {
+	data, err := os.ReadFile(f.mark.Name())
+	if err != nil {
+		return 0, err
+	}
+	marked := int64(0)
+	for len(data) >= markSlot {
+		slot := data[:markSlot]
+		data = data[markSlot:]
+		whole := crc32.Checksum(slot[:16], checksums) == binary.LittleEndian.Uint32(slot[16:])
+		if whole && binary.LittleEndian.Uint64(slot) == f.generation {
+			marked = max(marked, int64(binary.LittleEndian.Uint64(slot[8:])))
+		}
+	}
+	return marked, nil
+}
+
+func (f *Folder) writeSnapshot(snapshot core.Snapshot) error {
+	data := appendFrame(nil, int64(snapshot.Index), frame{Records: []core.Record{{Index: snapshot.Index, Term: snapshot.Term, Data: snapshot.Data}}})
+	return writeWhole(f.Path, snapshotName+strconv.FormatUint(snapshot.Index, 10), data)
+}
+
+func (f *Folder) readSnapshot(index uint64) (core.Snapshot, error) {
+	path := filepath.Join(f.Path, snapshotName+strconv.FormatUint(index, 10))
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return core.Snapshot{}, err
+	}
+	if len(data) < frameHeader || checksum(int64(index), data[frameHeader:]) != binary.LittleEndian.Uint32(data[4:]) {
+		return core.Snapshot{}, fmt.Errorf("file %q is damaged: checksum does not match", path)
+	}
+	whole, err := codec.Decode[frame](data[frameHeader:])
+	if err != nil || len(whole.Records) != 1 {
+		return core.Snapshot{}, fmt.Errorf("file %q holds no snapshot", path)
+	}
+	record := whole.Records[0]
+	return core.Snapshot{Index: record.Index, Term: record.Term, Data: record.Data}, nil
+}
+
+// writeWhole puts a file in its place with its whole content or not at all, and syncs it and its folder.
+func writeWhole(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	file, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return err
+	}
+	return syncFolder(folder)
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	if closeErr := folder.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Reset moves a fenced replica's files aside, so that the host comes back as a new incarnation.
+func (f *Folder) Reset(suffix string) error {
+	if err := f.Close(); err != nil {
+		return err
+	}
+	aside := filepath.Join(f.Path, "Fenced-"+suffix)
+	if err := os.MkdirAll(aside, folderMode); err != nil {
+		return err
+	}
+	entries, err := os.ReadDir(f.Path)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		name := entry.Name()
+		if entry.IsDir() || name == lockName {
+			continue
+		}
+		if err := os.Rename(filepath.Join(f.Path, name), filepath.Join(aside, name)); err != nil {
+			return err
+		}
+	}
+	return syncFolder(f.Path)
+}
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,100 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/core/member"
+	"clementinelock/core/plan"
+)
+
+const (
+	maxList     = 16 << 20
+	fetchWithin = 2 * time.Second
+	// The states of an endpoint.
+	live    = "Live"
+	leaving = "Leaving"
+)
+
+// List is the platform's list.
+type List struct {
+	Endpoints []Endpoint
+	Links     []Link
+}
+
+// Endpoint is the platform's word on one endpoint.
+type Endpoint struct {
+	Endpoint string
+	State    string
+	Since    core.Millis
+}
+
+// Link is what others use of the link between two regions.
+type Link struct {
+	From, To string
+	UsedBits float64
+}
+
+// Read fetches and checks the list from a file's path or an http address.
+func Read(ctx context.Context, from string) (host.Feed, error) {
+	data, err := load(ctx, from)
+	if err != nil {
+		return host.Feed{}, err
+	}
+	return Parse(data)
+}
+
+func load(ctx context.Context, from string) ([]byte, error) {
+	if !strings.HasPrefix(from, "http://") {
+		return os.ReadFile(from)
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, from, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list %s: status %d", from, response.StatusCode)
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxList))
+}
+
+// Parse reads a list; a list with one entry that can't be read is refused whole.
+func Parse(data []byte) (host.Feed, error) {
+	var list List
+	if err := json.Unmarshal(data, &list); err != nil {
+		return host.Feed{}, fmt.Errorf("the platform's list can't be read: %w", err)
+	}
+	out := host.Feed{Links: map[plan.Link]float64{}}
+	for _, e := range list.Endpoints {
+		if _, err := netip.ParseAddrPort(e.Endpoint); err != nil {
+			return host.Feed{}, fmt.Errorf("endpoint %q is not an ip:port", e.Endpoint)
+		}
+		if e.State != live && e.State != leaving || e.Since <= 0 {
+			return host.Feed{}, fmt.Errorf("endpoint %q has state %q since %d; expected Live or Leaving since a time", e.Endpoint, e.State, e.Since)
+		}
+		out.Notices = append(out.Notices, member.Notice{Endpoint: e.Endpoint, Leaving: e.State == leaving, Since: e.Since})
+	}
+	for _, l := range list.Links {
+		if !(l.UsedBits >= 0) {
+			return host.Feed{}, fmt.Errorf("link %s-%s has %g bits per second", l.From, l.To, l.UsedBits)
+		}
+		out.Links[plan.Link{From: l.From, To: l.To}] = l.UsedBits
+	}
+	return out, nil
+}
--- /dev/null
+++ b/io/fetch/client.go
@@ -0,0 +1,272 @@
+package fetch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/call"
+	"clementinelock/io/proto"
+)
+
+// Lengths of time of connections to endpoints.
+const (
+	dialWithin = 300 * time.Millisecond
+	idleFor    = time.Second
+	pollWithin = 400 * time.Millisecond
+	maxReport  = 4 << 10
+)
+
+// Request is a caller's request as it is sent on.
+type Request struct {
+	Method  string
+	Path    string
+	Host    string
+	Header  http.Header
+	Trailer http.Header
+	// Prefix is the part of the body that was read; Rest streams what follows, or is nil.
+	Prefix []byte
+	Rest   io.Reader
+	Length int64
+	// Idempotent requests may share connections.
+	Idempotent bool
+}
+
+// Client sends requests to endpoints.
+type Client struct {
+	shared *http.Transport
+	fresh  *http.Transport
+}
+
+// New returns a client; connections bounds how many this host opens to one endpoint.
+func New(connections int) *Client {
+	dialer := &net.Dialer{Timeout: dialWithin}
+	shared := &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: idleFor,
+	}
+	fresh := shared.Clone()
+	fresh.DisableKeepAlives = true
+	return &Client{shared: shared, fresh: fresh}
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	Response *http.Response
+	Began    time.Time
+	sent     atomic.Int64
+	gotConn  atomic.Bool
+	cancel   context.CancelFunc
+}
+
+// Cancel ends the attempt at its endpoint.
+func (a *Attempt) Cancel() {
+	a.cancel()
+}
+
+// Sent returns how many bytes of the body were read for sending.
+func (a *Attempt) Sent() int64 {
+	return a.sent.Load()
+}
+
+// Start sends the request and returns once the answer's head is here. On an error the end tells whether the first byte may have left.
+func (c *Client) Start(ctx context.Context, r *Request, endpoint string, remaining core.Millis, fresh bool) (*Attempt, *call.End) {
+	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
+	a := &Attempt{Began: time.Now(), cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.gotConn.Store(true) }}
+	request, err := a.build(httptrace.WithClientTrace(ctx, trace), r, endpoint, remaining)
+	if err != nil {
+		cancel()
+		return nil, &call.End{Ending: call.NotSent, Detail: err.Error()}
+	}
+	transport := c.shared
+	if fresh || !r.Idempotent {
+		transport = c.fresh
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		cancel()
+		return nil, a.failed(err)
+	}
+	a.Response = response
+	return a, nil
+}
+
+func (a *Attempt) failed(err error) *call.End {
+	end := &call.End{Ending: call.Broken, Latency: a.latency(), Detail: shortError(err)}
+	if !a.gotConn.Load() {
+		end.Ending = call.NotSent
+	}
+	return end
+}
+
+func shortError(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "no answer within the deadline"
+	}
+	if errors.Is(err, context.Canceled) {
+		return "cancelled"
+	}
+	return err.Error()
+}
+
+func (a *Attempt) latency() core.Millis {
+	return core.Millis(time.Since(a.Began).Round(time.Millisecond).Milliseconds())
+}
+
+func (a *Attempt) build(ctx context.Context, r *Request, endpoint string, remaining core.Millis) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+endpoint+r.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header = endToEnd(r.Header)
+	request.Header.Set(proto.Deadline, strconv.FormatInt(int64(remaining), 10))
+	request.Host = r.Host
+	request.Trailer = r.Trailer
+	request.ContentLength = r.Length
+	if r.Length == 0 && r.Rest == nil {
+		return request, nil
+	}
+	var body io.Reader = bytes.NewReader(r.Prefix)
+	if r.Rest != nil {
+		body = io.MultiReader(body, r.Rest)
+	}
+	// Without GetBody the transport never sends the body a second time by itself.
+	request.Body = io.NopCloser(&counted{body, &a.sent})
+	return request, nil
+}
+
+type counted struct {
+	io.Reader
+	count *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// hopHeaders are the headers that belong to one connection.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// endToEnd copies the headers that travel from end to end.
+func endToEnd(header http.Header) http.Header {
+	out := header.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, list := range header.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// AnswerHeader copies an answer's headers that travel from end to end.
+func (a *Attempt) AnswerHeader() http.Header {
+	return endToEnd(a.Response.Header)
+}
+
+// Head describes the answer's start.
+func (a *Attempt) Head() call.Head {
+	header := a.Response.Header
+	return call.Head{
+		Status: a.Response.StatusCode,
+		NotRun: a.Response.StatusCode == http.StatusServiceUnavailable && header.Get(proto.Ran) == string(core.RanNo),
+		Report: proto.ParseLoad(header.Get(proto.Load)),
+	}
+}
+
+// Copy writes the answer's body to the writer and keeps up to capture bytes of it; the end tells whether it was whole.
+func (a *Attempt) Copy(w io.Writer, capture int64, flush func()) (end call.End, bytesRead int64, writeErr error) {
+	defer a.cancel()
+	defer func() { _ = a.Response.Body.Close() }()
+	kept := []byte{}
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := a.Response.Body.Read(buffer)
+		bytesRead += int64(n)
+		if room := capture - int64(len(kept)); room > 0 {
+			kept = append(kept, buffer[:min(int64(n), room)]...)
+		}
+		if n > 0 && writeErr == nil {
+			_, writeErr = w.Write(buffer[:n])
+			flush()
+		}
+		if writeErr != nil && capture < 0 {
+			return call.End{Ending: call.Truncated, Latency: a.latency(), Detail: "the caller has gone"}, bytesRead, writeErr
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return call.End{Ending: call.Truncated, Latency: a.latency(), Detail: shortError(err)}, bytesRead, writeErr
+		}
+	}
+	return a.whole(capture, kept, bytesRead), bytesRead, writeErr
+}
+
+const copyBuffer = 32 << 10
+
+func (a *Attempt) whole(capture int64, kept []byte, size int64) call.End {
+	end := call.End{Ending: call.Whole, Latency: a.latency()}
+	if capture < 0 {
+		return end
+	}
+	end.Answer = &core.StoredAnswer{Status: a.Response.StatusCode, Header: a.AnswerHeader(), Whole: size <= capture}
+	if end.Answer.Whole {
+		end.Answer.Body = kept
+	}
+	return end
+}
+
+// Discard drops an answer that nobody gets.
+func (a *Attempt) Discard() call.End {
+	a.cancel()
+	_ = a.Response.Body.Close()
+	return call.End{Ending: call.Truncated, Latency: a.latency(), Detail: "not used"}
+}
+
+// Poll asks an endpoint for its load report.
+func (c *Client) Poll(ctx context.Context, endpoint string) (core.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWithin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint+proto.LoadPath, nil)
+	if err != nil {
+		return core.Report{}, err
+	}
+	response, err := c.shared.RoundTrip(request)
+	if err != nil {
+		return core.Report{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReport))
+	if err != nil {
+		return core.Report{}, err
+	}
+	report := proto.ParseLoad(response.Header.Get(proto.Load))
+	if report == nil {
+		return core.Report{}, nil
+	}
+	return *report, nil
+}
+
+// Close drops all kept connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/io/load/caller.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/caller"
+	"clementinelock/io/proto"
+	"clementinelock/io/stand"
+)
+
+// Caller makes look-ups and requests of one client. Set the exported fields before use.
+type Caller struct {
+	// Bootstrap lists entry hosts that look-ups are asked of.
+	Bootstrap []string
+	Client    string
+	HTTP      *http.Client
+
+	mutex   sync.Mutex
+	lookups map[string]kept
+	next    int
+}
+
+type kept struct {
+	answer caller.LookupAnswer
+	until  time.Time
+}
+
+// Outcome is what became of one request.
+type Outcome struct {
+	Status  int
+	Kind    core.Kind
+	Ran     core.Ran
+	Latency time.Duration
+	Tries   int
+	// Wrong tells that the answer was not the whole answer to this request.
+	Wrong bool
+	// CutOff tells that an answer broke off.
+	CutOff bool
+	// NotRun counts tries of this request after which it was called not run.
+	Error error
+}
+
+// Lookup returns the entry hosts for a service, from memory while the last answer lives.
+func (c *Caller) Lookup(ctx context.Context, service string) (caller.LookupAnswer, error) {
+	c.mutex.Lock()
+	known, ok := c.lookups[service]
+	c.mutex.Unlock()
+	if ok && time.Now().Before(known.until) {
+		return known.answer, nil
+	}
+	var last error
+	for range c.Bootstrap {
+		answer, err := c.ask(ctx, service)
+		if err == nil {
+			c.keep(service, answer)
+			return answer, nil
+		}
+		last = err
+	}
+	if ok {
+		return known.answer, nil
+	}
+	return caller.LookupAnswer{}, last
+}
+
+func (c *Caller) keep(service string, answer caller.LookupAnswer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.lookups == nil {
+		c.lookups = map[string]kept{}
+	}
+	c.lookups[service] = kept{answer, time.Now().Add(answer.TimeToLive.Duration())}
+}
+
+func (c *Caller) ask(ctx context.Context, service string) (caller.LookupAnswer, error) {
+	c.mutex.Lock()
+	c.next++
+	address := c.Bootstrap[c.next%len(c.Bootstrap)]
+	c.mutex.Unlock()
+	var answer caller.LookupAnswer
+	query := url.Values{"service": {service}, "client": {c.Client}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+proto.LookupPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return answer, err
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("look-up at %s: status %d", address, response.StatusCode)
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err
+}
+
+// Request is one request to make.
+type Request struct {
+	Service  string
+	Method   string
+	Mark     string
+	Key      string
+	Body     string
+	Deadline core.Millis
+}
+
+// Do makes a request at one entry host after another, as far as it is safe: what may have run is sent again only with a key or an idempotent method.
+func (c *Caller) Do(ctx context.Context, r Request) Outcome {
+	began := time.Now()
+	answer, err := c.Lookup(ctx, r.Service)
+	if err != nil {
+		return Outcome{Error: err, Ran: core.RanNo}
+	}
+	var out Outcome
+	tries := 0
+	for _, host := range answer.Hosts {
+		tries++
+		out = c.Once(ctx, host.Address, r)
+		safe := out.Ran == core.RanNo || r.Key != "" || r.Method == http.MethodGet
+		if out.Error == nil && out.Kind == "" || !safe || tries >= mostTries || out.Kind == core.OutcomeLost || out.Kind == core.DeadlinePassed {
+			break
+		}
+	}
+	out.Tries, out.Latency = tries, time.Since(began)
+	return out
+}
+
+const mostTries = 4
+
+// Once sends a request to one entry host.
+func (c *Caller) Once(ctx context.Context, address string, r Request) Outcome {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+proto.ServicePath+r.Service+"/work", strings.NewReader(r.Body))
+	if err != nil {
+		return Outcome{Error: err, Ran: core.RanNo}
+	}
+	// Without GetBody the library does not send the request again by itself.
+	request.GetBody = nil
+	request.Header.Set(stand.RequestHeader, r.Mark)
+	request.Header.Set(proto.Deadline, r.Deadline.String())
+	if r.Key != "" {
+		request.Header.Set(proto.IdempotencyKey, r.Key)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return Outcome{Error: err, Ran: core.RanUnknown}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	out := Outcome{
+		Status: response.StatusCode, Kind: core.Kind(response.Header.Get(proto.Kind)), Ran: core.Ran(response.Header.Get(proto.Ran)),
+		Error: err, CutOff: err != nil,
+	}
+	if err == nil && out.Kind == "" && response.Header.Get(proto.Stored) == "" {
+		out.Wrong = !c.isWhole(body, r, response)
+	}
+	return out
+}
+
+// isWhole checks an answer against its request; one from the ledger carries the mark of the copy that ran.
+func (c *Caller) isWhole(body []byte, r Request, response *http.Response) bool {
+	mark := r.Mark
+	if response.Header.Get(proto.Replayed) != "" {
+		mark = response.Header.Get(stand.RequestHeader)
+	}
+	return stand.Answers(body, mark, len(r.Body))
+}
--- /dev/null
+++ b/io/load/mix.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"clementinelock/core"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histogram bounds, in microseconds.
+const (
+	lowestMicros  = 1
+	highestMicros = 60_000_000
+	digits        = 3
+)
+
+// Mix is a load of several callers. Set the exported fields before Run.
+type Mix struct {
+	Callers  []*Caller
+	Services []string
+	// Rate is how many requests begin per second, over all callers.
+	Rate     float64
+	Length   time.Duration
+	Deadline core.Millis
+	// Keyed is the part of requests that are not idempotent and carry a key; each of them is sent to a second host in some cases.
+	Keyed float64
+	Seed  uint64
+}
+
+// Sent is one finished request with its outcome.
+type Sent struct {
+	Request
+	Outcome
+}
+
+// Report sums a load up.
+type Report struct {
+	mutex     sync.Mutex
+	Sent      []Sent
+	Latencies *hdrhistogram.Histogram
+	Kinds     map[core.Kind]int
+	Answered  int
+	Wrong     int
+	CutOff    int
+	Failed    int
+}
+
+// Run sends the load at its rate, whatever the answers' time, and returns when all are answered.
+func (m *Mix) Run(ctx context.Context) *Report {
+	report := &Report{Latencies: hdrhistogram.New(lowestMicros, highestMicros, digits), Kinds: map[core.Kind]int{}}
+	random := rand.New(rand.NewPCG(m.Seed, 2))
+	var wait sync.WaitGroup
+	began := time.Now()
+	due := time.Duration(0)
+	for number := 0; due < m.Length && ctx.Err() == nil; number++ {
+		time.Sleep(time.Until(began.Add(due)))
+		request := m.request(random, number)
+		one := m.Callers[random.IntN(len(m.Callers))]
+		twice := request.Key != "" && random.Float64() < 0.1
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if twice {
+				wait.Add(1)
+				go func() {
+					defer wait.Done()
+					report.add(request, one.Do(ctx, request))
+				}()
+			}
+			report.add(request, one.Do(ctx, request))
+		}()
+		due += time.Duration(random.ExpFloat64() / m.Rate * float64(time.Second))
+	}
+	wait.Wait()
+	return report
+}
+
+func (m *Mix) request(random *rand.Rand, number int) Request {
+	r := Request{
+		Service: m.Services[random.IntN(len(m.Services))], Method: http.MethodGet,
+		Mark: fmt.Sprintf("m%d-%d", m.Seed, number), Deadline: m.Deadline,
+	}
+	if random.Float64() < m.Keyed {
+		r.Method, r.Body = http.MethodPost, fmt.Sprintf("{\"Amount\": %d}", number)
+		r.Key = fmt.Sprintf("key-%d-%d", m.Seed, number)
+	}
+	return r
+}
+
+func (r *Report) add(request Request, o Outcome) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Sent = append(r.Sent, Sent{request, o})
+	switch {
+	case o.CutOff:
+		r.CutOff++
+	case o.Error != nil:
+		r.Failed++
+	case o.Kind != "":
+		r.Kinds[o.Kind]++
+	default:
+		r.Answered++
+		// The histogram's bounds are far apart; a value outside them is not worth more than its bound.
+		_ = r.Latencies.RecordValue(o.Latency.Microseconds())
+	}
+	if o.Wrong {
+		r.Wrong++
+	}
+}
+
+// Quantile returns the latency below which a part of the answers came.
+func (r *Report) Quantile(q float64) time.Duration {
+	const percent = 100
+	return time.Duration(r.Latencies.ValueAtQuantile(q*percent)) * time.Microsecond
+}
--- /dev/null
+++ b/io/logs/logs.go
@@ -0,0 +1,41 @@
+package logs
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Logger writes the lines of one process.
+type Logger struct {
+	base *logrus.Logger
+	host string
+}
+
+// New returns a logger for a host; level is a logrus level's name.
+func New(w io.Writer, host, level string) *Logger {
+	base := logrus.New()
+	base.SetOutput(w)
+	base.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		parsed = logrus.InfoLevel
+	}
+	base.SetLevel(parsed)
+	return &Logger{base: base, host: host}
+}
+
+// Info writes a line under a part's prefix.
+func (l *Logger) Info(part, text string) {
+	l.base.WithField("Host", l.host).Info(part + ": " + text)
+}
+
+// Error writes an error under a part's prefix.
+func (l *Logger) Error(part string, err error) {
+	l.base.WithField("Host", l.host).Error(part + ": " + err.Error())
+}
+
+// Debug writes a line that is shown only on request.
+func (l *Logger) Debug(part, text string) {
+	l.base.WithField("Host", l.host).Debug(part + ": " + text)
+}
--- /dev/null
+++ b/io/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric shows a process's state as Prometheus metrics.
+package metric
--- /dev/null
+++ b/io/plots/doc.go
@@ -0,0 +1,2 @@
+// Package plots draws what operators and reports compare.
+package plots
--- /dev/null
+++ b/io/plots/plots.go
@@ -0,0 +1,90 @@
+package plots
+
+import (
+	"clementinelock/core/ctrl"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	width  = 24 * vg.Centimeter
+	height = 12 * vg.Centimeter
+	bar    = 8
+	tilt   = 1.1
+)
+
+// WhatIf draws the use of every site, region and link, as a part of its limit, before and after a change.
+func WhatIf(file string, b *ctrl.WhatIfBody) error {
+	before := map[string]float64{}
+	for _, row := range b.Before.Rows {
+		before[row.What] = part(row)
+	}
+	var names []string
+	var old, next plotter.Values
+	for _, row := range b.After.Rows {
+		names = append(names, row.What)
+		old = append(old, before[row.What])
+		next = append(next, part(row))
+	}
+	p := plot.New()
+	p.Title.Text = "Use before and after"
+	p.Y.Label.Text = "part of the limit"
+	if err := addBars(p, "before", old, 0); err != nil {
+		return err
+	}
+	if err := addBars(p, "after", next, 1); err != nil {
+		return err
+	}
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = tilt
+	p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = -1, -0.5
+	return p.Save(width, height, file)
+}
+
+func part(row ctrl.PictureRow) float64 {
+	if row.Limit == 0 {
+		return 0
+	}
+	return row.Used / row.Limit
+}
+
+func addBars(p *plot.Plot, name string, values plotter.Values, place int) error {
+	bars, err := plotter.NewBarChart(values, vg.Points(bar))
+	if err != nil {
+		return err
+	}
+	bars.Color = plotutil.Color(place)
+	bars.Offset = vg.Points(bar) * vg.Length(place)
+	p.Add(bars)
+	p.Legend.Add(name, bars)
+	return nil
+}
+
+// Line is one line of a chart.
+type Line struct {
+	Name string
+	X, Y []float64
+}
+
+// Lines draws a chart of lines.
+func Lines(file, title, xLabel, yLabel string, lines ...Line) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, xLabel, yLabel
+	for i, line := range lines {
+		points := make(plotter.XYs, len(line.X))
+		for j := range line.X {
+			points[j] = plotter.XY{X: line.X[j], Y: line.Y[j]}
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		drawn.Color = plotutil.Color(i)
+		p.Add(drawn)
+		p.Legend.Add(line.Name, drawn)
+	}
+	return p.Save(width, height, file)
+}
--- /dev/null
+++ b/io/shell/apply.go
@@ -0,0 +1,49 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"clementinelock/core/ctrl"
+	"clementinelock/core/tree"
+	"clementinelock/io/config"
+)
+
+var applyVerb = Verb{
+	Name: "apply", Usage: "apply [flags] FILE", Short: "make the whole tree what a file says, as one edit",
+	New: func(flags *flag.FlagSet) Runner {
+		v := &applier{}
+		v.register(flags)
+		return v
+	},
+}
+
+type applier struct {
+	editor
+}
+
+// Run compares the file with the tree in force and sends the difference.
+func (v *applier) Run(ctx context.Context, s *Session, args []string) error {
+	if len(args) != 1 {
+		return usagef("expected one FILE")
+	}
+	wanted, err := config.ReadTree(args[0])
+	if err != nil {
+		return usagef("%v", err)
+	}
+	if err := s.connect(); err != nil {
+		return err
+	}
+	body, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskTree, Version: v.base})
+	if err != nil {
+		return err
+	}
+	differences := tree.Compare(body.Tree, wanted)
+	if len(differences) == 0 {
+		_, err := fmt.Fprintf(s.Out, "version %d is what the file says\n", body.Tree.Version)
+		return err
+	}
+	v.base = body.Tree.Version
+	return v.send(ctx, s, tree.Edit{Base: body.Tree.Version, Changes: tree.Changes(differences)})
+}
--- /dev/null
+++ b/io/shell/dump.go
@@ -0,0 +1,27 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"fmt"
+)
+
+var dumpVerb = Verb{
+	Name: "dump", Usage: "dump [flags]", Short: "write the whole state of the first host of --hosts as JSON",
+	New: func(*flag.FlagSet) Runner { return &dumper{} },
+}
+
+type dumper struct{}
+
+// Run fetches the dump.
+func (v *dumper) Run(ctx context.Context, s *Session, _ []string) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
+	dump, err := s.Client.Dump(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(s.Out, string(dump))
+	return err
+}
--- /dev/null
+++ b/io/shell/edit.go
@@ -0,0 +1,117 @@
+package shell
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"clementinelock/core"
+	"clementinelock/core/ctrl"
+	"clementinelock/core/edits"
+	"clementinelock/core/tree"
+)
+
+const sendTries = 3
+
+// editor sends an edit on behalf of a verb.
+type editor struct {
+	id       string
+	base     uint64
+	override bool
+	dryRun   bool
+}
+
+func (e *editor) register(flags *flag.FlagSet) {
+	flags.StringVar(&e.id, "edit-id", "", "id of the edit; the same id again gives the first outcome")
+	flags.Uint64Var(&e.base, "base", 0, "version that the edit is made against; 0 for the one in force")
+	flags.BoolVar(&e.override, "override", false, "accept a change that takes a service's last upstream or leaves demand without capacity")
+	flags.BoolVar(&e.dryRun, "dry-run", false, "check the edit and show what it changes, without making it")
+}
+
+// send makes the edit and prints its outcome; after a lost answer it is sent again with the same id.
+func (e *editor) send(ctx context.Context, s *Session, edit tree.Edit) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
+	edit.ID, edit.Base, edit.Override = e.id, e.base, e.override
+	if edit.ID == "" {
+		edit.ID = rand.Text()
+	}
+	if edit.Base == 0 {
+		body, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskTree})
+		if err != nil {
+			return err
+		}
+		edit.Base = body.Tree.Version
+	}
+	question := ctrl.AskEdit
+	if e.dryRun {
+		question = ctrl.AskTry
+	}
+	body, err := askAgain(ctx, s, ctrl.Ask{Question: question, Edit: &edit})
+	if body.Outcome == nil {
+		return err
+	}
+	if printErr := s.print(body.Outcome, func(w io.Writer) { writeOutcome(w, body.Outcome, e.dryRun) }); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+func askAgain(ctx context.Context, s *Session, ask ctrl.Ask) (ctrl.Body, error) {
+	var body ctrl.Body
+	var err error
+	for range sendTries {
+		body, err = s.Client.Ask(ctx, ask)
+		var refusal *core.Refusal
+		if err == nil || errors.As(err, &refusal) && refusal.Kind != core.NoLeader {
+			return body, err
+		}
+	}
+	return body, fmt.Errorf("edit id %q: %w", ask.Edit.ID, err)
+}
+
+func writeOutcome(w io.Writer, o *edits.Outcome, dryRun bool) {
+	switch {
+	case dryRun:
+		fmt.Fprintf(w, "would make version %d\n", o.Version)
+	case o.Accepted:
+		fmt.Fprintf(w, "accepted as version %d\n", o.Version)
+	default:
+		fmt.Fprintf(w, "refused; version %d is in force and differs by:\n", o.Version)
+	}
+	writeDifferences(w, o.Differences)
+}
+
+func writeDifferences(w io.Writer, differences []tree.Difference) {
+	for _, d := range differences {
+		fmt.Fprintln(w, d)
+	}
+}
+
+// parseSettings reads arguments of the form Setting=Value.
+func parseSettings(path string, args []string) ([]tree.Change, error) {
+	if _, err := tree.ParsePath(tree.Path(path)); err != nil {
+		return nil, usagef("%v", err)
+	}
+	var changes []tree.Change
+	for _, arg := range args {
+		name, value, found := strings.Cut(arg, "=")
+		if !found {
+			return nil, usagef("argument %q is not of the form Setting=Value", arg)
+		}
+		row, err := tree.FindSetting(name)
+		if err != nil {
+			return nil, usagef("%v", err)
+		}
+		if err := row.Check(tree.Path(path), value); err != nil {
+			return nil, usagef("%v", err)
+		}
+		changes = append(changes, tree.Change{Path: tree.Path(path), Setting: name, Value: value})
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/io/shell/explain.go
@@ -0,0 +1,78 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"clementinelock/core/ctrl"
+	"clementinelock/core/relay"
+	"clementinelock/core/tree"
+)
+
+var explainVerb = Verb{
+	Name: "explain", Usage: "explain [flags] /region/zone:service Setting", Short: "tell where a setting in force comes from and at which hosts",
+	New: func(*flag.FlagSet) Runner { return &explainer{} },
+}
+
+type explainer struct{}
+
+// Explanation is a setting's origin with the version in force at each host.
+type Explanation struct {
+	tree.Origin
+	Version uint64
+	Hosts   []relay.Confirm
+}
+
+// Run finds the setting in the tree in force and asks what each host has confirmed.
+func (v *explainer) Run(ctx context.Context, s *Session, args []string) error {
+	if len(args) != 2 {
+		return usagef("expected a path and a Setting")
+	}
+	parts, err := tree.ParsePath(tree.Path(args[0]))
+	if err != nil {
+		return usagef("%v", err)
+	}
+	if err := s.connect(); err != nil {
+		return err
+	}
+	body, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskTree})
+	if err != nil {
+		return err
+	}
+	origin, err := body.Tree.Explain(parts.Region, parts.Zone, parts.Service, args[1])
+	if err != nil {
+		return usagef("%v", err)
+	}
+	force, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskInForce})
+	if err != nil {
+		return err
+	}
+	e := Explanation{origin, body.Tree.Version, force.InForce.Hosts}
+	return s.print(e, func(w io.Writer) { writeExplanation(w, args[0], e) })
+}
+
+func writeExplanation(w io.Writer, path string, e Explanation) {
+	from := string(e.Path)
+	if from == "" {
+		from = "the default"
+	}
+	fmt.Fprintf(w, "%s at %s is %q, from %s, in version %d\n", e.Setting, path, e.Value, from, e.Version)
+	writeConfirms(w, e.Version, e.Hosts)
+}
+
+// writeConfirms lists hosts with their version, and why one lags.
+func writeConfirms(w io.Writer, version uint64, hosts []relay.Confirm) {
+	fmt.Fprintln(w, "HOST\tIN FORCE\tCONFIRMED\tPARENT\tHEARD\tLAGS")
+	for _, h := range hosts {
+		lags := ""
+		if h.Version < version {
+			lags = fmt.Sprintf("by %d", version-h.Version)
+			if h.Reason != "" {
+				lags += ", " + h.Reason
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s ago\t%s\n", h.Host, h.Have, h.Version, h.Parent, h.Age, lags)
+	}
+}
--- /dev/null
+++ b/io/shell/members.go
@@ -0,0 +1,47 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"clementinelock/core/ctrl"
+	"clementinelock/core/quorum"
+)
+
+var membersVerb = Verb{
+	Name: "members", Usage: "members [flags]", Short: "show who votes, how far each replica is and what may be lost now",
+	New: func(*flag.FlagSet) Runner { return &memberLister{} },
+}
+
+type memberLister struct{}
+
+// Run asks the leader for its replicas.
+func (v *memberLister) Run(ctx context.Context, s *Session, _ []string) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
+	body, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskMembers})
+	if err != nil {
+		return err
+	}
+	return s.print(body.Members, func(w io.Writer) { writeMembers(w, body.Members) })
+}
+
+func writeMembers(w io.Writer, status *quorum.Status) {
+	fmt.Fprintf(w, "leader %s, term %d, committed %d\n", status.Leader, status.Term, status.Commit)
+	fmt.Fprintln(w, "HOST\tVOTES\tSYNCED\tBEHIND\tREACHED")
+	voters, reached := 0, 0
+	for _, m := range status.Members {
+		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%t\n", m.Name, m.Voter, m.Match, status.LastIndex-min(m.Match, status.LastIndex), m.Reachable)
+		if m.Voter {
+			voters++
+			if m.Reachable {
+				reached++
+			}
+		}
+	}
+	spare := reached - (voters/2 + 1)
+	fmt.Fprintf(w, "%d of %d voters are reached; %d more may be lost before edits stop\n", reached, voters, max(0, spare))
+}
--- /dev/null
+++ b/io/shell/replicas.go
@@ -0,0 +1,39 @@
+package shell
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"clementinelock/core/ctrl"
+)
+
+var expectVerb = Verb{
+	Name: "expect", Usage: "expect [flags] HOST", Short: "let a new control host join once it says hello",
+	New: func(*flag.FlagSet) Runner { return &replicaChanger{ctrl.AskExpect, "is expected"} },
+}
+
+var removeVerb = Verb{
+	Name: "remove", Usage: "remove [flags] HOST", Short: "take a control host out of the group",
+	New: func(*flag.FlagSet) Runner { return &replicaChanger{ctrl.AskRemove, "is being removed"} },
+}
+
+type replicaChanger struct {
+	question ctrl.Question
+	done     string
+}
+
+// Run asks the leader for the change.
+func (v *replicaChanger) Run(ctx context.Context, s *Session, args []string) error {
+	if len(args) != 1 {
+		return usagef("expected one HOST")
+	}
+	if err := s.connect(); err != nil {
+		return err
+	}
+	if _, err := s.Client.Ask(ctx, ctrl.Ask{Question: v.question, Name: args[0]}); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(s.Out, "host %s %s\n", args[0], v.done)
+	return err
+}
--- /dev/null
+++ b/io/shell/shell.go
@@ -0,0 +1,189 @@
+package shell
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"clementinelock/core"
+	"clementinelock/io/certs"
+	"clementinelock/io/oper"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const program = "clementinelock"
+
+// The exit codes that scripts can trust.
+const (
+	ExitDone      = 0
+	ExitRefused   = 1
+	ExitUsage     = 2
+	ExitConflict  = 3
+	ExitUnreached = 4
+	ExitDiffers   = 5
+)
+
+// Verb is one row of the look-up table.
+type Verb struct {
+	Name  string
+	Usage string
+	Short string
+	Long  string
+	// New registers the verb's flags and returns what runs it.
+	New func(flags *flag.FlagSet) Runner
+}
+
+// Runner carries out one verb.
+type Runner interface {
+	// Run works on the arguments behind the flags.
+	Run(ctx context.Context, s *Session, args []string) error
+}
+
+// Session is what every verb works with.
+type Session struct {
+	Client *oper.Client
+	Out    io.Writer
+	JSON   bool
+}
+
+// Verbs is the look-up table, in the order of the help.
+var Verbs = []Verb{
+	getVerb, setVerb, unsetVerb, applyVerb, compareVerb, explainVerb, historyVerb, rollbackVerb,
+	drainVerb, undrainVerb, shiftVerb, inForceVerb, watchVerb, membersVerb, expectVerb, removeVerb,
+	planVerb, whatIfVerb, dumpVerb, settingsVerb, errorsVerb, authorityVerb, issueVerb, completionVerb,
+}
+
+// usageError is a fault in the arguments.
+type usageError struct {
+	text string
+}
+
+// Error returns the text.
+func (u *usageError) Error() string { return u.text }
+
+func usagef(format string, args ...any) error {
+	return &usageError{fmt.Sprintf(format, args...)}
+}
+
+// errDiffers ends a verb that found differences.
+var errDiffers = errors.New("there are differences")
+
+// common are the flags that every verb has.
+type common struct {
+	hosts, certificate, key, authority string
+	json                               bool
+}
+
+func (c *common) register(flags *flag.FlagSet) {
+	flags.StringVar(&c.hosts, "hosts", "", "operators' addresses of hosts, IP:PORT, separated by commas")
+	flags.StringVar(&c.certificate, "certificate", "", "file of the operator's certificate")
+	flags.StringVar(&c.key, "key", "", "file of the operator's key")
+	flags.StringVar(&c.authority, "authority", "", "file of the cluster's authority")
+	flags.BoolVar(&c.json, "json", false, "write JSON")
+	flags.String("config", "", "file with a flag and its value per line")
+}
+
+func (c *common) session(out io.Writer) *Session {
+	keys := &certs.Keys{Files: certs.Files{Certificate: c.certificate, Key: c.key, Authority: c.authority}}
+	hosts := strings.FieldsFunc(c.hosts, func(r rune) bool { return r == ',' })
+	return &Session{Client: &oper.Client{Keys: keys, Hosts: hosts}, Out: out, JSON: c.json}
+}
+
+// Main runs the command line and returns its exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := command(stdout, stderr)
+	err := root.ParseAndRun(ctx, args)
+	if err == nil {
+		return ExitDone
+	}
+	code := exitCode(err)
+	if errors.Is(err, flag.ErrHelp) || errors.Is(err, errDiffers) {
+		return code
+	}
+	fmt.Fprintf(stderr, "%s %v\n", program, err)
+	return code
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var refusal *core.Refusal
+	switch {
+	case errors.Is(err, flag.ErrHelp), errors.As(err, &usage):
+		return ExitUsage
+	case errors.Is(err, errDiffers):
+		return ExitDiffers
+	case errors.As(err, &refusal) && refusal.Kind == core.VersionConflict:
+		return ExitConflict
+	case errors.As(err, &refusal) && refusal.Kind != core.NoLeader:
+		return ExitRefused
+	}
+	return ExitUnreached
+}
+
+func command(stdout, stderr io.Writer) *ffcli.Command {
+	var list []*ffcli.Command
+	for _, v := range Verbs {
+		list = append(list, verbCommand(v, stdout, stderr))
+	}
+	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	return &ffcli.Command{
+		Name: program, ShortUsage: program + " VERB [flags] [arguments]", ShortHelp: "Operates a clementinelock cluster.",
+		FlagSet: flags, Subcommands: list,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("%s: verb %q does not exist", program, args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+func verbCommand(v Verb, stdout, stderr io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet(program+" "+v.Name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	shared := &common{}
+	shared.register(flags)
+	runner := v.New(flags)
+	return &ffcli.Command{
+		Name: v.Name, ShortUsage: program + " " + v.Usage, ShortHelp: v.Short, LongHelp: v.Long, FlagSet: flags,
+		Options: []ff.Option{ff.WithEnvVarPrefix("CLEMENTINELOCK"), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ff.PlainParser)},
+		Exec: func(ctx context.Context, args []string) error {
+			err := runner.Run(ctx, shared.session(stdout), args)
+			if err != nil {
+				return fmt.Errorf("%s: %w", v.Name, err)
+			}
+			return nil
+		},
+	}
+}
+
+// print writes a value as JSON when that is asked for, else by the function.
+func (s *Session) print(value any, text func(w io.Writer)) error {
+	if s.JSON {
+		encoder := json.NewEncoder(s.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	w := tabwriter.NewWriter(s.Out, 0, 4, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+// connect loads the operator's keys.
+func (s *Session) connect() error {
+	if len(s.Client.Hosts) == 0 {
+		return usagef("flag --hosts (or CLEMENTINELOCK_HOSTS) names no host")
+	}
+	if err := s.Client.Keys.Load(); err != nil {
+		return usagef("%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/stand/upstream.go
@@ -0,0 +1,269 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/tree"
+	"clementinelock/io/feed"
+	"clementinelock/io/proto"
+)
+
+// RequestHeader names the header by which experiments tell their requests apart.
+const RequestHeader = "Clementinelock-Test-Request"
+
+const answerBytes = 512
+
+// Endpoint is one stand-in endpoint.
+type Endpoint struct {
+	Address string
+	Service string
+	Slots   int
+
+	mutex    sync.Mutex
+	inFlight int
+	peak     int
+	over     int
+	served   int
+	slow     time.Duration
+	shed     bool
+	last     time.Time
+	server   *http.Server
+}
+
+// Fleet is all upstreams of a tree. Set the exported fields before Start.
+type Fleet struct {
+	Tree *tree.Tree
+	// ServiceTime is the mean time that a request runs.
+	ServiceTime time.Duration
+	Seed        uint64
+
+	mutex     sync.Mutex
+	endpoints map[string]*Endpoint
+	runs      map[string]int
+	leaving   map[string]core.Millis
+	random    *rand.Rand
+	wait      sync.WaitGroup
+}
+
+// Start opens every endpoint of the tree.
+func (f *Fleet) Start() error {
+	f.endpoints = map[string]*Endpoint{}
+	f.runs = map[string]int{}
+	f.leaving = map[string]core.Millis{}
+	f.random = rand.New(rand.NewPCG(f.Seed, 1))
+	view := tree.NewView(f.Tree)
+	for _, zone := range view.Zones {
+		for _, service := range view.Services {
+			settings := view.Service(zone.Name, service)
+			for _, address := range settings.Endpoints {
+				e := &Endpoint{Address: address, Service: service, Slots: settings.Slots}
+				f.endpoints[address] = e
+				if err := f.open(e); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) open(e *Endpoint) error {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return err
+	}
+	e.server = &http.Server{Handler: f.handler(e), ReadHeaderTimeout: time.Second}
+	f.wait.Add(1)
+	go func() {
+		defer f.wait.Done()
+		// The error is that of the closed listener.
+		_ = e.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Stop closes every endpoint.
+func (f *Fleet) Stop() {
+	for _, e := range f.endpoints {
+		_ = e.server.Close()
+	}
+	f.wait.Wait()
+}
+
+// Kill closes one endpoint, as a crash would.
+func (f *Fleet) Kill(address string) error {
+	e, err := f.find(address)
+	if err != nil {
+		return err
+	}
+	return e.server.Close()
+}
+
+func (f *Fleet) find(address string) (*Endpoint, error) {
+	e := f.endpoints[address]
+	if e == nil {
+		return nil, fmt.Errorf("endpoint %q does not exist", address)
+	}
+	return e, nil
+}
+
+// Slow makes an endpoint take longer by a time.
+func (f *Fleet) Slow(address string, by time.Duration) error {
+	e, err := f.find(address)
+	if err != nil {
+		return err
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.slow = by
+	return nil
+}
+
+// Leave makes the platform's list name an endpoint as leaving.
+func (f *Fleet) Leave(address string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.leaving[address] = core.Millis(time.Now().UnixMilli())
+}
+
+// List returns the platform's list.
+func (f *Fleet) List() feed.List {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var list feed.List
+	for address, since := range f.leaving {
+		list.Endpoints = append(list.Endpoints, feed.Endpoint{Endpoint: address, State: "Leaving", Since: since})
+	}
+	return list
+}
+
+// ListHandler serves the platform's list.
+func (f *Fleet) ListHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { proto.WriteJSON(w, http.StatusOK, f.List()) })
+}
+
+func (f *Fleet) handler(e *Endpoint) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == proto.LoadPath {
+			w.Header().Set(proto.Load, proto.FormatLoad(e.report()))
+			return
+		}
+		f.serve(e, w, r)
+	})
+}
+
+func (e *Endpoint) report() core.Report {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return core.Report{InFlight: e.inFlight}
+}
+
+func (f *Fleet) serve(e *Endpoint, w http.ResponseWriter, r *http.Request) {
+	slow := e.begin()
+	defer e.finish()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	f.noteRun(r)
+	if !f.work(r.Context(), slow) {
+		return
+	}
+	header := w.Header()
+	header.Set(proto.Load, proto.FormatLoad(e.report()))
+	header.Set(RequestHeader, r.Header.Get(RequestHeader))
+	header.Set("Content-Length", strconv.Itoa(answerBytes))
+	_, _ = w.Write(answer(r.Header.Get(RequestHeader), len(body)))
+}
+
+// answer is a body by which its caller can tell that it is whole and its own.
+func answer(request string, size int) []byte {
+	data := make([]byte, answerBytes)
+	copy(data, fmt.Sprintf("%s %d\n", request, size))
+	return data
+}
+
+// Answers tells whether a body is the whole answer to a request.
+func Answers(body []byte, request string, size int) bool {
+	return string(body) == string(answer(request, size))
+}
+
+func (e *Endpoint) begin() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.inFlight++
+	e.served++
+	e.last = time.Now()
+	e.peak = max(e.peak, e.inFlight)
+	if e.inFlight > e.Slots {
+		e.over++
+	}
+	return e.slow
+}
+
+func (e *Endpoint) finish() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.inFlight--
+}
+
+// noteRun counts the runs of a request, by its key or by its own mark.
+func (f *Fleet) noteRun(r *http.Request) {
+	mark := r.Header.Get(proto.IdempotencyKey)
+	if mark == "" {
+		mark = r.Header.Get(RequestHeader)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.runs[mark]++
+}
+
+// work takes the service time; it returns false when the request was cancelled.
+func (f *Fleet) work(ctx context.Context, slow time.Duration) bool {
+	f.mutex.Lock()
+	length := time.Duration(f.random.ExpFloat64() * float64(f.ServiceTime))
+	f.mutex.Unlock()
+	timer := time.NewTimer(min(length, 8*f.ServiceTime) + slow)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Runs returns how often the request with the mark ran.
+func (f *Fleet) Runs(mark string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.runs[mark]
+}
+
+// Usage is what one endpoint did.
+type Usage struct {
+	Address, Service string
+	Served           int
+	Peak, Over       int
+	Last             time.Time
+}
+
+// Usages lists what each endpoint did.
+func (f *Fleet) Usages() []Usage {
+	var out []Usage
+	for _, e := range f.endpoints {
+		e.mutex.Lock()
+		out = append(out, Usage{e.Address, e.Service, e.served, e.peak, e.over, e.last})
+		e.mutex.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/io/trial/demo.go
@@ -0,0 +1,211 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/load"
+	"clementinelock/io/shell"
+)
+
+// Demo is the account of one deployment under load, an edit, a drain, a planned stop and a crash. Set the exported fields before Run.
+type Demo struct {
+	TreeFile string
+	Rate     float64
+	Length   time.Duration
+	Seed     uint64
+	Out      io.Writer
+
+	cluster *Cluster
+	faults  []error
+}
+
+const (
+	demoServiceTime = 8 * time.Millisecond
+	demoDeadline    = 2 * core.Second
+	demoKeyed       = 0.3
+	drainBound      = 3 * time.Second
+	stopBound       = 15 * time.Second
+)
+
+// Run plays the demo; it errs when one of the promises did not hold.
+func (d *Demo) Run(ctx context.Context) error {
+	folder, err := os.MkdirTemp("", "clementinelock-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	d.cluster = &Cluster{TreeFile: d.TreeFile, Folder: folder, ServiceTime: demoServiceTime, Seed: d.Seed, StopWithin: 20 * core.Second}
+	defer d.cluster.Stop()
+	began := time.Now()
+	if err := d.cluster.Start(ctx); err != nil {
+		d.cluster.LogTail(d.Out)
+		return err
+	}
+	if err := d.cluster.waitServing(ctx); err != nil {
+		d.cluster.LogTail(d.Out)
+		return err
+	}
+	fmt.Fprintf(d.Out, "started     %d entry hosts and %d endpoints in %s\n", len(d.cluster.Hosts), len(d.cluster.Fleet.Usages()), round(time.Since(began)))
+	report := d.play(ctx)
+	d.account(report)
+	return errors.Join(d.faults...)
+}
+
+func round(t time.Duration) time.Duration {
+	return t.Round(time.Millisecond)
+}
+
+func (d *Demo) fault(format string, args ...any) {
+	err := fmt.Errorf(format, args...)
+	d.faults = append(d.faults, err)
+	fmt.Fprintf(d.Out, "FAILED      %v\n", err)
+}
+
+// play runs the load and, while it runs, the operator's and the crash's part.
+func (d *Demo) play(ctx context.Context) *load.Report {
+	services := viewOf(d.cluster.Tree).Services
+	mix := &load.Mix{
+		Callers: d.cluster.Callers(), Services: services, Rate: d.Rate, Length: d.Length,
+		Deadline: demoDeadline, Keyed: demoKeyed, Seed: d.Seed,
+	}
+	done := make(chan *load.Report)
+	go func() { done <- mix.Run(ctx) }()
+	d.edit(ctx)
+	d.drain(ctx)
+	d.plannedStop()
+	d.crash()
+	return <-done
+}
+
+// edit makes an edit and measures until it is in force everywhere.
+func (d *Demo) edit(ctx context.Context) {
+	time.Sleep(time.Second)
+	began := time.Now()
+	code, text := d.cluster.Shell(ctx, "set", "/", "QueueLimit=150")
+	if code != shell.ExitDone {
+		d.fault("the edit was not accepted: %s", text)
+		return
+	}
+	accepted := time.Since(began)
+	version, err := d.cluster.Version(ctx)
+	if err == nil {
+		err = d.cluster.waitInForce(ctx, version)
+	}
+	if err != nil {
+		d.fault("the edit is not in force: %v", err)
+		return
+	}
+	fmt.Fprintf(d.Out, "edit        accepted after %s, version %d in force at all hosts after %s\n", round(accepted), version, round(time.Since(began)))
+}
+
+// drain makes the platform name an endpoint as leaving and measures when its last work begins.
+func (d *Demo) drain(ctx context.Context) {
+	view := viewOf(d.cluster.Tree)
+	endpoint := view.Service(view.Zones[0].Name, view.Services[0]).Endpoints[0]
+	notice := time.Now()
+	d.cluster.Fleet.Leave(endpoint)
+	select {
+	case <-ctx.Done():
+	case <-time.After(drainBound + time.Second):
+	}
+	for _, usage := range d.cluster.Fleet.Usages() {
+		if usage.Address != endpoint {
+			continue
+		}
+		last := max(0, usage.Last.Sub(notice))
+		fmt.Fprintf(d.Out, "drain       endpoint %s began its last work %s after the notice\n", endpoint, round(last))
+		if last > drainBound {
+			d.fault("the leaving endpoint got new work %s after the notice", round(last))
+		}
+	}
+}
+
+// plannedStop stops a host gracefully.
+func (d *Demo) plannedStop() {
+	name := d.cluster.Hosts[1].Name
+	began := time.Now()
+	host := d.cluster.Daemons[name]
+	host.Stop()
+	if err := host.Wait(); err != nil {
+		d.fault("host %s did not stop in peace: %v", name, err)
+	}
+	delete(d.cluster.Daemons, name)
+	took := time.Since(began)
+	fmt.Fprintf(d.Out, "stop        host %s stopped in %s\n", name, round(took))
+	if took > stopBound {
+		d.fault("the planned stop took %s", round(took))
+	}
+}
+
+// crash ends a host without a word.
+func (d *Demo) crash() {
+	name := d.cluster.Hosts[len(d.cluster.Hosts)-1].Name
+	host := d.cluster.Daemons[name]
+	host.Kill()
+	_ = host.Wait()
+	delete(d.cluster.Daemons, name)
+	fmt.Fprintf(d.Out, "crash       host %s was killed\n", name)
+}
+
+// account prints the figures and checks the promises.
+func (d *Demo) account(report *load.Report) {
+	lookups := 0
+	for _, host := range d.cluster.Daemons {
+		lookups += int(host.Lookups())
+	}
+	fmt.Fprintf(d.Out, "look-ups    %d, kept for their time to live\n", lookups)
+	fmt.Fprintf(d.Out, "requests    %d sent, %d answered, p50 %s, p99 %s\n", len(report.Sent), report.Answered, round(report.Quantile(0.5)), round(report.Quantile(0.99)))
+	for kind, count := range report.Kinds {
+		fmt.Fprintf(d.Out, "refused     %d %s\n", count, kind)
+	}
+	fmt.Fprintf(d.Out, "unanswered  %d connections ended without an answer, as a crash does\n", report.Failed)
+	doubles, wrongNo := d.audit(report)
+	over := 0
+	for _, usage := range d.cluster.Fleet.Usages() {
+		over += usage.Over
+	}
+	checks := []struct {
+		name  string
+		count int
+	}{
+		{"doubles", doubles}, {"run after 'not run'", wrongNo}, {"wrong answers", report.Wrong}, {"cut off in a planned stop", d.cutOff(report)}, {"above an endpoint's slots", over},
+	}
+	for _, check := range checks {
+		fmt.Fprintf(d.Out, "%-28s= %d\n", check.name, check.count)
+		if check.count != 0 {
+			d.fault("%s: %d", check.name, check.count)
+		}
+	}
+	if report.Answered == 0 {
+		d.fault("no request was answered")
+	}
+}
+
+// cutOff counts answers that broke off; the crash may break off what its host held.
+func (d *Demo) cutOff(report *load.Report) int {
+	return max(0, report.CutOff-report.Failed)
+}
+
+// audit compares what callers were told with what the upstreams ran.
+func (d *Demo) audit(report *load.Report) (doubles, wrongNo int) {
+	for _, sent := range report.Sent {
+		mark := sent.Key
+		if mark == "" {
+			continue
+		}
+		runs := d.cluster.Fleet.Runs(mark)
+		if runs > 1 {
+			doubles++
+		}
+		if sent.Ran == core.RanNo && runs > 0 {
+			wrongNo++
+		}
+	}
+	return doubles, wrongNo
+}
