Whole hosts under random faults; a control host confirms only what its disk has

Conclusion: confirmation is the promise that a restart must keep, so it waits for whatever outlives the restart.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -283,7 +283,7 @@
 	failed := a.expired || e.Ending != Whole && !a.dropped
 	return slots.Result{
 		Latency: e.Latency, Report: a.report, Shed: a.shed,
-		Failed: failed, Unused: a.dropped && !a.headed && !a.expired,
+		Failed: failed, Unused: a.dropped && !a.headed && !a.expired, Aborted: a.dropped || e.Ending == Broken || e.Ending == Truncated,
 	}
 }
 
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -343,3 +343,13 @@
 func (m *Machine) HasService(service string) bool {
 	return m.view != nil && slices.Contains(m.view.Services, service)
 }
+
+// Versions is what a host has in force and what it has confirmed.
+type Versions struct {
+	InForce, Confirmed uint64
+}
+
+// Versions returns the versions in force and confirmed.
+func (m *Machine) Versions() Versions {
+	return Versions{m.relay.Version(), m.relay.Confirmed()}
+}
--- a/core/relay/node.go
+++ b/core/relay/node.go
@@ -367,18 +367,20 @@
 	return n.freshConfirms(now)
 }
 
-// confirm confirms the version in force once it would outlive this host's restart: a peer of the zone or the own disk holds it, or there is no peer.
+// confirm confirms the version in force once it would outlive this host's restart: a live peer of the zone holds it, if there is one, and a control host's own disk.
 func (n *Node) confirm(now core.Millis) {
 	if n.view == nil || n.confirmed >= n.view.Version {
 		return
 	}
-	witnessed, hasPeer := n.Witnessed(now)
-	held := max(witnessed, n.durable)
-	if !hasPeer && (!n.Control || n.durable >= n.view.Version) {
-		held = n.view.Version
+	held := n.view.Version
+	if witnessed, hasPeer := n.Witnessed(now); hasPeer {
+		held = min(held, witnessed)
+	}
+	if n.Control {
+		held = min(held, n.durable)
 	}
 	before := n.confirmed
-	n.confirmed = max(n.confirmed, min(held, n.view.Version))
+	n.confirmed = max(n.confirmed, held)
 	if n.confirmed > before {
 		n.nextSync = now
 	}
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -13,6 +13,8 @@
 	// tokenGrace is how much longer than its deadline a slot counts as used when its host says nothing.
 	tokenGrace = 200 * core.Millisecond
 	whoEvery   = 200 * core.Millisecond
+	// abortLinger is how long an endpoint may take to stop a request that was cancelled.
+	abortLinger = 100 * core.Millisecond
 )
 
 // waiter is an ask that waits for a slot.
@@ -301,7 +303,11 @@
 	if g == nil {
 		return
 	}
-	k.forget(g)
+	if m.Result.Aborted {
+		g.until = min(g.until, now+abortLinger)
+	} else {
+		k.forget(g)
+	}
 	if e := k.endpoints[g.endpoint]; e != nil {
 		e.takeResult(now, m.Result)
 	}
--- a/core/slots/messages.go
+++ b/core/slots/messages.go
@@ -56,8 +56,10 @@
 	// Unused means that nothing was sent, Failed that the endpoint did not answer, Shed that it refused the work.
 	Unused bool
 	Failed bool
-	Shed   bool
-	Report *core.Report
+	// Aborted means that the endpoint was told to stop, which takes it a moment.
+	Aborted bool
+	Shed    bool
+	Report  *core.Report
 }
 
 // Done gives a slot back; it is sent until it is acknowledged.
--- a/core/tree/edit.go
+++ b/core/tree/edit.go
@@ -83,7 +83,8 @@
 // Compare lists what differs from old to next, by path and setting.
 func Compare(old, next *Tree) []Difference {
 	var out []Difference
-	paths := maps.Clone(old.Nodes)
+	paths := map[Path]Values{}
+	maps.Copy(paths, old.Nodes)
 	maps.Copy(paths, next.Nodes)
 	for _, path := range slices.Sorted(maps.Keys(paths)) {
 		out = append(out, compareNode(path, old.Nodes[path], next.Nodes[path])...)
