Requests under load: spread by slots, wait near, plan without chasing noise

Traces showed five causes: all of a zone's services were kept by one host; look-ups spread callers by hosts, not by slots, so half of the requests asked another zone; requests waited in another zone, whose slots then stood idle for 4 ms of each 12; the planner sent a little of every region's demand to others, each time paying 80 ms; a region's grant followed demand so closely that it throttled it.

Change: keepers by the service's place in the tree; look-ups in proportion to a zone's endpoints, its keeper first; a request waits in its own zone unless 8 more wait there; the planner takes own demand first, with 5% slack; a region's limit is divided whole, by demand; a repeated grant for a held slot is ignored. The model of upstreams and callers moved to core/model, where experiments share it with the tests.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -56,12 +56,12 @@
 		d.endAsking(now, c, c.last, out)
 		return
 	}
-	wait := c.tried == len(c.targets) || len(c.targets) == 1
+	wait := c.tried == len(c.targets) || len(c.targets) == 1 || c.region != d.Region
 	target := c.targets[0]
 	if c.tried < len(c.targets) {
 		target = c.targets[c.tried]
 	} else {
-		target = fewestWaiting(c.targets)
+		target = d.waitAt(c.targets)
 	}
 	if wait {
 		c.tried = len(c.targets)
@@ -70,8 +70,19 @@
 	d.sendAsk(now, c, target, wait, false, out)
 }
 
-func fewestWaiting(targets []route.Target) route.Target {
-	return slices.MinFunc(targets, func(a, b route.Target) int { return a.Waiting - b.Waiting })
+// patience is how many more requests may wait in the own zone than elsewhere before a request waits elsewhere, where its slot would stand idle while it travels.
+const patience = 8
+
+// waitAt chooses the zone to wait in.
+func (d *Desk) waitAt(targets []route.Target) route.Target {
+	return slices.MinFunc(targets, func(a, b route.Target) int { return d.waitCost(a) - d.waitCost(b) })
+}
+
+func (d *Desk) waitCost(t route.Target) int {
+	if t.Zone == d.zone {
+		return t.Waiting
+	}
+	return t.Waiting + patience
 }
 
 func (d *Desk) sendAsk(now core.Millis, c *call, target route.Target, wait, hedge bool, out *core.Effects) {
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -13,10 +13,8 @@
 	WantEvery = 500 * core.Millisecond
 	// safeShare is the part of each limit that is kept for hosts without a valid share.
 	safeShare = 0.3
-	// growth is how much more than its demand a host is given.
-	growth = 1.25
-	// keptFree is the part of an even share that is kept for each host that uses less.
-	keptFree = 0.1
+	// beginShare is the part of an even share that a host without demand counts with.
+	beginShare = 0.05
 )
 
 // Limit is one limit of the region.
@@ -74,6 +72,12 @@
 	return next
 }
 
+// wish is a host's last measured demand.
+type wish struct {
+	rate float64
+	at   core.Millis
+}
+
 // holding is what this host was given.
 type holding struct {
 	rate  float64
@@ -99,6 +103,7 @@
 	dividing bool
 	since    core.Millis
 	shares   map[string]map[string]share
+	wants    map[string]map[string]wish
 	holds    map[string]holding
 	buckets  map[string]*bucket
 	nextWant core.Millis
@@ -110,6 +115,7 @@
 func (n *Node) Start() {
 	n.limits = map[string]float64{}
 	n.shares = map[string]map[string]share{}
+	n.wants = map[string]map[string]wish{}
 	n.holds = map[string]holding{}
 	n.buckets = map[string]*bucket{}
 	n.sent = map[uint64]core.Millis{}
@@ -277,11 +283,10 @@
 	give := &Give{Rates: map[string]float64{}, Round: w.Round}
 	for _, resource := range slices.Sorted(maps.Keys(n.limits)) {
 		limit := n.limits[resource] * (1 - safeShare)
-		wanted := max(0, w.Rates[resource]*growth-n.safe(resource))
+		amount := n.fairPart(now, resource, host, w.Rates[resource])
 		if n.dividing && now-n.since < Length {
-			wanted = min(wanted, w.Holds[resource])
+			amount = min(amount, w.Holds[resource])
 		}
-		amount := min(wanted, n.fairPart(now, resource, host, limit, wanted))
 		amount = max(0, min(amount, limit-n.others(now, resource, host)))
 		if n.shares[resource] == nil {
 			n.shares[resource] = map[string]share{}
@@ -306,20 +311,21 @@
 	return total
 }
 
-// fairPart bounds a host so that a later one finds something left: beyond an even part it gets only what is free.
-func (n *Node) fairPart(now core.Millis, resource, host string, limit, wanted float64) float64 {
-	even := limit / float64(n.hosts)
-	if wanted <= even {
-		return wanted
+// fairPart is a host's part of the whole limit by its demand; a host without any gets a little, so that it can begin.
+func (n *Node) fairPart(now core.Millis, resource, host string, rate float64) float64 {
+	if n.wants[resource] == nil {
+		n.wants[resource] = map[string]wish{}
 	}
-	free := limit - n.others(now, resource, host)
-	unclaimed := 0.0
-	for name, s := range n.shares[resource] {
-		if held := s.held(now); name != host && held < even*keptFree {
-			unclaimed += even*keptFree - held
+	n.wants[resource][host] = wish{rate, now}
+	limit := n.limits[resource] * (1 - safeShare)
+	least := limit / float64(n.hosts) * beginShare
+	total := 0.0
+	for _, each := range slices.Sorted(maps.Keys(n.wants[resource])) {
+		if other := n.wants[resource][each]; now-other.at < Length {
+			total += max(least, other.rate)
 		}
 	}
-	return max(even, free-unclaimed)
+	return limit * max(least, rate) / max(total, limit*beginShare)
 }
 
 func (n *Node) onGive(m *Give) {
--- a/core/host/random_test.go
+++ b/core/host/random_test.go
@@ -10,118 +10,131 @@
 	"clementinelock/core/ctrl"
 	"clementinelock/core/host"
 	"clementinelock/core/member"
+	"clementinelock/core/model"
 	"clementinelock/core/tree"
+	"clementinelock/io/config"
 )
 
 // faults is the table of what may happen in a random run.
 var faults = []struct {
 	name  string
-	cause func(s *site)
+	cause func(s *model.Site)
 }{
-	{"crash", func(s *site) { s.crash(s.anyHost()) }},
-	{"restart", func(s *site) {
-		if name := s.anyHost(); !s.Up(name) {
-			s.start(name)
+	{"crash", func(s *model.Site) { s.Kill(s.AnyHost()) }},
+	{"restart", func(s *model.Site) {
+		if name := s.AnyHost(); !s.Up(name) {
+			s.Begin(name)
 		}
 	}},
-	{"restart at once", func(s *site) {
-		name := s.anyHost()
-		s.crash(name)
+	{"restart at once", func(s *model.Site) {
+		name := s.AnyHost()
+		s.Kill(name)
 		s.At(s.Now+core.Millis(s.Rand.IntN(300)), func() {
 			if !s.Up(name) {
-				s.start(name)
+				s.Begin(name)
 			}
 		})
 	}},
-	{"freeze", func(s *site) {
-		name := s.anyHost()
+	{"freeze", func(s *model.Site) {
+		name := s.AnyHost()
 		s.Freeze(name, true)
 		s.At(s.Now+core.Millis(s.Rand.IntN(4000)), func() { s.Freeze(name, false) })
 	}},
-	{"cut a zone off", func(s *site) { s.cutZone(s.view.Zones[s.Rand.IntN(len(s.view.Zones))].Name, true) }},
-	{"silent connection", func(s *site) {
-		from, to := s.anyHost(), s.anyHost()
-		if s.zoneOf(from) == s.zoneOf(to) {
+	{"cut a zone off", func(s *model.Site) { s.CutZone(s.View.Zones[s.Rand.IntN(len(s.View.Zones))].Name, true) }},
+	{"silent connection", func(s *model.Site) {
+		from, to := s.AnyHost(), s.AnyHost()
+		if s.Zone(from) == s.Zone(to) {
 			s.Cut(from, to, true)
 			s.At(s.Now+1200, func() { s.Cut(from, to, false) })
 		}
 	}},
-	{"heal", func(s *site) { s.Heal() }},
-	{"heal again", func(s *site) { s.Heal() }},
-	{"endpoint dies", func(s *site) { s.anyEndpoint().dead = true }},
-	{"endpoint lives", func(s *site) { s.anyEndpoint().dead = false }},
-	{"endpoint slow", func(s *site) { s.anyEndpoint().slow = core.Millis(s.Rand.IntN(400)) }},
-	{"endpoint fast", func(s *site) { s.anyEndpoint().slow = 0 }},
-	{"lost messages", func(s *site) { s.Loss = 0.05 }},
-	{"no lost messages", func(s *site) { s.Loss = 0 }},
-	{"repeated messages", func(s *site) { s.Repeat = 0.1 }},
-	{"planned stop", func(s *site) {
-		s.step(s.anyHost(), func(m *host.Machine) core.Effects { return m.Stop(s.Now) })
+	{"heal", func(s *model.Site) { s.Heal() }},
+	{"heal again", func(s *model.Site) { s.Heal() }},
+	{"endpoint dies", func(s *model.Site) { s.AnyEndpoint().Dead = true }},
+	{"endpoint lives", func(s *model.Site) { s.AnyEndpoint().Dead = false }},
+	{"endpoint slow", func(s *model.Site) { s.AnyEndpoint().Slow = core.Millis(s.Rand.IntN(400)) }},
+	{"endpoint fast", func(s *model.Site) { s.AnyEndpoint().Slow = 0 }},
+	{"lost messages", func(s *model.Site) { s.Loss = 0.05 }},
+	{"no lost messages", func(s *model.Site) { s.Loss = 0 }},
+	{"repeated messages", func(s *model.Site) { s.Repeat = 0.1 }},
+	{"planned stop", func(s *model.Site) {
+		s.Step(s.AnyHost(), func(m *host.Machine) core.Effects { return m.Stop(s.Now) })
 	}},
-	{"leaving endpoint", func(s *site) {
-		for endpoint := range s.ups {
+	{"leaving endpoint", func(s *model.Site) {
+		for endpoint := range s.Upstream {
 			since := s.Now
-			s.step(s.anyHost(), func(m *host.Machine) core.Effects {
+			s.Step(s.AnyHost(), func(m *host.Machine) core.Effects {
 				return m.TakeFeed(since, host.Feed{Notices: []member.Notice{{Endpoint: endpoint, Leaving: s.Rand.IntN(2) == 0, Since: since}}})
 			})
 			return
 		}
 	}},
-	{"edit", func(s *site) {
-		s.tickets++
-		edit := &tree.Edit{ID: "e" + strconv.FormatUint(s.tickets, 10), Base: s.force[s.control[0]], Changes: []tree.Change{
+	{"edit", func(s *model.Site) {
+		edit := &tree.Edit{ID: "e" + strconv.FormatUint(s.Rand.Uint64(), 36), Base: s.Confirmed(s.Control[0]), Changes: []tree.Change{
 			{Path: "/", Setting: "QueueLimit", Value: strconv.Itoa(100 + s.Rand.IntN(100))},
 		}}
-		s.ask(s.anyHost(), ctrl.Ask{Question: ctrl.AskEdit, Edit: edit}, func(*ctrl.Body, *core.Refusal) {})
+		s.Ask(s.AnyHost(), ctrl.Ask{Question: ctrl.AskEdit, Edit: edit}, func(*ctrl.Body, *core.Refusal) {})
 	}},
 }
 
 // callers makes requests of all sorts for a while: some keys come twice, at once or later, to the same host or others.
-func (s *site) callers(length core.Millis, each core.Millis) {
+func callers(s *model.Site, length core.Millis, each core.Millis) {
 	end := s.Now + length
 	var next func()
 	next = func() {
 		if s.Now >= end {
 			return
 		}
-		s.oneCaller()
+		oneCaller(s)
 		s.At(s.Now+1+core.Millis(s.Rand.IntN(int(2*each))), next)
 	}
 	next()
 }
 
-func (s *site) oneCaller() {
-	service := s.view.Services[s.Rand.IntN(len(s.view.Services))]
+func oneCaller(s *model.Site) {
+	service := s.View.Services[s.Rand.IntN(len(s.View.Services))]
 	remaining := 50 + core.Millis(s.Rand.IntN(1500))
 	switch s.Rand.IntN(4) {
 	case 0:
-		s.call(s.anyHost(), service, "", false, remaining)
+		s.Call(s.AnyHost(), service, "", false, remaining)
 	case 1:
-		s.call(s.anyHost(), service, "", true, remaining)
+		s.Call(s.AnyHost(), service, "", true, remaining)
 	default:
-		key := s.issuedKey()
+		key := s.IssuedKey()
 		if s.Rand.IntN(2) == 0 {
 			key = "k" + strconv.FormatUint(s.Rand.Uint64(), 36)
 		}
-		s.call(s.anyHost(), service, key, true, remaining)
+		s.Call(s.AnyHost(), service, key, true, remaining)
 		for range s.Rand.IntN(3) {
-			s.At(s.Now+core.Millis(s.Rand.IntN(3000)), func() { s.call(s.anyHost(), service, key, true, remaining) })
+			s.At(s.Now+core.Millis(s.Rand.IntN(3000)), func() { s.Call(s.AnyHost(), service, key, true, remaining) })
 		}
 	}
 }
 
-func runSite(t testing.TB, seed uint64) *site {
+func newSite(t testing.TB, seed uint64, user string) *model.Site {
+	t.Helper()
+	read, err := config.ReadTree("../../examples/" + user + "/tree.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &model.Site{Seed: seed, Tree: read, Fail: t.Fatalf}
+	s.Start()
+	return s
+}
+
+func runSite(t testing.TB, seed uint64) *model.Site {
+	t.Helper()
 	s := newSite(t, seed, []string{"instituto", "yildirim"}[seed%2])
-	s.putTree()
-	s.callers(12*core.Second, 15)
+	s.PutTree()
+	callers(s, 12*core.Second, 15)
 	for range 20 {
 		s.For(core.Millis(s.Rand.IntN(1000)))
 		faults[s.Rand.IntN(len(faults))].cause(s)
 	}
 	s.Heal()
 	s.For(12 * core.Second)
-	s.noDoubles()
-	s.allAnswered()
+	s.CheckDoubles()
+	s.CheckAnswered()
 	return s
 }
 
@@ -166,8 +179,8 @@
 // TestRandomRunsServe checks that random runs are not empty: most requests are answered.
 func TestRandomRunsServe(t *testing.T) {
 	s := runSite(t, 1)
-	t.Logf("answers %v, %d requests", s.answers, len(s.told))
-	if s.answers["Answered"]*2 < len(s.told) {
-		t.Fatalf("only %d of %d requests were answered: %v", s.answers["Answered"], len(s.told), s.answers)
+	t.Logf("answers %v, %d requests", s.Answers, len(s.Requests))
+	if s.Answers[model.Served]*2 < len(s.Requests) {
+		t.Fatalf("only %d of %d requests were answered: %v", s.Answers[model.Served], len(s.Requests), s.Answers)
 	}
 }
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -105,7 +105,7 @@
 	if d.times == nil {
 		d.times, d.bits = map[string]float64{}, map[string]float64{}
 	}
-	if e.Ending == call.Whole {
+	if e.Ending == call.Whole && zone == m.Zone {
 		learn(d.times, service, float64(e.Latency))
 		learn(d.bits, service, float64(bits))
 	}
@@ -299,7 +299,7 @@
 func (m *Machine) handOverAll(now core.Millis, out *core.Effects) {
 	for _, name := range m.leases.Held(now) {
 		if zone, service, ok := slots.ParseLease(name); ok {
-			for _, host := range rotate(m.view.ZoneHosts(zone), service) {
+			for _, host := range keepers(m.view, zone, service) {
 				if host != m.Self && m.members.Liveness(now, host) == core.Alive {
 					m.slots.HandOver(now, name, host, out)
 					m.leases.Release(now, name, out)
--- a/core/host/tasks.go
+++ b/core/host/tasks.go
@@ -11,8 +11,6 @@
 	"clementinelock/core/member"
 	"clementinelock/core/slots"
 	"clementinelock/core/tree"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -71,13 +69,13 @@
 			}
 		}
 	}
-	hosts := rotate(view.RegionHosts(m.Region), regionLease+m.Region)
+	hosts := view.RegionHosts(m.Region)
 	return append(defs, lease.Definition{Name: regionLease + m.Region, Candidates: hosts, Voters: oddVoters(hosts, nil)})
 }
 
 // zoneTask is the keeping of one service in one zone. Its voters are hosts of the zone, and when they are even in number one of the region's others, so that two hosts of a zone can go on when one is lost.
 func zoneTask(view *tree.View, zone tree.Zone, service string) lease.Definition {
-	candidates := rotate(view.ZoneHosts(zone.Name), service)
+	candidates := keepers(view, zone.Name, service)
 	var others []string
 	for _, host := range view.RegionHosts(zone.Region) {
 		if !slices.Contains(candidates, host) {
@@ -104,12 +102,13 @@
 	return voters
 }
 
-// rotate begins the hosts' order at a place that depends on the seed, so that tasks spread.
-func rotate(hosts []string, seed string) []string {
+// keepers orders a zone's hosts as keepers of a service; services begin at different hosts, so that the tasks spread.
+func keepers(view *tree.View, zone, service string) []string {
+	hosts := view.ZoneHosts(zone)
 	if len(hosts) == 0 {
 		return nil
 	}
-	start := int(xxhash.Sum64String(seed) % uint64(len(hosts)))
+	start := max(0, slices.Index(view.Services, service)) % len(hosts)
 	return append(slices.Clone(hosts[start:]), hosts[:start]...)
 }
 
@@ -160,7 +159,7 @@
 }
 
 func (m *Machine) isFirst(zone, service string) bool {
-	hosts := rotate(m.view.ZoneHosts(zone), service)
+	hosts := keepers(m.view, zone, service)
 	return len(hosts) > 0 && hosts[0] == m.Self
 }
 
@@ -179,7 +178,7 @@
 	if !kept {
 		return 0
 	}
-	first := rotate(m.view.ZoneHosts(zone), service)[0]
+	first := keepers(m.view, zone, service)[0]
 	if m.members.Incarnations(first) != incarnation || m.members.Liveness(now, first) == core.Leaving {
 		return 0
 	}
@@ -189,7 +188,7 @@
 // noteReserve remembers the process of a first candidate that was lost without a word.
 func (m *Machine) noteReserve(now core.Millis, name, zone, service string) {
 	delete(m.reserved, name)
-	hosts := rotate(m.view.ZoneHosts(zone), service)
+	hosts := keepers(m.view, zone, service)
 	if len(hosts) > 1 && hosts[0] != m.Self && m.members.Liveness(now, hosts[0]) != core.Leaving {
 		m.reserved[name] = m.members.Incarnations(hosts[0])
 	}
--- a/core/plan/demand.go
+++ b/core/plan/demand.go
@@ -10,7 +10,7 @@
 const (
 	fastSmoothing = 0.3
 	slowSmoothing = 0.05
-	marginSigmas  = 2
+	marginSigmas  = 1
 	// staleAfter is the age from which the margin widens; frozenAfter that from which an estimate is kept as it is.
 	staleAfter   = 3 * core.Second
 	frozenAfter  = 30 * core.Second
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -127,6 +127,8 @@
 const (
 	leftOver   = 1e-6
 	levelSteps = 20
+	// ownSlack is how far above the common level a region takes its own demand before any of it goes elsewhere, so that noise moves no traffic.
+	ownSlack = 0.05
 )
 
 // lowestLevel finds the smallest level of use from the wanted one up at which all demand finds room.
@@ -150,19 +152,41 @@
 	return high
 }
 
-// fillTo assigns demand under one level of use and returns what found no room.
+// fillTo assigns demand under one level of use and returns what found no room. Every region's own demand comes first; what overflows then goes to others.
 func fillTo(in Input, level float64) (map[Flow]Shares, float64) {
-	space := newRoom(in, level)
+	space := newRoom(in, min(1, level*(1+ownSlack)))
+	flows := orderedFlows(in)
+	amounts := map[Flow]map[string]float64{}
+	rest := map[Flow]float64{}
+	for _, flow := range flows {
+		amounts[flow] = map[string]float64{}
+		rest[flow] = in.Demand[flow]
+		fillFrom(in, space, flow, flow.Region, amounts[flow], rest)
+	}
+	space = space.lessSlack(in, level)
 	out := map[Flow]Shares{}
 	left := 0.0
-	for _, flow := range orderedFlows(in) {
-		shares, rest := fillFlow(in, space, flow, in.Demand[flow])
-		out[flow] = shares
-		left += rest
+	for _, flow := range flows {
+		for _, region := range nearest(in.View, flow.Region)[1:] {
+			fillFrom(in, space, flow, region, amounts[flow], rest)
+		}
+		out[flow] = normalise(in, flow, amounts[flow], in.Demand[flow])
+		left += rest[flow]
 	}
 	return out, left
 }
 
+// fillFrom puts as much of a flow's rest into a region as fits.
+func fillFrom(in Input, space *room, flow Flow, region string, amounts map[string]float64, rest map[Flow]float64) {
+	amount := min(rest[flow], space.fits(in, flow, region))
+	if amount <= 0 {
+		return
+	}
+	space.take(in, flow, region, amount)
+	amounts[region] += amount
+	rest[flow] -= amount
+}
+
 func newRoom(in Input, level float64) *room {
 	space := &room{site: map[Flow]float64{}, region: map[string]float64{}, link: map[Link]float64{}}
 	for _, site := range in.Sites {
@@ -179,7 +203,19 @@
 	return space
 }
 
-// orderedFlows lists the flows by class, then by name; each region's own demand comes before what overflows.
+// lessSlack takes back the room that only a region's own demand may use.
+func (s *room) lessSlack(in Input, level float64) *room {
+	slack := min(1, level*(1+ownSlack)) - level
+	for _, site := range in.Sites {
+		s.site[Flow{site.Region, site.Service}] -= site.Capacity * slack
+	}
+	for _, region := range in.View.Regions {
+		s.region[region.Name] -= region.Root.RegionCapacity * slack
+	}
+	return s
+}
+
+// orderedFlows lists the flows by class, then by region and service.
 func orderedFlows(in Input) []Flow {
 	var flows []Flow
 	for _, region := range in.View.Regions {
@@ -201,22 +237,6 @@
 	return class
 }
 
-// fillFlow puts a flow's demand into the nearest room. What finds none keeps the shares' proportions.
-func fillFlow(in Input, space *room, flow Flow, demand float64) (Shares, float64) {
-	amounts := map[string]float64{}
-	rest := demand
-	for _, region := range nearest(in.View, flow.Region) {
-		amount := min(rest, space.fits(in, flow, region))
-		if amount <= 0 {
-			continue
-		}
-		space.take(in, flow, region, amount)
-		amounts[region] += amount
-		rest -= amount
-	}
-	return normalise(in, flow, amounts, demand), rest
-}
-
 func (s *room) fits(in Input, flow Flow, to string) float64 {
 	fits := min(s.site[Flow{to, flow.Service}], s.region[to])
 	if to == flow.Region {
--- a/core/route/directory.go
+++ b/core/route/directory.go
@@ -27,10 +27,16 @@
 	lists   map[string][]regionList
 }
 
-// regionList holds the entry hosts for one service and the clients of one region: groups of equal distance, nearest first.
+// regionList holds the entry hosts for one service and the clients of one region, nearest region first.
 type regionList struct {
 	timeToLive core.Millis
-	groups     [][]EntryHost
+	groups     []zoneGroup
+}
+
+// zoneGroup holds one region's entry hosts by zone; a zone stands in turns once for each of its slots, so that zones get clients by their slots.
+type zoneGroup struct {
+	zones [][]EntryHost
+	turns []int
 }
 
 // Directory makes the look-ups' table from what is known now.
@@ -65,7 +71,7 @@
 				list.timeToLive = s.LookupTimeToLive
 			}
 		}
-		if group := r.group(now, region, service); len(group) > 0 {
+		if group := r.group(now, region, service); len(group.zones) > 0 {
 			list.groups = append(list.groups, group)
 		}
 	}
@@ -90,28 +96,60 @@
 	}
 }
 
-// group lists a region's entry hosts that are neither known to be dead nor leaving, the service's keepers first.
-func (r *Router) group(now core.Millis, region tree.Region, service string) []EntryHost {
-	var keepers, others []EntryHost
+// group lists a region's entry hosts that are neither known to be dead nor leaving.
+func (r *Router) group(now core.Millis, region tree.Region, service string) zoneGroup {
+	group := zoneGroup{}
 	for _, zone := range r.view.Zones {
 		if zone.Region != region.Name {
 			continue
 		}
-		keeper, _ := r.Keepers.Keeper(now, zone.Name, service)
-		for _, host := range zone.Hosts {
-			state := r.Keepers.Liveness(now, host.Name)
-			if state == core.Dead || state == core.Leaving {
-				continue
-			}
-			entry := EntryHost{host.Name, host.CallerAddress, zone.Name, region.Name}
-			if host.Name == keeper.Host {
-				keepers = append(keepers, entry)
-			} else {
-				others = append(others, entry)
-			}
+		hosts := r.zoneEntries(now, zone, service)
+		if len(hosts) == 0 {
+			continue
+		}
+		for range r.turnsOf(zone.Name, service) {
+			group.turns = append(group.turns, len(group.zones))
 		}
+		group.zones = append(group.zones, hosts)
+	}
+	if len(group.turns) == 0 {
+		// No zone has an endpoint; any host can still carry the request elsewhere.
+		for i := range group.zones {
+			group.turns = append(group.turns, i)
+		}
+	}
+	return group
+}
+
+// turnsOf returns a zone's part of the clients: its endpoints that take work.
+func (r *Router) turnsOf(zone, service string) int {
+	s := r.view.Service(zone, service)
+	if s == nil || s.Drained {
+		return 0
 	}
-	return append(keepers, others...)
+	return len(s.Endpoints) - len(s.Leaving)
+}
+
+// smallZone is the number of hosts up to which a service's keeper takes its zone's clients itself.
+const smallZone = 4
+
+// zoneEntries lists a zone's entry hosts; in a small zone the service's keeper comes first, which saves its clients' requests the way to it.
+func (r *Router) zoneEntries(now core.Millis, zone tree.Zone, service string) []EntryHost {
+	var out []EntryHost
+	keeper, _ := r.Keepers.Keeper(now, zone.Name, service)
+	for _, host := range zone.Hosts {
+		state := r.Keepers.Liveness(now, host.Name)
+		if state == core.Dead || state == core.Leaving {
+			continue
+		}
+		entry := EntryHost{host.Name, host.CallerAddress, zone.Name, zone.Region}
+		if host.Name == keeper.Host && len(zone.Hosts) <= smallZone {
+			out = append([]EntryHost{entry}, out...)
+		} else {
+			out = append(out, entry)
+		}
+	}
+	return out
 }
 
 // RegionOf returns the region of a client's address: by its block, else the region of this host.
@@ -134,10 +172,23 @@
 		return nil, 0, false
 	}
 	list := &lists[region]
-	for _, group := range list.groups {
-		start := int(seed % uint64(len(group)))
-		into = append(into, group[start:]...)
-		into = append(into, group[:start]...)
+	for i := range list.groups {
+		into = list.groups[i].appendTo(into, seed)
 	}
 	return into, list.timeToLive, true
 }
+
+// appendTo adds the group's hosts, the zone whose turn the seed is first.
+func (g *zoneGroup) appendTo(into []EntryHost, seed uint64) []EntryHost {
+	first := g.turns[seed%uint64(len(g.turns))]
+	for i := range g.zones {
+		hosts := g.zones[(first+i)%len(g.zones)]
+		start := 0
+		if len(hosts) > smallZone {
+			start = int((seed >> 16) % uint64(len(hosts)))
+		}
+		into = append(into, hosts[start:]...)
+		into = append(into, hosts[:start]...)
+	}
+	return into
+}
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -14,7 +14,7 @@
 	tokenGrace = 200 * core.Millisecond
 	whoEvery   = 200 * core.Millisecond
 	// abortLinger is how long an endpoint may take to stop a request that was cancelled.
-	abortLinger = 100 * core.Millisecond
+	abortLinger = 5 * core.Millisecond
 )
 
 // waiter is an ask that waits for a slot.
--- a/core/slots/node.go
+++ b/core/slots/node.go
@@ -319,7 +319,10 @@
 func (n *Node) onGrant(now core.Millis, m *Grant, out *core.Effects) {
 	a, ok := n.asked[m.Ask]
 	if !ok {
-		n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
+		// The second answer to an ask that was sent twice names the slot that is in use already.
+		if n.held[m.Token] == nil {
+			n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
+		}
 		return
 	}
 	delete(n.asked, m.Ask)
--- /dev/null
+++ b/io/trial/bench_requests.go
@@ -0,0 +1,212 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"clementinelock/core"
+	"clementinelock/core/model"
+	"clementinelock/core/tree"
+	"clementinelock/io/config"
+)
+
+// newSite starts a user's deployment on virtual time and puts its tree in force.
+func newSite(b *bench, user string, change func(*tree.Tree)) (*model.Site, error) {
+	read, err := config.ReadTree(filepath.Join("examples", user, "tree.toml"))
+	if err != nil {
+		return nil, err
+	}
+	if change != nil {
+		change(read)
+	}
+	s := &model.Site{Seed: b.seed, Tree: read, Fail: func(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }}
+	s.Start()
+	s.PutTree()
+	return s, nil
+}
+
+// highService is each user's most urgent service.
+var highService = map[string]string{"instituto": "estado-guia", "yildirim": "kapora"}
+
+// users lists the examples.
+var users = []string{"instituto", "yildirim"}
+
+const (
+	warmUpFor  = 4 * core.Second
+	measureFor = 10 * core.Second
+	// serviceMillis is the mean time that the model's requests run, its millisecond floor included.
+	serviceMillis = 8.5
+)
+
+// slotRate is the rate at which a region's slots of a service are all in use.
+func slotRate(s *model.Site, region, service string) float64 {
+	slots := 0
+	for _, zone := range s.View.Zones {
+		if zone.Region != region {
+			continue
+		}
+		settings := s.View.Service(zone.Name, service)
+		slots += len(settings.Endpoints) * settings.Slots
+	}
+	return float64(slots) * 1000 / serviceMillis
+}
+
+// startLoad begins callers of a service at a part of its slots.
+func startLoad(s *model.Site, service string, part, keyed float64, deadline core.Millis) *model.Load {
+	l := &model.Load{Site: s, Service: service, Rates: map[string]float64{}, Keyed: keyed, Deadline: deadline}
+	for _, region := range s.View.Regions {
+		l.Rates[region.Name] = part * slotRate(s, region.Name, service)
+	}
+	l.Start()
+	return l
+}
+
+// measured is what a stream of requests got.
+type measured struct {
+	answered, refused, open int
+	beyond, total           []core.Millis
+}
+
+// collect sums up the requests of a service that began in a time.
+func collect(s *model.Site, service string, from, until core.Millis) measured {
+	var m measured
+	for _, r := range s.Requests {
+		if r.Service != service || r.Began < from || r.Began >= until {
+			continue
+		}
+		switch {
+		case !r.Answered:
+			m.open++
+		case r.Answer.Refusal != nil:
+			m.refused++
+		default:
+			m.answered++
+			m.beyond = append(m.beyond, r.At-r.Began-r.Ran)
+			m.total = append(m.total, r.At-r.Began)
+		}
+	}
+	return m
+}
+
+func (m measured) part() float64 {
+	all := m.answered + m.refused + m.open
+	if all == 0 {
+		return 0
+	}
+	return float64(m.answered) / float64(all)
+}
+
+// play runs a load until it is warm, measures, and lets it end.
+func play(s *model.Site, loads ...*model.Load) (from, until core.Millis) {
+	s.For(warmUpFor)
+	from = s.Now
+	s.For(measureFor)
+	until = s.Now
+	for _, l := range loads {
+		l.Stop()
+	}
+	s.For(2 * core.Second)
+	return from, until
+}
+
+const regionRoundTrip = 2 * core.Millisecond
+
+// benchRequests measures the time that a request takes beyond its endpoint's own.
+func benchRequests(_ context.Context, b *bench) error {
+	for _, user := range users {
+		if err := benchLatency(b, user); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func benchLatency(b *bench, user string) error {
+	service := highService[user]
+	s, err := newSite(b, user, nil)
+	if err != nil {
+		return err
+	}
+	load := startLoad(s, service, 0.8, 0, core.Second)
+	from, until := play(s, load)
+	healthy := collect(s, service, from, until)
+	b.add(user+" "+service+" answered at 80%", healthy.part() > 0.99, "> 99%", "%.2f%% of %d", 100*healthy.part(), len(healthy.total))
+	b.atMost(user+" "+service+" p99 beyond own time, 80% of slots", quantile(healthy.beyond, 0.99), regionRoundTrip)
+	b.add(user+" busiest endpoint over mean", spread(s, service) <= 1.15, "≤ 1.15", "%.3f", spread(s, service))
+
+	faulty, err := newSite(b, user, nil)
+	if err != nil {
+		return err
+	}
+	zone := faulty.View.Zones[0].Name
+	faulty.Upstream[faulty.View.Service(zone, service).Endpoints[0]].Dead = true
+	faulty.Upstream[faulty.View.Service(zone, service).Endpoints[1]].Slow = 200
+	load = startLoad(faulty, service, 0.8, 0, core.Second)
+	from, until = play(faulty, load)
+	m := collect(faulty, service, from, until)
+	b.add(user+" "+service+" answered, one endpoint dead, one slow", m.part() > 0.99, "> 99%", "%.2f%%", 100*m.part())
+	b.atMost(user+" "+service+" p99 beyond own time, one dead, one slow", quantile(m.beyond, 0.99), regionRoundTrip)
+	return benchKeyed(b, user, service, healthy)
+}
+
+// benchKeyed compares requests with issued keys with those without.
+func benchKeyed(b *bench, user, service string, plain measured) error {
+	s, err := newSite(b, user, nil)
+	if err != nil {
+		return err
+	}
+	load := startLoad(s, service, 0.8, 1, core.Second)
+	from, until := play(s, load)
+	keyed := collect(s, service, from, until)
+	added := quantile(keyed.beyond, 0.5) - quantile(plain.beyond, 0.5)
+	b.atMost(user+" a key adds, p50", added, regionRoundTrip)
+	b.atMost(user+" keyed p99 beyond own time, 80% of slots", quantile(keyed.beyond, 0.99), 2*regionRoundTrip)
+	return nil
+}
+
+func spread(s *model.Site, service string) float64 {
+	most, total, count := 0, 0, 0
+	for _, u := range s.Upstream {
+		if u.Service == service {
+			most = max(most, u.Served)
+			total += u.Served
+			count++
+		}
+	}
+	return float64(most) * float64(count) / float64(total)
+}
+
+// benchOverload measures goodput and the high class's latency under overload.
+func benchOverload(_ context.Context, b *bench) error {
+	for _, user := range users {
+		service := highService[user]
+		reference := core.Millis(0)
+		capacity := 0.0
+		for _, part := range []float64{0.8, 1, 2, 5} {
+			s, err := newSite(b, user, nil)
+			if err != nil {
+				return err
+			}
+			load := startLoad(s, service, part, 0, core.Second)
+			from, until := play(s, load)
+			m := collect(s, service, from, until)
+			p99 := quantile(m.total, 0.99)
+			rate := float64(m.answered) / (float64(until-from) / 1000)
+			switch part {
+			case 0.8:
+				reference = p99
+				b.add(user+" "+service+" p99 at 80%", true, "", "%s", p99)
+			case 1:
+				for _, region := range s.View.Regions {
+					capacity += slotRate(s, region.Name, service)
+				}
+				b.add(user+" goodput at 1×", true, "", "%.1f%% of capacity", 100*rate/capacity)
+			default:
+				b.add(fmt.Sprintf("%s goodput at %g×", user, part), rate >= 0.95*capacity, "≥ 95%", "%.1f%% of capacity", 100*rate/capacity)
+				b.add(fmt.Sprintf("%s p99 at %g× over that at 80%%", user, part), float64(p99) <= 1.2*float64(reference), "≤ 1.2", "%.2f (%s)", float64(p99)/float64(reference), p99)
+			}
+		}
+	}
+	return nil
+}
