--- a/core/fake/world.go
+++ b/core/fake/world.go
@@ -26,6 +26,8 @@
 	// Loss and Repeat are the parts of messages that are lost and sent twice.
 	Loss, Repeat float64
 	TickEvery    core.Millis
+	// OnSend is told of each message that is sent.
+	OnSend func(from, to string, message core.Message)
 	// Carry takes the effects that are not messages.
 	Carry func(host string, e core.Effects)
 
@@ -134,6 +136,9 @@
 
 func (w *World) send(from, to string, message core.Message) {
 	w.Sent[message.MessageName()]++
+	if w.OnSend != nil {
+		w.OnSend(from, to, message)
+	}
 	copies := 1
 	if w.Rand.Float64() < w.Repeat {
 		copies = 2
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -353,3 +353,8 @@
 func (m *Machine) Versions() Versions {
 	return Versions{m.relay.Version(), m.relay.Confirmed()}
 }
+
+// Leads tells whether this host's control replica believes that it leads.
+func (m *Machine) Leads() bool {
+	return m.quorum != nil && m.quorum.IsLeader()
+}
--- a/core/model/site.go
+++ b/core/model/site.go
@@ -445,6 +445,10 @@
 
 // PutTree makes the tree the first version and waits until all serve.
 func (s *Site) PutTree() {
+	s.putTree(8 * core.Second)
+}
+
+func (s *Site) putTree(settle core.Millis) {
 	s.For(3 * core.Second)
 	edit := &tree.Edit{ID: "first", Changes: tree.Changes(tree.Compare(&tree.Tree{}, s.Tree))}
 	accepted := false
@@ -454,7 +458,7 @@
 		}
 		accepted = true
 	})
-	s.For(8 * core.Second)
+	s.For(settle)
 	if !accepted {
 		s.Fail("seed %d: the first tree was not accepted", s.Seed)
 	}
--- /dev/null
+++ b/io/trial/bench_scale.go
@@ -0,0 +1,180 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/core/model"
+	"clementinelock/core/tree"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// The two-year size.
+const (
+	futureNodes   = 1200
+	futureZones   = 35
+	futureRegions = 13
+	nodesPerZone  = 34
+	scaleFor      = 10 * core.Second
+	bytesTarget   = 30_000
+	coreTarget    = 1.2
+	memoryTarget  = 256 << 20
+)
+
+// scalePoint is what one size costs a node.
+type scalePoint struct {
+	nodes, zones   int
+	messages       float64
+	bytes          float64
+	most           float64
+	core           float64
+	memory         float64
+	inForce        core.Millis
+	controlBytes   float64
+	controlHosts   int
+	messagesByName map[string]int
+}
+
+// scaleTree makes a tree of many hosts in zones of the two-year size, four services each.
+func scaleTree(nodes int) *tree.Tree {
+	t := &tree.Tree{Nodes: map[tree.Path]tree.Values{}}
+	zones := max(2, (nodes+nodesPerZone-1)/nodesPerZone)
+	regions := max(1, zones*futureRegions/futureZones)
+	left := nodes
+	for z := range zones {
+		region, zone := fmt.Sprintf("region-%d", z%regions), fmt.Sprintf("zone-%d", z)
+		count := left / (zones - z)
+		left -= count
+		hosts := ""
+		for h := range count {
+			ip := fmt.Sprintf("127.%d.%d.%d", 10+z, h/200, 1+h%200)
+			hosts += fmt.Sprintf("%s-%d %s:8080 %s:8443, ", zone, h, ip, ip)
+		}
+		t.Nodes[tree.Path("/"+region+"/"+zone)] = tree.Values{"Hosts": hosts}
+		t.Nodes[tree.Path("/"+region)] = tree.Values{"Clients": fmt.Sprintf("10.%d.0.0/16", z%regions)}
+		for s, service := range []string{"one", "two", "three", "four"} {
+			endpoints := ""
+			for e := range 8 {
+				endpoints += fmt.Sprintf("127.%d.%d.%d:90%02d, ", 100+z, 1+e/4, 1+e, s)
+			}
+			t.Nodes[tree.Path("/"+region+"/"+zone+":"+service)] = tree.Values{"Endpoints": endpoints}
+		}
+	}
+	return t
+}
+
+// measureScale runs a deployment without callers and counts what control costs.
+func measureScale(b *bench, nodes int) scalePoint {
+	t := scaleTree(nodes)
+	view := tree.NewView(t)
+	p := scalePoint{nodes: nodes, zones: len(view.Zones)}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := &model.Site{Seed: b.seed, Tree: t, Fail: func(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }}
+	for i := range min(5, len(view.Zones)) {
+		s.Control = append(s.Control, view.ZoneHosts(view.Zones[i].Name)[0])
+	}
+	s.Start()
+	s.PutTree()
+	s.For(5 * core.Second)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	p.memory = float64(after.HeapAlloc-before.HeapAlloc) / float64(nodes)
+	p.controlHosts = len(s.Control)
+	p.count(s)
+	p.inForce = worstEdit(s)
+	runtime.KeepAlive(s)
+	return p
+}
+
+// count counts messages, bytes and processor time for a while.
+func (p *scalePoint) count(s *model.Site) {
+	sent := map[string]float64{}
+	messages := 0
+	encoding := time.Duration(0)
+	s.OnSend = func(from, to string, message core.Message) {
+		began := time.Now()
+		size := float64(len(host.Encode(message)))
+		encoding += time.Since(began)
+		sent[from] += size
+		sent[to] += size
+		messages++
+	}
+	clear(s.Sent)
+	began := time.Now()
+	s.For(scaleFor)
+	spent := time.Since(began)
+	s.OnSend = nil
+	seconds := float64(scaleFor) / 1000
+	p.messagesByName = s.Sent
+	p.messages = float64(messages) / float64(p.nodes) / seconds
+	p.core = 100 * spent.Seconds() / seconds / float64(p.nodes)
+	total := 0.0
+	for name, size := range sent {
+		total += size
+		p.most = max(p.most, size/seconds)
+		for _, control := range s.Control {
+			if control == name {
+				p.controlBytes = max(p.controlBytes, size/seconds)
+			}
+		}
+	}
+	p.bytes = total / seconds / float64(p.nodes)
+}
+
+// worstEdit returns the longest time of some edits until they are in force everywhere.
+func worstEdit(s *model.Site) core.Millis {
+	worst := core.Millis(0)
+	for i := range 5 {
+		_, f := oneEdit(s, s.Control[0], i)
+		worst = max(worst, f)
+		s.For(200)
+	}
+	return worst
+}
+
+// scaleSizes are the sizes that slopes are measured at.
+var scaleSizes = []int{9, 50, 200, 400}
+
+// benchScale measures what control costs a node at several sizes and fits a line through the points.
+func benchScale(_ context.Context, b *bench) error {
+	var points []scalePoint
+	for _, nodes := range scaleSizes {
+		p := measureScale(b, nodes)
+		points = append(points, p)
+		b.add(fmt.Sprintf("%d nodes in %d zones", p.nodes, p.zones), true, "",
+			"%.1f messages/s, %.1f KB/s (busiest %.1f, busiest control host %.1f), %.3f%% of a core, %.2f MiB, in force %s",
+			p.messages, p.bytes/1000, p.most/1000, p.controlBytes/1000, p.core, p.memory/(1<<20), p.inForce)
+	}
+	b.fit(points)
+	return nil
+}
+
+// fit extrapolates each figure by a line through the points.
+func (b *bench) fit(points []scalePoint) {
+	at := func(value func(scalePoint) float64) float64 {
+		var x, y []float64
+		for _, p := range points {
+			x = append(x, float64(p.nodes))
+			y = append(y, value(p))
+		}
+		offset, slope := stat.LinearRegression(x, y, nil, false)
+		return offset + slope*futureNodes
+	}
+	bytes := at(func(p scalePoint) float64 { return p.bytes })
+	most := at(func(p scalePoint) float64 { return p.most })
+	spent := at(func(p scalePoint) float64 { return p.core })
+	memory := at(func(p scalePoint) float64 { return p.memory })
+	inForce := at(func(p scalePoint) float64 { return float64(p.inForce) })
+	b.add("1,200 nodes by the line: mean bytes sent and received", bytes <= bytesTarget, "≤ 30 KB/s", "%.1f KB/s", bytes/1000)
+	b.add("1,200 nodes by the line: busiest node", most <= bytesTarget, "≤ 30 KB/s", "%.1f KB/s", most/1000)
+	b.add("1,200 nodes by the line: processor time, the model's own included", spent <= coreTarget, "≤ 1.2%", "%.3f%%", spent)
+	b.add("1,200 nodes by the line: memory", memory <= memoryTarget, "≤ 256 MiB", "%.1f MiB", memory/(1<<20))
+	b.add("1,200 nodes by the line: in force", inForce <= 12000, "≤ 12s", "%.0fms", inForce)
+}
