Control's bytes: gossip by pulses, grants and plans only when they change

Making the look-ups' table took most of the processor time, since it was made for each pair of regions.

Change: entries and reports travel in full while they are news and now and then, else as a hash with a counter; the host's own zone is not told to other zones host by host; structs are encoded as arrays; confirms go up when they change and every 8 s; hosts without demand ask for shares every 2 s; a plan is sent when a share moves by 1% or every 8 s; the look-ups' groups are made once per region and less often in a large deployment.

--- a/core/ctrl/planner.go
+++ b/core/ctrl/planner.go
@@ -12,6 +12,10 @@
 
 const (
 	planEvery = core.Second
+	// replanEvery is how often a plan that hardly changes is sent out all the same.
+	replanEvery = 8 * core.Second
+	// smallChange is the part of a flow up to which a change waits.
+	smallChange = 0.01
 	// settleFor is how long a new leader listens for the newest plan before it makes one.
 	settleFor = 2 * core.Second
 	// eventLead is how long before an expected event the planner prepares for it.
@@ -46,6 +50,9 @@
 	n.observe(now)
 	result := plan.Make(n.input(now, n.Book.View(), plan.Link{}))
 	next := result.Plan
+	if previous := n.Relay.Plan(); previous != nil && previous.Version == next.Version && now-previous.Made < replanEvery && plan.Distance(previous, next) < smallChange {
+		return
+	}
 	if next.Term != n.Replica.Term() {
 		next.Term, next.Number = n.Replica.Term(), 1
 	}
@@ -97,7 +104,7 @@
 		LinkUsed: map[plan.Link]float64{}, Previous: n.Relay.Plan(), Now: now,
 	}
 	if in.Previous != nil {
-		in.Elapsed = min(now-in.Previous.Made, 2*planEvery)
+		in.Elapsed = min(now-in.Previous.Made, replanEvery+2*planEvery)
 	}
 	for flow, estimate := range n.planner.estimates {
 		in.Demand[flow] = estimate.Value(now) * eventFactor(now, view, flow.Region)
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -11,6 +11,8 @@
 const (
 	Length    = 4 * core.Second
 	WantEvery = 500 * core.Millisecond
+	// idleEvery is how often a host without demand tells of it.
+	idleEvery = 2 * core.Second
 	// safeShare is the part of each limit that is kept for hosts without a valid share.
 	safeShare = 0.3
 	// beginShare is the part of an even share that a host without demand counts with.
@@ -27,6 +29,7 @@
 
 // Want tells the divider how much of each resource the host is asked for, how much of it is urgent, and what it still holds.
 type Want struct {
+	_      struct{} `cbor:",toarray"`
 	Rates  map[string]float64
 	Urgent map[string]float64
 	Holds  map[string]float64
@@ -35,6 +38,7 @@
 
 // Give answers Want with shares that end Length after the Want was sent.
 type Give struct {
+	_     struct{} `cbor:",toarray"`
 	Rates map[string]float64
 	Round uint64
 }
@@ -104,17 +108,18 @@
 	// Divider returns the host that divides the region's limits, or the empty string.
 	Divider func(now core.Millis) string
 
-	limits   map[string]float64
-	hosts    int
-	dividing bool
-	since    core.Millis
-	shares   map[string]map[string]share
-	wants    map[string]map[string]wish
-	holds    map[string]holding
-	buckets  map[string]*bucket
-	nextWant core.Millis
-	round    uint64
-	sent     map[uint64]core.Millis
+	limits    map[string]float64
+	hosts     int
+	dividing  bool
+	since     core.Millis
+	shares    map[string]map[string]share
+	wants     map[string]map[string]wish
+	holds     map[string]holding
+	buckets   map[string]*bucket
+	nextWant  core.Millis
+	idleUntil core.Millis
+	round     uint64
+	sent      map[uint64]core.Millis
 }
 
 // Start prepares the node.
@@ -240,8 +245,13 @@
 	if divider == "" {
 		return
 	}
+	if n.idle() && now < n.idleUntil {
+		n.nextWant = now + WantEvery
+		return
+	}
 	want := n.want(now)
 	n.nextWant = now + WantEvery
+	n.idleUntil = now + idleEvery
 	if divider == n.Self && !n.dividing {
 		return
 	}
@@ -252,12 +262,24 @@
 	out.Send(divider, want)
 }
 
+// idle tells whether nothing was used since the last Want.
+func (n *Node) idle() bool {
+	for _, b := range n.buckets {
+		if b.demand > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) want(now core.Millis) *Want {
 	n.round++
 	n.sent = map[uint64]core.Millis{n.round: now}
 	w := &Want{Rates: map[string]float64{}, Urgent: map[string]float64{}, Holds: map[string]float64{}, Round: n.round}
 	for resource := range n.limits {
-		w.Rates[resource], w.Urgent[resource] = n.measured(resource)
+		if rate, urgent := n.measured(resource); rate > 0 {
+			w.Rates[resource], w.Urgent[resource] = rate, urgent
+		}
 		if h := n.holds[resource]; now < h.until {
 			w.Holds[resource] = h.rate
 		}
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -19,9 +19,11 @@
 const (
 	pollEvery      = 500 * core.Millisecond
 	directoryEvery = 250 * core.Millisecond
-	demandWindow   = core.Second
-	operatorWait   = 8 * core.Second
-	operatorAgain  = 400 * core.Millisecond
+	// largeDeployment is the number of zones from which the look-ups' table is made less often.
+	largeDeployment = 12
+	demandWindow    = core.Second
+	operatorWait    = 8 * core.Second
+	operatorAgain   = 400 * core.Millisecond
 )
 
 // operator is a question that was asked at this host.
@@ -54,12 +56,17 @@
 		}
 	}
 	if m.view != nil && now >= m.dirAt {
-		m.dirAt = now + directoryEvery
+		m.dirAt = now + m.directoryEvery()
 		m.directory = m.router.Directory(now, m.relay.Plan())
 	}
 	m.measure(now)
 }
 
+// directoryEvery is longer in a large deployment, whose table takes longer to make.
+func (m *Machine) directoryEvery() core.Millis {
+	return directoryEvery * core.Millis(1+len(m.view.Zones)/largeDeployment)
+}
+
 // Directory returns the look-ups' table, or nil before there is a configuration; it is never changed once returned.
 func (m *Machine) Directory() *route.Directory {
 	return m.directory
@@ -289,7 +296,7 @@
 	if now-s.since >= handOverAfter {
 		m.handOverAll(now, out)
 	}
-	if now-s.since < m.longestTimeToLive()+directoryEvery {
+	if m.view != nil && now-s.since < m.longestTimeToLive()+m.directoryEvery() {
 		return
 	}
 	s.refusing = true
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -30,6 +30,7 @@
 
 // Ask asks a voter for leases; Release gives them back instead.
 type Ask struct {
+	_           struct{} `cbor:",toarray"`
 	Incarnation uint64
 	Round       uint64
 	Names       []string
@@ -38,6 +39,7 @@
 
 // Answer tells which leases the voter granted and who holds the others.
 type Answer struct {
+	_       struct{} `cbor:",toarray"`
 	Round   uint64
 	Names   []string
 	Granted []bool
--- /dev/null
+++ b/core/member/gossip.go
@@ -0,0 +1,257 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"clementinelock/core"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func hashOf(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
+// nameOf finds the host of the zone, or the zone, that a hash stands for.
+func (t *Table) nameOf(hash uint32) string {
+	if t.byHash == nil {
+		t.byHash = map[uint32]string{}
+		names, hosts := t.zones()
+		for _, name := range slices.Concat(names, hosts[t.Zone]) {
+			t.byHash[hashOf(name)] = name
+		}
+	}
+	return t.byHash[hash]
+}
+
+// beatEvery is longer in a large zone, whose hosts have more to say.
+func (t *Table) beatEvery() core.Millis {
+	if len(t.zone) > smallGroup {
+		return largeEvery
+	}
+	return BeatEvery
+}
+
+// Tick sends beats when they are due.
+func (t *Table) Tick(now core.Millis, out *core.Effects) {
+	if now < t.nextBeat || now-t.lastBeat < minBeatGap {
+		return
+	}
+	t.nextBeat = now + t.beatEvery()
+	t.lastBeat = now
+	t.counter++
+	inner, outer := t.targets()
+	zones := t.zoneBeat(now)
+	if len(inner) > 0 {
+		beat := t.hostBeat(now)
+		beat.Reports, beat.Zones, beat.Notices = zones.Reports, zones.Zones, zones.Notices
+		for _, target := range inner {
+			out.Send(target, beat)
+		}
+	}
+	zones.addOwn(t, now)
+	for _, target := range outer {
+		out.Send(target, zones)
+	}
+}
+
+// hostBeat carries the zone's hosts, for hosts of the zone.
+func (t *Table) hostBeat(now core.Millis) *Beat {
+	beat := &Beat{Zone: t.Zone, Entries: []Entry{t.own(now)}}
+	for _, name := range slices.Sorted(maps.Keys(t.zone)) {
+		h := t.zone[name]
+		switch {
+		case now-h.at >= t.deadAfter():
+		case t.inFull(now, h.changed, len(t.zone)):
+			beat.Entries = append(beat.Entries, h.Entry)
+		default:
+			beat.Pulses = append(beat.Pulses, Pulse{Name: hashOf(name), Incarnation: h.Incarnation, Counter: h.Counter})
+		}
+	}
+	return beat
+}
+
+// zoneBeat carries the other zones' reports and the notices of endpoints.
+func (t *Table) zoneBeat(now core.Millis) *Beat {
+	beat := &Beat{Zone: t.Zone}
+	for _, zone := range slices.Sorted(maps.Keys(t.reports)) {
+		r := t.reports[zone]
+		switch {
+		case now-r.at >= zoneStale || zone == t.Zone:
+		case t.inFull(now, r.changed, len(t.reports)):
+			beat.Reports = append(beat.Reports, r.Report)
+		default:
+			beat.Zones = append(beat.Zones, ZonePulse{Zone: hashOf(zone), Stamp: r.Stamp})
+		}
+	}
+	for _, endpoint := range slices.Sorted(maps.Keys(t.notices)) {
+		if len(beat.Notices) < mostNotices {
+			beat.Notices = append(beat.Notices, t.notices[endpoint])
+		}
+	}
+	return beat
+}
+
+// addOwn adds the report of this host's own zone.
+func (b *Beat) addOwn(t *Table, now core.Millis) {
+	report := t.ownReport(now)
+	if !sameReport(report, t.lastReport) {
+		t.reportAt = now
+	}
+	t.lastReport = report
+	if t.inFull(now, t.reportAt, len(t.reports)) {
+		b.Reports = append(slices.Clone(b.Reports), report)
+		return
+	}
+	b.Zones = append(slices.Clone(b.Zones), ZonePulse{Zone: hashOf(t.Zone), Stamp: report.Stamp})
+}
+
+// inFull tells whether something is sent in full: when it is news, when there is little to send, and now and then.
+func (t *Table) inFull(now, changed core.Millis, group int) bool {
+	return group <= smallGroup || now-changed < news || t.Rand.IntN(refreshOneOf) == 0
+}
+
+func (t *Table) own(now core.Millis) Entry {
+	e := Entry{Name: t.Self, Incarnation: t.Incarnation, Counter: t.counter, Leaving: t.leaving}
+	t.Own(now, &e)
+	return e
+}
+
+// ownReport sums up this zone; its stamp is the wall clock, which only orders reports of one zone.
+func (t *Table) ownReport(now core.Millis) Report {
+	r := Report{Zone: t.Zone, Stamp: uint64(now), Keepers: map[string]KeeperAt{}}
+	_, hosts := t.zones()
+	for _, name := range hosts[t.Zone] {
+		switch t.Liveness(now, name) {
+		case core.Dead:
+			r.Down = append(r.Down, name)
+		case core.Leaving:
+			r.Leaving = append(r.Leaving, name)
+		}
+	}
+	entries := []Entry{t.own(now)}
+	for _, h := range t.zone {
+		if now-h.at < t.deadAfter() {
+			entries = append(entries, h.Entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	for _, e := range entries {
+		r.Version = max(r.Version, e.Version)
+		if e.Region {
+			r.RegionKeeper = e.Name
+		}
+		for _, keep := range e.Keeps {
+			r.Keepers[keep.Service] = KeeperAt{Host: e.Name, Free: keep.Free, Waiting: keep.Waiting}
+		}
+	}
+	return r
+}
+
+// targets picks some hosts of the zone at random, and some of other zones in turn.
+func (t *Table) targets() (inner, outer []string) {
+	names, hosts := t.zones()
+	inner = slices.DeleteFunc(slices.Clone(hosts[t.Zone]), func(name string) bool { return name == t.Self })
+	t.Rand.Shuffle(len(inner), func(i, j int) { inner[i], inner[j] = inner[j], inner[i] })
+	inner = inner[:min(len(inner), zoneFanOut)]
+	others := slices.DeleteFunc(slices.Clone(names), func(zone string) bool { return zone == t.Zone || len(hosts[zone]) == 0 })
+	if len(others) == 0 {
+		return inner, nil
+	}
+	for range min(2, len(others)) {
+		t.turn++
+		zone := hosts[others[t.turn%len(others)]]
+		outer = append(outer, zone[t.Rand.IntN(len(zone))])
+	}
+	return inner, outer
+}
+
+// Receive takes a beat.
+func (t *Table) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
+	beat, ok := message.(*Beat)
+	if !ok {
+		return
+	}
+	newest := uint64(0)
+	if beat.Zone == t.Zone {
+		for _, e := range beat.Entries {
+			t.takeEntry(now, e)
+			if e.Name == from {
+				newest = e.Version
+			}
+		}
+	}
+	for _, pulse := range beat.Pulses {
+		t.takePulse(now, beat.Zone, pulse)
+	}
+	for _, pulse := range beat.Zones {
+		if r := t.reports[t.nameOf(pulse.Zone)]; r != nil && pulse.Stamp > r.Stamp {
+			r.Stamp, r.at = pulse.Stamp, now
+		}
+	}
+	for _, report := range beat.Reports {
+		t.takeReport(now, report)
+		if report.Zone == beat.Zone && newest == 0 {
+			newest = report.Version
+		}
+	}
+	t.TakeNotices(now, beat.Notices, out)
+	t.OnNewer(now, from, newest, out)
+}
+
+func (t *Table) takeEntry(now core.Millis, e Entry) {
+	if e.Name == t.Self {
+		if e.Incarnation < t.Incarnation {
+			t.OnFloor(e.Confirmed)
+		}
+		return
+	}
+	h := t.zone[e.Name]
+	newer := h == nil || e.Incarnation > h.Incarnation || e.Incarnation == h.Incarnation && e.Counter > h.Counter
+	if !newer {
+		return
+	}
+	changed := now
+	if h != nil && sameEntry(h.Entry, e) {
+		changed = h.changed
+	}
+	t.zone[e.Name] = &heard{e, now, changed}
+}
+
+func (t *Table) takePulse(now core.Millis, zone string, p Pulse) {
+	if zone != t.Zone {
+		return
+	}
+	h := t.zone[t.nameOf(p.Name)]
+	if h != nil && h.Incarnation == p.Incarnation && p.Counter > h.Counter {
+		h.Counter, h.at = p.Counter, now
+	}
+}
+
+// sameEntry tells whether two entries say the same, counters and load left out.
+func sameEntry(a, b Entry) bool {
+	return a.Incarnation == b.Incarnation && a.Leaving == b.Leaving && a.Version == b.Version && a.Confirmed == b.Confirmed &&
+		a.Region == b.Region && slices.EqualFunc(a.Keeps, b.Keeps, func(x, y Keep) bool { return x.Service == y.Service })
+}
+
+// sameReport tells whether two reports say the same, stamps and load left out.
+func sameReport(a, b Report) bool {
+	return slices.Equal(a.Down, b.Down) && slices.Equal(a.Leaving, b.Leaving) && a.Version == b.Version && a.RegionKeeper == b.RegionKeeper &&
+		maps.EqualFunc(a.Keepers, b.Keepers, func(x, y KeeperAt) bool { return x.Host == y.Host })
+}
+
+func (t *Table) takeReport(now core.Millis, report Report) {
+	if report.Zone == t.Zone {
+		return
+	}
+	old := t.reports[report.Zone]
+	if old == nil || report.Stamp > old.Stamp || now-old.at > zoneStale {
+		changed := now
+		if old != nil && sameReport(old.Report, report) {
+			changed = old.changed
+		}
+		t.reports[report.Zone] = &zoneReport{report, now, changed}
+	}
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -11,80 +11,34 @@
 
 // Lengths of time of the gossip.
 const (
-	BeatEvery    = 250 * core.Millisecond
-	DeadAfter    = 1500 * core.Millisecond
-	zoneStale    = 5 * core.Second
-	zoneFanOut   = 2
-	minBeatGap   = 20 * core.Millisecond
-	growthFactor = 150 * core.Millisecond
+	BeatEvery  = 250 * core.Millisecond
+	largeEvery = 500 * core.Millisecond
+	DeadAfter  = 1500 * core.Millisecond
+	zoneStale  = 5 * core.Second
+	zoneFanOut = 2
+	minBeatGap = 20 * core.Millisecond
+	// smallGroup is the number of hosts in a zone, or of zones, up to which beats carry everything.
+	smallGroup = 6
+	// news is how long a change is passed on in full.
+	news = 3 * core.Second
+	// refreshOneOf is how many beats carry an unchanged entry in full once, on average.
+	refreshOneOf = 16
 	// mostNotices bounds the notices in one beat.
 	mostNotices = 512
 )
 
-// Keep is a task that a host keeps, with how much of it is free and waiting.
-type Keep struct {
-	Service string
-	Free    int
-	Waiting int
-}
-
-// Entry is what a host says of itself.
-type Entry struct {
-	Name        string
-	Incarnation uint64
-	Counter     uint64
-	Leaving     bool
-	Version     uint64
-	Confirmed   uint64
-	Keeps       []Keep
-	Region      bool
-}
-
-// Report is what one zone says of itself to others.
-type Report struct {
-	Zone    string
-	Stamp   uint64
-	Down    []string
-	Leaving []string
-	Version uint64
-	Keepers map[string]KeeperAt
-	// RegionKeeper is the host of the zone that keeps the region's task, if any does.
-	RegionKeeper string
-}
-
-// KeeperAt is the keeper of one service in a zone.
-type KeeperAt struct {
-	Host    string
-	Free    int
-	Waiting int
-}
-
-// Notice is the platform's word on one endpoint; Since orders the notices of one endpoint.
-type Notice struct {
-	Endpoint string
-	Leaving  bool
-	Since    core.Millis
-}
-
-// Beat carries a host's own entry, those of its zone, the zones' reports and the notices of leaving endpoints.
-type Beat struct {
-	Zone    string
-	Entries []Entry
-	Reports []Report
-	Notices []Notice
-}
-
-// MessageName returns the message's name.
-func (Beat) MessageName() string { return "MemberBeat" }
-
+// heard is another host's entry, with the times when it was last heard of and when it last said something new.
 type heard struct {
 	Entry
-	at core.Millis
+	at      core.Millis
+	changed core.Millis
 }
 
+// zoneReport is another zone's report, with the same times.
 type zoneReport struct {
 	Report
-	at core.Millis
+	at      core.Millis
+	changed core.Millis
 }
 
 // Table is a host's knowledge of all hosts. Set the exported fields before use.
@@ -115,6 +69,10 @@
 	lastBeat core.Millis
 	turn     int
 	notices  map[string]Notice
+	byHash   map[uint32]string
+	// lastReport is this zone's report as it was sent last, reportAt when it last said something new.
+	lastReport Report
+	reportAt   core.Millis
 }
 
 // Start takes the time of the process's start.
@@ -128,6 +86,7 @@
 // SetView takes a new version of the tree.
 func (t *Table) SetView(view *tree.View) {
 	t.view = view
+	t.byHash = nil
 }
 
 // Leave makes the host tell the others that it is leaving.
@@ -154,41 +113,6 @@
 	return names, hosts
 }
 
-// Tick sends beats when they are due.
-func (t *Table) Tick(now core.Millis, out *core.Effects) {
-	if now < t.nextBeat || now-t.lastBeat < minBeatGap {
-		return
-	}
-	t.nextBeat = now + BeatEvery
-	t.lastBeat = now
-	t.counter++
-	beat := t.beat(now)
-	for _, target := range t.targets() {
-		out.Send(target, beat)
-	}
-}
-
-func (t *Table) beat(now core.Millis) *Beat {
-	beat := &Beat{Zone: t.Zone, Entries: []Entry{t.own(now)}}
-	for _, name := range slices.Sorted(maps.Keys(t.zone)) {
-		if h := t.zone[name]; now-h.at < t.deadAfter() {
-			beat.Entries = append(beat.Entries, h.Entry)
-		}
-	}
-	beat.Reports = append(beat.Reports, t.ownReport(now))
-	for _, zone := range slices.Sorted(maps.Keys(t.reports)) {
-		if r := t.reports[zone]; now-r.at < zoneStale && zone != t.Zone {
-			beat.Reports = append(beat.Reports, r.Report)
-		}
-	}
-	for _, endpoint := range slices.Sorted(maps.Keys(t.notices)) {
-		if len(beat.Notices) < mostNotices {
-			beat.Notices = append(beat.Notices, t.notices[endpoint])
-		}
-	}
-	return beat
-}
-
 // TakeNotices takes the platform's word on endpoints, from its list or from another host; the newest word on each counts.
 func (t *Table) TakeNotices(now core.Millis, notices []Notice, out *core.Effects) {
 	changed := false
@@ -217,130 +141,13 @@
 	return leaving
 }
 
-func (t *Table) own(now core.Millis) Entry {
-	e := Entry{Name: t.Self, Incarnation: t.Incarnation, Counter: t.counter, Leaving: t.leaving}
-	t.Own(now, &e)
-	return e
-}
-
-// ownReport sums up this zone; its stamp is the wall clock, which only orders reports of one zone.
-func (t *Table) ownReport(now core.Millis) Report {
-	r := Report{Zone: t.Zone, Stamp: uint64(now), Keepers: map[string]KeeperAt{}}
-	_, hosts := t.zones()
-	for _, name := range hosts[t.Zone] {
-		switch t.Liveness(now, name) {
-		case core.Dead:
-			r.Down = append(r.Down, name)
-		case core.Leaving:
-			r.Leaving = append(r.Leaving, name)
-		}
-	}
-	entries := []Entry{t.own(now)}
-	for _, h := range t.zone {
-		if now-h.at < t.deadAfter() {
-			entries = append(entries, h.Entry)
-		}
-	}
-	slices.SortFunc(entries, func(a, b Entry) int { return compareText(a.Name, b.Name) })
-	for _, e := range entries {
-		r.Version = max(r.Version, e.Version)
-		if e.Region {
-			r.RegionKeeper = e.Name
-		}
-		for _, keep := range e.Keeps {
-			r.Keepers[keep.Service] = KeeperAt{e.Name, keep.Free, keep.Waiting}
-		}
-	}
-	return r
-}
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// targets picks some hosts of the zone at random and one of another zone in turn.
-func (t *Table) targets() []string {
-	names, hosts := t.zones()
-	own := slices.DeleteFunc(slices.Clone(hosts[t.Zone]), func(name string) bool { return name == t.Self })
-	t.Rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
-	if len(own) > zoneFanOut {
-		own = own[:zoneFanOut]
-	}
-	others := slices.DeleteFunc(slices.Clone(names), func(zone string) bool { return zone == t.Zone || len(hosts[zone]) == 0 })
-	if len(others) == 0 {
-		return own
-	}
-	for range min(2, len(others)) {
-		t.turn++
-		zone := hosts[others[t.turn%len(others)]]
-		own = append(own, zone[t.Rand.IntN(len(zone))])
-	}
-	return own
-}
-
 // deadAfter grows with the zone, since gossip takes a few more rounds in a larger one.
 func (t *Table) deadAfter() core.Millis {
 	rounds := core.Millis(0)
 	for size := len(t.zone); size > 2; size /= 2 {
 		rounds++
 	}
-	return DeadAfter + rounds*growthFactor
-}
-
-// Receive takes a beat.
-func (t *Table) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
-	beat, ok := message.(*Beat)
-	if !ok {
-		return
-	}
-	newest := uint64(0)
-	if beat.Zone == t.Zone {
-		for _, e := range beat.Entries {
-			t.takeEntry(now, e)
-			if e.Name == from {
-				newest = e.Version
-			}
-		}
-	}
-	for _, report := range beat.Reports {
-		t.takeReport(now, report)
-		if report.Zone == beat.Zone && newest == 0 {
-			newest = report.Version
-		}
-	}
-	t.TakeNotices(now, beat.Notices, out)
-	t.OnNewer(now, from, newest, out)
-}
-
-func (t *Table) takeEntry(now core.Millis, e Entry) {
-	if e.Name == t.Self {
-		if e.Incarnation < t.Incarnation {
-			t.OnFloor(e.Confirmed)
-		}
-		return
-	}
-	h := t.zone[e.Name]
-	newer := h == nil || e.Incarnation > h.Incarnation || e.Incarnation == h.Incarnation && e.Counter > h.Counter
-	if newer {
-		t.zone[e.Name] = &heard{e, now}
-	}
-}
-
-func (t *Table) takeReport(now core.Millis, report Report) {
-	if report.Zone == t.Zone {
-		return
-	}
-	old := t.reports[report.Zone]
-	if old == nil || report.Stamp > old.Stamp || now-old.at > zoneStale {
-		t.reports[report.Zone] = &zoneReport{report, now}
-	}
+	return DeadAfter + rounds*t.beatEvery()
 }
 
 // Liveness returns what is known of a host: from its own counter inside the zone, from the zone's report outside it.
@@ -435,7 +242,7 @@
 func keepOf(e Entry, service string) (KeeperAt, bool) {
 	for _, keep := range e.Keeps {
 		if keep.Service == service {
-			return KeeperAt{e.Name, keep.Free, keep.Waiting}, true
+			return KeeperAt{Host: e.Name, Free: keep.Free, Waiting: keep.Waiting}, true
 		}
 	}
 	return KeeperAt{}, false
--- a/core/plan/shift.go
+++ b/core/plan/shift.go
@@ -108,6 +108,17 @@
 	return true
 }
 
+// Distance is the largest part of any flow that moves between two plans.
+func Distance(a, b *Plan) float64 {
+	most := 0.0
+	for region, services := range b.Shares {
+		for service, shares := range services {
+			most = max(most, distance(a.Of(region, service), shares))
+		}
+	}
+	return most
+}
+
 // distance is the part of a flow that moves between two plans.
 func distance(a, b Shares) float64 {
 	sum := 0.0
--- a/core/relay/messages.go
+++ b/core/relay/messages.go
@@ -8,6 +8,7 @@
 
 // Confirm tells which version is in force at a host and, when it lags, why.
 type Confirm struct {
+	_       struct{} `cbor:",toarray"`
 	Host    string
 	Have    uint64
 	Version uint64
@@ -19,6 +20,7 @@
 
 // Demand is what one relay's hosts are asked for, by region and service.
 type Demand struct {
+	_      struct{} `cbor:",toarray"`
 	Source string
 	Age    core.Millis
 	Flows  []FlowDemand
@@ -26,6 +28,7 @@
 
 // FlowDemand is the demand of one region for one service: requests per second, the mean time that a slot is used and the mean bits of a request with its answer.
 type FlowDemand struct {
+	_ struct{} `cbor:",toarray"`
 	plan.Flow
 	Rate        float64
 	ServiceTime core.Millis
@@ -34,6 +37,7 @@
 
 // Sync asks a parent for what is newer and reports upwards.
 type Sync struct {
+	_        struct{} `cbor:",toarray"`
 	Have     uint64
 	Term     uint64
 	Number   uint64
@@ -45,12 +49,14 @@
 
 // Delta is what one version changed.
 type Delta struct {
+	_           struct{} `cbor:",toarray"`
 	Version     uint64
 	Differences []tree.Difference
 }
 
 // Update answers Sync or pushes news: deltas from a version on, or a whole tree; empty when there is no news.
 type Update struct {
+	_        struct{} `cbor:",toarray"`
 	Version  uint64
 	Base     uint64
 	Deltas   []Delta
--- a/core/relay/node.go
+++ b/core/relay/node.go
@@ -20,6 +20,7 @@
 	askNewerEvery = 200 * core.Millisecond
 	bootWait      = 1500 * core.Millisecond
 	confirmKept   = 30 * core.Second
+	confirmAgain  = 8 * core.Second
 	demandKept    = 3 * core.Second
 	keptDeltas    = 512
 	zoneRelays    = 2
@@ -78,6 +79,9 @@
 	children  map[string]*child
 	confirms  map[string]*confirmAt
 	demands   map[string]*demandAt
+	// told holds what the parent toldParent was told of each host, and when.
+	told       map[string]confirmAt
+	toldParent string
 }
 
 // Start takes the time of the process's start.
@@ -122,7 +126,7 @@
 	if view.Version == 0 {
 		return
 	}
-	n.adopt(now, view, Delta{view.Version, differences}, out)
+	n.adopt(now, view, Delta{Version: view.Version, Differences: differences}, out)
 }
 
 // adopt brings a version into force; an older one is ignored.
@@ -272,13 +276,32 @@
 }
 
 func (n *Node) sync(now core.Millis) *Sync {
-	s := &Sync{Have: n.Version(), Confirms: n.freshConfirms(now), Demands: []Demand{n.demand(now)}}
+	s := &Sync{Have: n.Version(), Confirms: n.newsFor(now, n.parent), Demands: []Demand{n.demand(now)}}
 	if n.plan != nil {
 		s.Term, s.Number = n.plan.Term, n.plan.Number
 	}
 	return s
 }
 
+// newsFor lists the confirms that the parent was not told lately: those that changed, those of hosts that lag, and each of the others now and then.
+func (n *Node) newsFor(now core.Millis, parent string) []Confirm {
+	if parent != n.toldParent {
+		n.toldParent = parent
+		n.told = map[string]confirmAt{}
+	}
+	var out []Confirm
+	for _, c := range n.freshConfirms(now) {
+		before, known := n.told[c.Host]
+		same := known && before.Have == c.Have && before.Version == c.Version && before.Parent == c.Parent && before.Reason == c.Reason
+		if same && c.Version >= n.Version() && now-before.at < confirmAgain {
+			continue
+		}
+		n.told[c.Host] = confirmAt{c, now}
+		out = append(out, c)
+	}
+	return out
+}
+
 func (n *Node) freshConfirms(now core.Millis) []Confirm {
 	out := []Confirm{n.OwnConfirm()}
 	for _, name := range slices.Sorted(maps.Keys(n.confirms)) {
--- a/core/route/directory.go
+++ b/core/route/directory.go
@@ -41,41 +41,64 @@
 
 // Directory makes the look-ups' table from what is known now.
 func (r *Router) Directory(now core.Millis, p *plan.Plan) *Directory {
-	d := &Directory{Version: r.view.Version, Region: r.Region, blocks: &block.Table{}, lists: map[string][]regionList{}}
-	for i, region := range r.view.Regions {
+	d := &Directory{Version: r.view.Version, Region: r.Region, blocks: r.clientBlocks(), lists: map[string][]regionList{}}
+	for _, region := range r.view.Regions {
 		d.regions = append(d.regions, region.Name)
-		for _, prefix := range region.Root.Clients {
-			// The tree's check has let only prefixes through that the table takes.
-			_ = d.blocks.Set(prefix, block.Site(i+1))
-		}
 	}
 	for _, service := range r.view.Services {
+		groups := map[string]zoneGroup{}
+		for _, region := range r.view.Regions {
+			groups[region.Name] = r.group(now, region, service)
+		}
+		timeToLive := r.timeToLive(service)
 		for _, region := range r.view.Regions {
-			d.lists[service] = append(d.lists[service], r.listFor(now, p, region, service))
+			list := regionList{timeToLive: timeToLive, groups: r.order(p, region.Name, service, groups)}
+			d.lists[service] = append(d.lists[service], list)
 		}
 	}
 	return d
 }
 
-// listFor orders the regions for clients of one: their own, unless the plan sends nothing there, then the others by their share.
-func (r *Router) listFor(now core.Millis, p *plan.Plan, client tree.Region, service string) regionList {
-	shares := p.Of(client.Name, service)
+// clientBlocks maps the tree's blocks of clients to regions, once per version.
+func (r *Router) clientBlocks() *block.Table {
+	if r.blocks != nil {
+		return r.blocks
+	}
+	r.blocks = &block.Table{}
+	for i, region := range r.view.Regions {
+		for _, prefix := range region.Root.Clients {
+			// The tree's check has let only prefixes through that the table takes.
+			_ = r.blocks.Set(prefix, block.Site(i+1))
+		}
+	}
+	return r.blocks
+}
+
+// timeToLive is the shortest that any zone allows.
+func (r *Router) timeToLive(service string) core.Millis {
+	shortest := core.Millis(0)
+	for _, zone := range r.view.Zones {
+		if s := r.view.Service(zone.Name, service); s != nil && (shortest == 0 || s.LookupTimeToLive < shortest) {
+			shortest = s.LookupTimeToLive
+		}
+	}
+	return shortest
+}
+
+// order lists the regions' hosts for clients of one: their own, unless the plan sends nothing there, then the others by their share.
+func (r *Router) order(p *plan.Plan, client, service string, groups map[string]zoneGroup) []zoneGroup {
+	shares := p.Of(client, service)
 	regions := slices.Clone(r.view.Regions)
 	slices.SortStableFunc(regions, func(a, b tree.Region) int {
-		return compareRegions(client.Name, shares, a, b)
+		return compareRegions(client, shares, a, b)
 	})
-	list := regionList{}
+	var out []zoneGroup
 	for _, region := range regions {
-		for _, zone := range region.Zones {
-			if s := r.view.Service(zone, service); s != nil && (list.timeToLive == 0 || s.LookupTimeToLive < list.timeToLive) {
-				list.timeToLive = s.LookupTimeToLive
-			}
-		}
-		if group := r.group(now, region, service); len(group.zones) > 0 {
-			list.groups = append(list.groups, group)
+		if group := groups[region.Name]; len(group.zones) > 0 {
+			out = append(out, group)
 		}
 	}
-	return list
+	return out
 }
 
 func compareRegions(client string, shares map[string]float64, a, b tree.Region) int {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/block"
 	"clementinelock/core/member"
 	"clementinelock/core/tree"
 )
@@ -51,14 +52,16 @@
 	Keepers Keepers
 	Shares  Shares
 
-	view  *tree.View
-	notes map[noteKey]note
+	view   *tree.View
+	notes  map[noteKey]note
+	blocks *block.Table
 }
 
 // SetView takes a new version of the tree.
 func (r *Router) SetView(view *tree.View) {
 	r.view = view
 	r.notes = map[noteKey]note{}
+	r.blocks = nil
 }
 
 // Note remembers what a keeper said of its free slots.
--- a/core/tree/settings.go
+++ b/core/tree/settings.go
@@ -332,6 +332,9 @@
 	return nil
 }
 
+// maxClientBits is the longest IPv6 block of clients.
+const maxClientBits = 64
+
 func setClients(s *Service, text string) error {
 	s.Clients = nil
 	for _, item := range SplitList(text) {
@@ -339,6 +342,9 @@
 		if err != nil {
 			return fmt.Errorf("%q is not an IP prefix", item)
 		}
+		if !prefix.Addr().Is4() && prefix.Bits() > maxClientBits {
+			return fmt.Errorf("%q is longer than %d bits", item, maxClientBits)
+		}
 		s.Clients = append(s.Clients, prefix.Masked())
 	}
 	return nil
--- a/io/trial/bench_scale.go
+++ b/io/trial/bench_scale.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"runtime"
+	"slices"
+	"strings"
 	"time"
 
 	"clementinelock/core"
@@ -28,16 +31,16 @@
 
 // scalePoint is what one size costs a node.
 type scalePoint struct {
-	nodes, zones   int
-	messages       float64
-	bytes          float64
-	most           float64
-	core           float64
-	memory         float64
-	inForce        core.Millis
-	controlBytes   float64
-	controlHosts   int
-	messagesByName map[string]int
+	nodes, zones int
+	messages     float64
+	bytes        float64
+	most         float64
+	core         float64
+	memory       float64
+	inForce      core.Millis
+	controlBytes float64
+	controlHosts int
+	bytesByName  map[string]float64
 }
 
 // scaleTree makes a tree of many hosts in zones of the two-year size, four services each.
@@ -96,23 +99,23 @@
 // count counts messages, bytes and processor time for a while.
 func (p *scalePoint) count(s *model.Site) {
 	sent := map[string]float64{}
+	p.bytesByName = map[string]float64{}
 	messages := 0
 	encoding := time.Duration(0)
 	s.OnSend = func(from, to string, message core.Message) {
 		began := time.Now()
 		size := float64(len(host.Encode(message)))
 		encoding += time.Since(began)
+		p.bytesByName[message.MessageName()] += size
 		sent[from] += size
 		sent[to] += size
 		messages++
 	}
-	clear(s.Sent)
 	began := time.Now()
 	s.For(scaleFor)
 	spent := time.Since(began)
 	s.OnSend = nil
 	seconds := float64(scaleFor) / 1000
-	p.messagesByName = s.Sent
 	p.messages = float64(messages) / float64(p.nodes) / seconds
 	p.core = 100 * spent.Seconds() / seconds / float64(p.nodes)
 	total := 0.0
@@ -140,7 +143,7 @@
 }
 
 // scaleSizes are the sizes that slopes are measured at.
-var scaleSizes = []int{9, 50, 200, 400}
+var scaleSizes = []int{9, 50, 200, 400, 800}
 
 // benchScale measures what control costs a node at several sizes and fits a line through the points.
 func benchScale(_ context.Context, b *bench) error {
@@ -151,11 +154,26 @@
 		b.add(fmt.Sprintf("%d nodes in %d zones", p.nodes, p.zones), true, "",
 			"%.1f messages/s, %.1f KB/s (busiest %.1f, busiest control host %.1f), %.3f%% of a core, %.2f MiB, in force %s",
 			p.messages, p.bytes/1000, p.most/1000, p.controlBytes/1000, p.core, p.memory/(1<<20), p.inForce)
+		b.add("  of these bytes", true, "", "%s", p.shares())
 	}
 	b.fit(points)
 	return nil
 }
 
+// shares lists the messages that most bytes go to.
+func (p scalePoint) shares() string {
+	total := 0.0
+	for _, size := range p.bytesByName {
+		total += size
+	}
+	names := slices.SortedFunc(maps.Keys(p.bytesByName), func(a, b string) int { return int(p.bytesByName[b] - p.bytesByName[a]) })
+	text := ""
+	for _, name := range names[:min(4, len(names))] {
+		text += fmt.Sprintf("%s %.0f%%, ", name, 100*p.bytesByName[name]/total)
+	}
+	return strings.TrimSuffix(text, ", ")
+}
+
 // fit extrapolates each figure by a line through the points.
 func (b *bench) fit(points []scalePoint) {
 	at := func(value func(scalePoint) float64) float64 {
