--- a/io/trial/bench_steering.go
+++ b/io/trial/bench_steering.go
@@ -1,6 +1,241 @@
 package trial
 
-import "context"
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
 
-func benchSteering(context.Context, *bench) error { return nil }
-func benchLoopback(context.Context, *bench) error { return nil }
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/core/member"
+	"clementinelock/core/model"
+	"clementinelock/core/plan"
+	"clementinelock/core/tree"
+)
+
+const planRuns = 50
+
+// benchSteering compares plans with the best possible ones and measures what faults do to callers.
+func benchSteering(_ context.Context, b *bench) error {
+	for _, user := range users {
+		s, err := newSite(b, user, nil)
+		if err != nil {
+			return err
+		}
+		b.comparePlans(user, s.View)
+	}
+	b.planTime()
+	for _, user := range users {
+		if err := benchFaults(b, user); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// planInput is the planner's input for demand at a part of all slots, without a plan before.
+func planInput(view *tree.View, part, step float64, lost string) plan.Input {
+	in := plan.Input{View: view, Demand: map[plan.Flow]float64{}, Bits: map[string]float64{}, LinkUsed: map[plan.Link]float64{}}
+	times := map[string]core.Millis{}
+	for _, service := range view.Services {
+		times[service] = 8
+		in.Bits[service] = 8 * 4096
+	}
+	none := func(string) bool { return false }
+	whole := plan.Sites(view, times, none, none)
+	for i, site := range whole {
+		factor := part
+		if site.Region == view.Regions[0].Name {
+			factor *= step
+		}
+		in.Demand[plan.Flow{Region: site.Region, Service: site.Service}] = whole[i].Capacity * factor
+	}
+	in.Sites = plan.Sites(view, times, func(zone string) bool { return zone == lost }, none)
+	return in
+}
+
+// comparePlans measures the largest use after the loss of any zone, and the added latency against the best possible.
+func (b *bench) comparePlans(user string, view *tree.View) {
+	for _, part := range []float64{0.6, 0.8} {
+		worst := 0.0
+		for _, zone := range view.Zones {
+			in := planInput(view, part, 1, zone.Name)
+			best := bestLevel(in)
+			worst = max(worst, largestUse(in, plan.Make(in))/min(1, best))
+		}
+		b.add(fmt.Sprintf("%s at %.0f%%: largest region use after any zone's loss, over the optimum", user, 100*part), worst <= 1.05, "≤ 1.05", "%.3f", worst)
+	}
+	for _, load := range []struct{ part, step float64 }{{0.6, 1}, {0.8, 1}, {0.95, 1}, {0.3, 3}} {
+		in := planInput(view, load.part, load.step, "")
+		r := plan.Make(in)
+		local, total, refused := 0.0, 0.0, 0.0
+		for flow, demand := range in.Demand {
+			local += demand * r.Plan.Of(flow.Region, flow.Service)[flow.Region]
+			total += demand
+			refused += r.Refused[flow]
+		}
+		best := bestLocal(in)
+		b.add(fmt.Sprintf("%s at %.0f%%, %g× in one region: served at home, over the optimum", user, 100*load.part, load.step), local/total >= 0.95*best, "≥ 0.95", "%.3f (refused %.2f%%)", local/total/best, 100*refused/total)
+	}
+}
+
+// largestUse returns the largest part of a site's capacity that a plan uses.
+func largestUse(in plan.Input, r plan.Result) float64 {
+	most := 0.0
+	for _, site := range in.Sites {
+		if site.Capacity > 0 {
+			most = max(most, r.Site[plan.Flow{Region: site.Region, Service: site.Service}]/site.Capacity)
+		}
+	}
+	return most
+}
+
+// bestLevel is the smallest level of use that all demand can have: that of the service which uses most of its sites together, since any region may serve any other.
+func bestLevel(in plan.Input) float64 {
+	most := 0.0
+	for _, service := range in.View.Services {
+		demand, capacity := 0.0, 0.0
+		for _, region := range in.View.Regions {
+			demand += in.Demand[plan.Flow{Region: region.Name, Service: service}]
+			capacity += capacityOf(in, region.Name, service)
+		}
+		most = max(most, demand/capacity)
+	}
+	return most
+}
+
+func capacityOf(in plan.Input, region, service string) float64 {
+	i := slices.IndexFunc(in.Sites, func(s plan.Site) bool { return s.Region == region && s.Service == service })
+	if i < 0 {
+		return 0
+	}
+	return in.Sites[i].Capacity
+}
+
+// bestLocal is the largest part of demand that can be served at home.
+func bestLocal(in plan.Input) float64 {
+	local, total := 0.0, 0.0
+	for flow, demand := range in.Demand {
+		local += min(demand, capacityOf(in, flow.Region, flow.Service))
+		total += demand
+	}
+	return local / total
+}
+
+// planTime measures one plan at the two-year number of regions and zones.
+func (b *bench) planTime() {
+	view := tree.NewView(scaleTree(futureNodes))
+	in := planInput(view, 0.8, 1.2, "")
+	began := time.Now()
+	for range planRuns {
+		plan.Make(in)
+	}
+	took := time.Since(began) / planRuns
+	b.add(fmt.Sprintf("one plan for %d regions, %d zones", len(view.Regions), len(view.Zones)), took < 100*time.Millisecond, "< 100ms", "%s", took.Round(10*time.Microsecond))
+}
+
+// fault is one row of the faults that callers are measured under.
+type fault struct {
+	name  string
+	part  float64
+	cause func(s *model.Site)
+	// answered is the least part of requests that must be answered.
+	answered float64
+}
+
+var benchFaultTable = []fault{
+	{"none", 0.6, func(*model.Site) {}, 0.999},
+	{"a host crashes", 0.6, func(s *model.Site) { s.Kill(s.View.HostNames()[1]) }, 0.99},
+	{"a zone is lost", 0.6, func(s *model.Site) { loseZone(s, s.View.Zones[len(s.View.Zones)-1].Name) }, 0},
+	{"a zone is cut off", 0.6, func(s *model.Site) { s.CutZone(s.View.Zones[0].Name, true) }, 0.95},
+	{"a region is lost", 0.6, func(s *model.Site) {
+		for _, zone := range s.View.Regions[2].Zones {
+			loseZone(s, zone)
+		}
+	}, 0},
+	{"control is lost", 0.6, func(s *model.Site) {
+		for _, name := range s.Control[1:] {
+			s.Kill(name)
+		}
+	}, 0.99},
+	{"reports mislead", 0.8, func(s *model.Site) {
+		for _, u := range s.Upstream {
+			u.Misleads = true
+		}
+	}, 0.99},
+}
+
+func loseZone(s *model.Site, zone string) {
+	for _, name := range s.View.ZoneHosts(zone) {
+		s.Kill(name)
+	}
+	for _, u := range s.Upstream {
+		if u.Zone == zone {
+			u.Dead = true
+		}
+	}
+}
+
+// benchFaults measures what callers get in the ten seconds from a fault on.
+func benchFaults(b *bench, user string) error {
+	service := highService[user]
+	for _, f := range benchFaultTable {
+		s, err := newSite(b, user, nil)
+		if err != nil {
+			return err
+		}
+		load := startLoad(s, service, f.part, 0.3, core.Second)
+		s.For(warmUpFor)
+		f.cause(s)
+		from := s.Now
+		s.For(measureFor)
+		until := s.Now
+		load.Stop()
+		s.For(2 * core.Second)
+		s.CheckDoubles()
+		first := collect(s, service, from, from+2*core.Second)
+		rest := collect(s, service, from+2*core.Second, until)
+		b.add(fmt.Sprintf("%s %s at %.0f%%, %s: answered after 2 s", user, service, 100*f.part, f.name), rest.part() >= f.answered, "", "%.2f%% (%.2f%% before), p99 %s", 100*rest.part(), 100*first.part(), quantile(rest.total, 0.99))
+	}
+	return benchDrain(b, user, service)
+}
+
+// benchDrain measures how long a leaving endpoint gets new work and how long a host's planned stop takes.
+func benchDrain(b *bench, user, service string) error {
+	s, err := newSite(b, user, nil)
+	if err != nil {
+		return err
+	}
+	load := startLoad(s, service, 0.6, 0.3, core.Second)
+	s.For(warmUpFor)
+	zone := s.View.Zones[0].Name
+	endpoint := s.View.Service(zone, service).Endpoints[0]
+	notice := s.Now
+	// The notice reaches a host far from the endpoint, which is killed right after it has told others.
+	teller := s.View.ZoneHosts(s.View.Zones[len(s.View.Zones)-1].Name)[0]
+	s.Step(teller, func(m *host.Machine) core.Effects {
+		return m.TakeFeed(s.Now, host.Feed{Notices: []member.Notice{{Endpoint: endpoint, Leaving: true, Since: notice}}})
+	})
+	s.At(s.Now+100, func() { s.Kill(teller) })
+	served, last := s.Upstream[endpoint].Served, notice
+	for s.Now < notice+8*core.Second {
+		s.For(1)
+		if s.Upstream[endpoint].Served > served {
+			served, last = s.Upstream[endpoint].Served, s.Now
+		}
+	}
+	b.atMost(user+" leaving endpoint's last new work after the notice", last-notice, 3*core.Second)
+	stopped := s.View.HostNames()[0]
+	began := s.Now
+	s.Step(stopped, func(m *host.Machine) core.Effects { return m.Stop(s.Now) })
+	for s.Now-began < giveUpAfter {
+		s.For(10)
+		if done, _ := s.Machines[stopped].Stopped(); done {
+			break
+		}
+	}
+	load.Stop()
+	b.atMost(user+" planned stop of a host under load", s.Now-began, 10*core.Second)
+	return nil
+}
