--- /dev/null
+++ b/core/host/messages_test.go
@@ -0,0 +1,54 @@
+package host_test
+
+import (
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/codec"
+	"clementinelock/core/host"
+)
+
+// roundTrip passes a message through its encoding, as between processes.
+func roundTrip(t testing.TB, message core.Message) {
+	t.Helper()
+	decoded, err := host.Decode(host.Encode(message))
+	if err != nil {
+		t.Fatalf("message %s: %v", message.MessageName(), err)
+	}
+	if string(codec.Encode(decoded)) != string(codec.Encode(message)) {
+		t.Fatalf("message %s changes in its encoding", message.MessageName())
+	}
+}
+
+// TestEveryMessageSurvivesItsEncoding checks every message of a run with faults.
+func TestEveryMessageSurvivesItsEncoding(t *testing.T) {
+	s := newSite(t, 3, "instituto")
+	seen := map[string]int{}
+	s.OnSend = func(_, _ string, message core.Message) {
+		if seen[message.MessageName()]++; seen[message.MessageName()] < 50 {
+			roundTrip(t, message)
+		}
+	}
+	s.PutTree()
+	callers(s, 4*core.Second, 5)
+	s.Kill(s.Control[0])
+	s.For(3 * core.Second)
+	s.Begin(s.Control[0])
+	s.For(6 * core.Second)
+	const least = 25
+	if len(seen) < least {
+		t.Fatalf("only %d kinds of messages were sent: %v", len(seen), seen)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0x82, 0x09, 0x41, 0x80})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, err := host.Decode(data)
+		if err != nil {
+			return
+		}
+		roundTrip(t, message)
+	})
+}
--- /dev/null
+++ b/io/disk/folder_test.go
@@ -0,0 +1,158 @@
+package disk_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/io/disk"
+)
+
+func open(t *testing.T, path string) (*disk.Folder, core.Stored, error) {
+	t.Helper()
+	f := &disk.Folder{Path: path}
+	if err := f.Open(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Close() })
+	stored, err := f.Load()
+	return f, stored, err
+}
+
+func record(index uint64, data string) core.Record {
+	return core.Record{Index: index, Term: 1, Data: []byte(data)}
+}
+
+// filled returns a closed folder with three acknowledged writes.
+func filled(t *testing.T) string {
+	t.Helper()
+	path := t.TempDir()
+	f, _, err := open(t, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(3) {
+		if err := f.Apply(core.Write{Seq: i + 1, Records: []core.Record{record(i+1, fmt.Sprintf("record %d", i+1))}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestDamage checks what a damaged folder does: a tail that was never acknowledged is cut, any other damage stops the process with the file's name.
+func TestDamage(t *testing.T) {
+	cases := []struct {
+		name   string
+		damage func(log []byte) []byte
+		kept   int
+		fails  string
+	}{
+		{"nothing", func(log []byte) []byte { return log }, 3, ""},
+		{"half a frame behind the end", func(log []byte) []byte { return append(log, 9, 0, 0, 0, 1, 2) }, 3, ""},
+		{"garbage behind the end", func(log []byte) []byte { return append(log, []byte(strings.Repeat("garbage ", 20))...) }, 3, ""},
+		{"last acknowledged byte flipped", func(log []byte) []byte { log[len(log)-1] ^= 1; return log }, 0, "Log"},
+		{"byte in the middle flipped", func(log []byte) []byte { log[len(log)/2] ^= 1; return log }, 0, "Log"},
+		{"head flipped", func(log []byte) []byte { log[10] ^= 1; return log }, 0, "Log"},
+		{"acknowledged tail missing", func(log []byte) []byte { return log[:len(log)-4] }, 0, "Log"},
+		{"all but the head missing", func(log []byte) []byte { return log[:60] }, 0, "Log"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := filled(t)
+			file := filepath.Join(path, "Log")
+			log, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(file, c.damage(log), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, stored, err := open(t, path)
+			if c.fails != "" {
+				if err == nil || !strings.Contains(err.Error(), c.fails) {
+					t.Fatalf("error %v does not name %s", err, c.fails)
+				}
+				return
+			}
+			if err != nil || len(stored.Records) != c.kept {
+				t.Fatalf("%d records are left, error %v", len(stored.Records), err)
+			}
+		})
+	}
+}
+
+// TestContract checks that the folder and the fake disk of the random runs hold the same after the same writes, restarts included.
+func TestContract(t *testing.T) {
+	writes := []core.Write{
+		{Seq: 1, Vote: &core.Vote{Term: 3, For: "a", Incarnation: 1, Boot: 2, Commit: 1}},
+		{Seq: 2, Records: []core.Record{record(1, "one"), record(2, "two"), record(3, "three")}},
+		{Seq: 3, TruncateFrom: 2, Records: []core.Record{record(2, "other")}},
+		{Seq: 4, Records: []core.Record{record(3, "third"), record(4, "fourth")}},
+		{Seq: 5, Snapshot: &core.Snapshot{Index: 3, Term: 1, Data: []byte("state")}},
+		{Seq: 6, Records: []core.Record{record(5, "fifth")}},
+		{Seq: 7, Snapshot: &core.Snapshot{Index: 9, Term: 2, Data: []byte("newer")}, TruncateFrom: 10},
+		{Seq: 8, Records: []core.Record{record(10, "tenth")}},
+	}
+	path := t.TempDir()
+	if err := disk.Initialise(path); err != nil {
+		t.Fatal(err)
+	}
+	model := fake.NewDisk(1)
+	for _, w := range writes {
+		f, _, err := open(t, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Apply(w); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Close(); err != nil {
+			t.Fatal(err)
+		}
+		model.Queue(w)
+		model.Sync(w.Seq)
+		again, stored, err := open(t, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := again.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if fmt.Sprint(stored.Records) != fmt.Sprint(model.Stored.Records) || !reflect.DeepEqual(stored.Snapshot, model.Stored.Snapshot) || stored.Vote != model.Stored.Vote {
+			t.Fatalf("after write %d the folder holds %+v, the fake %+v", w.Seq, stored, model.Stored)
+		}
+	}
+}
+
+func TestIdentity(t *testing.T) {
+	path := t.TempDir()
+	if err := disk.Initialise(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := disk.Initialise(path); err == nil {
+		t.Fatal("a folder was made twice")
+	}
+	f, stored, err := open(t, path)
+	if err != nil || stored.Vote.Incarnation != 1 {
+		t.Fatalf("incarnation %d, error %v", stored.Vote.Incarnation, err)
+	}
+	second := &disk.Folder{Path: path}
+	if err := second.Open(); err == nil {
+		t.Fatal("two processes have one folder")
+	}
+	if err := f.Reset("test"); err != nil {
+		t.Fatal(err)
+	}
+	_, stored, err = open(t, path)
+	if err != nil || stored.Vote.Incarnation <= 1 {
+		t.Fatalf("a reset folder has incarnation %d, error %v", stored.Vote.Incarnation, err)
+	}
+}
