Answers to an earlier process are not taken; plans do not depend on map order

Looking for the same fault elsewhere: numbers of asks, of lease and grant rounds and of operators' questions began at 1 in every process, so a restarted host could take an earlier one's slot, count a vote that it had not asked for, or hold a share longer than the divider counts it. The first property test of the planner found that the same input gave plans that differed in the last digits, since floats were summed in the order of a map.

Change: grants and refusals of slots carry the asker's incarnation; rounds and tickets go on from the incarnation; sums go in the keys' order.

Conclusion: whatever names a question must name the process that asked.

--- a/core/ctrl/planner.go
+++ b/core/ctrl/planner.go
@@ -158,8 +158,10 @@
 
 func refusedOf(_ plan.Input, r plan.Result) float64 {
 	total := 0.0
-	for _, rate := range r.Refused {
-		total += rate
+	for _, region := range r.Plan.Regions() {
+		for _, service := range slices.Sorted(maps.Keys(r.Plan.Shares[region])) {
+			total += r.Refused[plan.Flow{Region: region, Service: service}]
+		}
 	}
 	return total
 }
--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -105,6 +105,8 @@
 // Node is a host's part in dividing and using limits. Set the exported fields before use.
 type Node struct {
 	Self string
+	// Incarnation starts the numbers of this process's questions, so that no answer to an earlier process is taken for one to this.
+	Incarnation uint64
 	// Divider returns the host that divides the region's limits, or the empty string.
 	Divider func(now core.Millis) string
 
@@ -124,6 +126,7 @@
 
 // Start prepares the node.
 func (n *Node) Start() {
+	n.round = n.Incarnation
 	n.limits = map[string]float64{}
 	n.shares = map[string]map[string]share{}
 	n.wants = map[string]map[string]wish{}
--- /dev/null
+++ b/core/grant/grant_test.go
@@ -0,0 +1,169 @@
+package grant_test
+
+import (
+	"fmt"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/core/grant"
+)
+
+// process is a host with its part in the limits.
+type process struct {
+	*grant.Node
+}
+
+// Tick steps the node's time.
+func (p process) Tick(now core.Millis) core.Effects {
+	out := core.Effects{}
+	p.Node.Tick(now, &out)
+	return out
+}
+
+// Receive hands the node a message.
+func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	out := core.Effects{}
+	p.Node.Receive(now, from, message, &out)
+	return out
+}
+
+const (
+	resource = "region"
+	capacity = 1000.0
+)
+
+var hosts = []string{"a", "b", "c", "d"}
+
+type group struct {
+	*fake.World
+	nodes   map[string]*grant.Node
+	divider string
+	demand  map[string]float64
+}
+
+func newGroup(seed uint64) *group {
+	g := &group{World: fake.NewWorld(seed), nodes: map[string]*grant.Node{}, divider: "a", demand: map[string]float64{}}
+	for _, host := range hosts {
+		g.start(host)
+	}
+	g.nodes["a"].Gain(g.Now)
+	return g
+}
+
+func (g *group) start(host string) {
+	n := &grant.Node{Self: host, Divider: func(core.Millis) string { return g.divider }}
+	n.Start()
+	n.SetLimits([]grant.Limit{{Resource: resource, Rate: capacity}}, len(hosts))
+	g.nodes[host] = n
+	g.Start(host, process{n})
+}
+
+// use lets every host use what it can of its demand for a time, and returns how much each got.
+func (g *group) use(length core.Millis, urgent map[string]bool) map[string]float64 {
+	got := map[string]float64{}
+	const step = 10 * core.Millisecond
+	for passed := core.Millis(0); passed < length; passed += step {
+		for _, host := range hosts {
+			leave := 0.5
+			if urgent[host] {
+				leave = 0
+			}
+			for range int(g.demand[host] * float64(step) / 1000) {
+				if g.Up(host) && g.nodes[host].Take(g.Now, resource, 1, leave) {
+					got[host]++
+				}
+			}
+		}
+		g.For(step)
+	}
+	return got
+}
+
+// allowed sums what all hosts may use now.
+func (g *group) allowed() float64 {
+	total := 0.0
+	for _, host := range hosts {
+		total += g.nodes[host].Allowed(g.Now, resource)
+	}
+	return total
+}
+
+// TestSumStaysUnderLimit checks at every instant of runs with faults that all hosts together may not use more than the limit.
+func TestSumStaysUnderLimit(t *testing.T) {
+	for seed := range uint64(100) {
+		g := newGroup(seed)
+		g.Loss = 0.05 * float64(seed%4)
+		g.Delay = func(string, string) core.Millis { return core.Millis(1 + g.Rand.IntN(800)) }
+		for range 40 {
+			for _, host := range hosts {
+				g.demand[host] = float64(g.Rand.IntN(1500))
+			}
+			for range 50 {
+				g.use(10, nil)
+				if sum := g.allowed(); sum > capacity*1.000001 {
+					t.Fatalf("seed %d: hosts may use %g of %g at %d", seed, sum, capacity, g.Now)
+				}
+			}
+			g.fault()
+		}
+	}
+}
+
+// fault moves the divider, as its lease does, or cuts ways.
+func (g *group) fault() {
+	host, other := hosts[g.Rand.IntN(len(hosts))], hosts[g.Rand.IntN(len(hosts))]
+	switch g.Rand.IntN(6) {
+	case 0:
+		g.nodes[g.divider].Lose()
+		g.divider = host
+		g.nodes[host].Gain(g.Now)
+	case 1:
+		g.Cut(host, other, true)
+	case 2:
+		g.Isolate(host, hosts, true)
+	default:
+		g.Heal()
+	}
+}
+
+// TestDivision checks who gets how much of a limit.
+func TestDivision(t *testing.T) {
+	cases := []struct {
+		name   string
+		demand map[string]float64
+		urgent map[string]bool
+		happen func(g *group)
+		least  map[string]float64
+		most   map[string]float64
+	}{
+		{"one host wants it all", map[string]float64{"b": 2000}, nil, func(*group) {}, map[string]float64{"b": 650}, nil},
+		{"all want the same", map[string]float64{"a": 500, "b": 500, "c": 500, "d": 500}, nil, func(*group) {}, map[string]float64{"a": 230, "d": 230}, map[string]float64{"a": 260}},
+		{"the urgent come first", map[string]float64{"a": 600, "b": 2000, "c": 2000}, map[string]bool{"a": true}, func(*group) {}, map[string]float64{"a": 560}, map[string]float64{"b": 250}},
+		{"a cut-off host has its safe share", map[string]float64{"b": 2000}, nil, func(g *group) { g.Isolate("b", hosts, true); g.use(grant.Length, nil) }, map[string]float64{"b": 70}, map[string]float64{"b": 80}},
+		{"a limit that is lowered holds at once", map[string]float64{"b": 2000}, nil, func(g *group) {
+			for _, n := range g.nodes {
+				n.SetLimits([]grant.Limit{{Resource: resource, Rate: 100}}, len(hosts))
+			}
+		}, nil, map[string]float64{"b": 130}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(1)
+			g.demand = c.demand
+			g.use(3*grant.Length, c.urgent)
+			c.happen(g)
+			got := g.use(core.Second, c.urgent)
+			for host, least := range c.least {
+				if got[host] < least {
+					t.Fatalf("host %s got %g; expected at least %g: %v", host, got[host], least, got)
+				}
+			}
+			for host, most := range c.most {
+				if got[host] > most {
+					t.Fatalf("host %s got %g; expected at most %g: %v", host, got[host], most, fmt.Sprint(got))
+				}
+			}
+		})
+	}
+}
--- a/core/host/machine.go
+++ b/core/host/machine.go
@@ -66,6 +66,7 @@
 func (m *Machine) Start(now core.Millis, stored core.Stored) (core.Effects, error) {
 	out := &core.Effects{}
 	m.operators = map[uint64]operator{}
+	m.tickets = m.Incarnation
 	m.links = map[plan.Link]float64{}
 	m.reserved = map[string]uint64{}
 	m.buildMembers(now)
@@ -140,7 +141,7 @@
 		OnRefused: func(now core.Millis, r *slots.Refused, out *core.Effects) { m.desk.OnRefused(now, r, out) },
 	}
 	m.slots.Start()
-	m.grants = &grant.Node{Self: m.Self, Divider: m.divider}
+	m.grants = &grant.Node{Self: m.Self, Incarnation: m.Incarnation, Divider: m.divider}
 	m.grants.Start()
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -91,6 +91,8 @@
 // Start takes the time of the process's start, from which old promises are waited out.
 func (n *Node) Start(now core.Millis) {
 	n.started = now
+	// Rounds go on from the incarnation, so that no answer to an earlier process is taken for one to this.
+	n.round = n.Incarnation
 	n.defs = map[string]*Definition{}
 	n.promises = map[string]promise{}
 	n.claims = map[string]*claim{}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,163 @@
+package lease_test
+
+import (
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/core/lease"
+)
+
+// process is a host with its part in the leases; hosts are told truly who is up.
+type process struct {
+	*lease.Node
+}
+
+// Tick steps the node's time.
+func (p process) Tick(now core.Millis) core.Effects {
+	out := core.Effects{}
+	p.Node.Tick(now, &out)
+	return out
+}
+
+// Receive hands the node a message.
+func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	out := core.Effects{}
+	p.Node.Receive(now, from, message, &out)
+	return out
+}
+
+// health tells from the world which hosts are up and reached.
+type health struct {
+	world *fake.World
+	self  string
+}
+
+// Liveness returns Alive or Dead.
+func (h health) Liveness(_ core.Millis, host string) core.Liveness {
+	if !h.world.Up(host) || h.world.IsCut(host, h.self) {
+		return core.Dead
+	}
+	return core.Alive
+}
+
+var (
+	hosts = []string{"a", "b", "c"}
+	task  = lease.Definition{Name: "task", Candidates: []string{"a", "b"}, Voters: hosts}
+)
+
+type group struct {
+	*fake.World
+	nodes map[string]*lease.Node
+	life  uint64
+}
+
+func newGroup(seed uint64) *group {
+	g := &group{World: fake.NewWorld(seed), nodes: map[string]*lease.Node{}}
+	for _, host := range hosts {
+		g.start(host)
+	}
+	return g
+}
+
+func (g *group) start(host string) {
+	g.life++
+	n := &lease.Node{Self: host, Incarnation: g.life, Health: health{g.World, host}}
+	n.OnGain = func(core.Millis, string, *core.Effects) {}
+	n.OnLose = n.OnGain
+	n.OnHandBack = func(now core.Millis, name, _ string, out *core.Effects) { n.Release(now, name, out) }
+	n.Start(g.Now)
+	out := core.Effects{}
+	n.SetDefinitions(g.Now, []lease.Definition{task}, &out)
+	g.nodes[host] = n
+	g.Start(host, process{n})
+}
+
+func (g *group) holders() []string {
+	var out []string
+	for _, host := range hosts {
+		if g.Up(host) && g.nodes[host].Holds(g.Now, task.Name) {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// TestHolderAfter checks who holds the task after something has happened.
+func TestHolderAfter(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(g *group)
+		holder string
+	}{
+		{"a quiet start", func(*group) {}, "a"},
+		{"the first candidate crashed", func(g *group) { g.Crash("a") }, "b"},
+		{"the first candidate came back", func(g *group) {
+			g.Crash("a")
+			g.For(4000)
+			g.start("a")
+			g.For(lease.HandBackAfter + 4000)
+		}, "a"},
+		{"the first candidate is cut off", func(g *group) { g.Isolate("a", []string{"b", "c"}, true) }, "b"},
+		{"both other voters crashed", func(g *group) { g.Crash("b"); g.Crash("c") }, ""},
+		{"the holder stops asking", func(g *group) {
+			g.nodes["a"].Stop()
+			out := core.Effects{}
+			g.nodes["a"].Release(g.Now, task.Name, &out)
+			g.Do("a", out)
+			g.Crash("a")
+		}, "b"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(1)
+			g.For(4000)
+			c.happen(g)
+			g.For(6000)
+			got := ""
+			if held := g.holders(); len(held) > 0 {
+				got = held[0]
+			}
+			if got != c.holder {
+				t.Fatalf("%q holds the task; expected %q", got, c.holder)
+			}
+		})
+	}
+}
+
+// TestOneHolder checks at every millisecond of runs with faults that at most one host holds the task.
+func TestOneHolder(t *testing.T) {
+	for seed := range uint64(100) {
+		g := newGroup(seed)
+		g.Loss = 0.05 * float64(seed%3)
+		g.Delay = func(string, string) core.Millis { return core.Millis(1 + g.Rand.IntN(200)) }
+		for range 60 {
+			for range 200 {
+				g.For(1)
+				if held := g.holders(); len(held) > 1 {
+					t.Fatalf("seed %d: %v hold one task at %d", seed, held, g.Now)
+				}
+			}
+			g.fault()
+		}
+	}
+}
+
+func (g *group) fault() {
+	host := hosts[g.Rand.IntN(len(hosts))]
+	switch g.Rand.IntN(7) {
+	case 0:
+		g.Crash(host)
+	case 1, 2:
+		if !g.Up(host) {
+			g.start(host)
+		}
+	case 3:
+		g.Isolate(host, hosts, true)
+	case 4:
+		g.Freeze(host, true)
+		g.At(g.Now+core.Millis(g.Rand.IntN(3000)), func() { g.Freeze(host, false) })
+	default:
+		g.Heal()
+	}
+}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -33,6 +33,11 @@
 	return p.Shares[region][service]
 }
 
+// Regions lists the regions whose demand the plan divides, in their order.
+func (p *Plan) Regions() []string {
+	return slices.Sorted(maps.Keys(p.Shares))
+}
+
 // NewerThan tells whether the plan was made after the one with the term and number; a nil plan is older than all.
 func (p *Plan) NewerThan(term, number uint64) bool {
 	if p == nil {
@@ -274,9 +279,10 @@
 
 // normalise turns amounts into shares; a flow without demand goes to the nearest site that has capacity.
 func normalise(in Input, flow Flow, amounts map[string]float64, demand float64) Shares {
+	// Sums go in the keys' order, since the sum of floats depends on it.
 	total := 0.0
-	for _, amount := range amounts {
-		total += amount
+	for _, region := range slices.Sorted(maps.Keys(amounts)) {
+		total += amounts[region]
 	}
 	if total <= demand*leftOver || total == 0 {
 		return idleShares(in, flow)
--- a/core/plan/shift.go
+++ b/core/plan/shift.go
@@ -122,7 +122,7 @@
 // distance is the part of a flow that moves between two plans.
 func distance(a, b Shares) float64 {
 	sum := 0.0
-	for region := range both(a, b) {
+	for _, region := range slices.Sorted(maps.Keys(both(a, b))) {
 		sum += max(0, b[region]-a[region])
 	}
 	return sum
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -66,6 +66,9 @@
 
 // Note remembers what a keeper said of its free slots.
 func (r *Router) Note(now core.Millis, zone, service string, free, waiting int) {
+	if r.notes == nil {
+		return
+	}
 	r.notes[noteKey{zone, service}] = note{free, waiting, now}
 }
 
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -249,7 +249,7 @@
 		retry = core.Answers[kind].RetryAfter
 	}
 	k.node.reply(now, from, &Refused{
-		Ask: m.Ask, Kind: kind, RetryAfter: retry, Moved: moved,
+		Ask: m.Ask, Incarnation: m.Incarnation, Kind: kind, RetryAfter: retry, Moved: moved,
 		Zone: k.zone, Service: k.service, Waiting: k.queue.Len(),
 	}, out)
 }
@@ -269,7 +269,7 @@
 
 func (k *keeper) grant(now core.Millis, to string, m *Ask, token Token, endpoint string, out *core.Effects) {
 	k.node.reply(now, to, &Grant{
-		Ask: m.Ask, Token: token, Endpoint: endpoint, Zone: k.zone, Service: k.service, Free: k.free(now),
+		Ask: m.Ask, Incarnation: m.Incarnation, Token: token, Endpoint: endpoint, Zone: k.zone, Service: k.service, Free: k.free(now),
 	}, out)
 }
 
--- a/core/slots/messages.go
+++ b/core/slots/messages.go
@@ -23,23 +23,26 @@
 
 // Grant gives a slot; Free is how many the keeper has left.
 type Grant struct {
-	Ask      uint64
-	Token    Token
-	Endpoint string
-	Zone     string
-	Service  string
-	Free     int
+	Ask uint64
+	// Incarnation is that of the process that asked; a later one of the host must not take the slot for its own.
+	Incarnation uint64
+	Token       Token
+	Endpoint    string
+	Zone        string
+	Service     string
+	Free        int
 }
 
 // Refused tells that no slot is given; Free and Waiting are the keeper's state, Moved tells that it no longer keeps the service.
 type Refused struct {
-	Ask        uint64
-	Kind       core.Kind
-	RetryAfter core.Millis
-	Moved      bool
-	Zone       string
-	Service    string
-	Waiting    int
+	Ask         uint64
+	Incarnation uint64
+	Kind        core.Kind
+	RetryAfter  core.Millis
+	Moved       bool
+	Zone        string
+	Service     string
+	Waiting     int
 }
 
 // Withdraw takes an ask back; a slot that was given for it is free again.
--- a/core/slots/node.go
+++ b/core/slots/node.go
@@ -296,6 +296,9 @@
 	case *Grant:
 		n.onGrant(now, m, out)
 	case *Refused:
+		if m.Incarnation != n.Incarnation {
+			return
+		}
 		delete(n.asked, m.Ask)
 		n.OnRefused(now, m, out)
 	case *Done:
@@ -318,7 +321,7 @@
 // onGrant takes a slot, unless another keeper was told in the meantime that this host does not hold it.
 func (n *Node) onGrant(now core.Millis, m *Grant, out *core.Effects) {
 	a, ok := n.asked[m.Ask]
-	if !ok {
+	if !ok || m.Incarnation != n.Incarnation {
 		// The second answer to an ask that was sent twice names the slot that is in use already.
 		if n.held[m.Token] == nil {
 			n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
@@ -328,7 +331,7 @@
 	delete(n.asked, m.Ask)
 	if t := n.told[a.lease]; t.keeper != "" && t.keeper != m.Token.Keeper && a.sentAt <= t.at {
 		n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
-		n.OnRefused(now, &Refused{Ask: m.Ask, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
+		n.OnRefused(now, &Refused{Ask: m.Ask, Incarnation: m.Incarnation, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
 		return
 	}
 	n.OnGrant(now, m, out)
@@ -347,7 +350,7 @@
 func (n *Node) onAsk(now core.Millis, from string, m *Ask, out *core.Effects) {
 	k := n.keepers[LeaseName(m.Zone, m.Service)]
 	if k == nil || k.settings == nil {
-		n.reply(now, from, &Refused{Ask: m.Ask, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
+		n.reply(now, from, &Refused{Ask: m.Ask, Incarnation: m.Incarnation, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
 		return
 	}
 	k.onAsk(now, from, m, out)
