A replica that says hello twice is not fenced; real daemons under kill -9

Cause: following docs/OPERATING.md with real processes and killing the leader five times, a replica that had restarted was fenced: its first hello was noted, the answer was lost on a dead connection, and the second hello then looked like one from an older disk. Edits had no leader for 8 s.

Change: a start carries a nonce beside its number, so a hello that is sent again is known. The command line repeats its first read too when no leader answers. New tests: returning replicas in a table, commits on disks that never sync, keepers that crash, freeze, stop or are cut off at full slots, real daemons with the leader killed during edits, regression cases of the command line.

Conclusion: the random runs alone were too mild for slots and syncs; directed cases now cover both.

--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,8 @@
 soak:
 	SOAK_SEED=$(SEED) SOAK_TIME=$(TIME) go test ./core/host -run TestSoak -timeout 0 -v
 
+docs: build
+	./bin/clementinelab docs
+
 clean:
 	rm -rf bin tools
--- /dev/null
+++ b/cmd/clementinelockd/kill_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/config"
+	"clementinelock/io/deploy"
+	"clementinelock/io/shell"
+)
+
+// cluster is nine real processes on loopback.
+type cluster struct {
+	t       *testing.T
+	binary  string
+	hosts   map[string]deploy.Host
+	running map[string]*exec.Cmd
+	flags   []string
+}
+
+const treeFile = "testdata/tree.toml"
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	folder := t.TempDir()
+	c := &cluster{t: t, binary: filepath.Join(folder, "clementinelockd"), hosts: map[string]deploy.Host{}, running: map[string]*exec.Cmd{}}
+	if out, err := exec.Command("go", "build", "-o", c.binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	tree, err := config.ReadTree(treeFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &deploy.Deployment{Folder: filepath.Join(folder, "hosts"), Tree: tree, Valid: time.Hour, StopWithin: 10 * core.Second}
+	hosts, err := d.Write()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var addresses []string
+	for _, host := range hosts {
+		c.hosts[host.Name] = host
+		addresses = append(addresses, host.Settings.OperatorAddress)
+		c.start(host.Name)
+	}
+	keys := d.OperatorKeys()
+	c.flags = []string{"--hosts", strings.Join(addresses, ","), "--certificate", keys.Certificate, "--key", keys.Key, "--authority", keys.Authority}
+	t.Cleanup(func() {
+		for name := range c.running {
+			c.kill(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(name string) {
+	command := exec.Command(c.binary, "run", "--settings", c.hosts[name].File)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.running[name] = command
+}
+
+func (c *cluster) kill(name string) {
+	_ = c.running[name].Process.Signal(syscall.SIGKILL)
+	_ = c.running[name].Wait()
+	delete(c.running, name)
+}
+
+// shell runs a verb until it is done, as an operator who sends the same again would.
+func (c *cluster) shell(verb string, args ...string) string {
+	c.t.Helper()
+	var out bytes.Buffer
+	for range 10 {
+		out.Reset()
+		line := append(append([]string{verb}, c.flags...), args...)
+		code := shell.Main(context.Background(), line, &out, &out)
+		if code == shell.ExitDone {
+			return out.String()
+		}
+		if code != shell.ExitUnreached {
+			break
+		}
+	}
+	c.t.Fatalf("%s %v: %s", verb, args, out.String())
+	return ""
+}
+
+// TestNothingAcknowledgedIsLost kills the leader again and again while edits go on, and looks for each acknowledged edit at the end.
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	c := newCluster(t)
+	c.shell("apply", treeFile)
+	const rounds = 5
+	for i := range rounds {
+		status := c.shell("members")
+		leader, _, _ := strings.Cut(strings.TrimPrefix(status, "leader "), ",")
+		c.kill(leader)
+		c.shell("set", "--edit-id", "edit-"+strconv.Itoa(i), "/", fmt.Sprintf("QueueLimit=%d", 100+i))
+		c.start(leader)
+	}
+	history := c.shell("history")
+	for i := range rounds {
+		if count := strings.Count(history, fmt.Sprintf("edit edit-%d\n", i)); count != 1 {
+			t.Fatalf("edit %d is in the history %d times:\n%s", i, count, history)
+		}
+	}
+	c.shell("watch")
+	for name := range c.hosts {
+		host := c.running[name]
+		_ = host.Process.Signal(syscall.SIGTERM)
+		if err := host.Wait(); err != nil {
+			t.Fatalf("host %s did not stop in peace: %v", name, err)
+		}
+		delete(c.running, name)
+	}
+}
--- /dev/null
+++ b/core/model/keeper_test.go
@@ -0,0 +1,79 @@
+package model_test
+
+import (
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/core/model"
+	"clementinelock/io/config"
+)
+
+// busySite is a deployment whose slots of one service are nearly all in use by long requests.
+func busySite(t *testing.T, seed uint64) (*model.Site, *model.Load) {
+	t.Helper()
+	read, err := config.ReadTree("../../examples/yildirim/tree.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &model.Site{Seed: seed, Tree: read, Fail: t.Fatalf}
+	s.Start()
+	s.Service = func() core.Millis { return 100 + core.Millis(s.Rand.IntN(1500)) }
+	s.PutTree()
+	load := &model.Load{Site: s, Service: "kapora", Rates: map[string]float64{}, Keyed: 0.5, Deadline: 4 * core.Second}
+	for _, region := range s.View.Regions {
+		load.Rates[region.Name] = 40
+	}
+	load.Start()
+	s.For(3 * core.Second)
+	return s, load
+}
+
+// TestSlotsHoldWhenKeepersChange checks that no endpoint runs more than its slots while keepers come and go under load; the model fails at the first that does.
+func TestSlotsHoldWhenKeepersChange(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(s *model.Site, keeper string)
+	}{
+		{"the keeper crashes", func(s *model.Site, keeper string) { s.Kill(keeper) }},
+		{"the keeper restarts at once", func(s *model.Site, keeper string) { s.Kill(keeper); s.Begin(keeper) }},
+		{"the keeper stops as planned", func(s *model.Site, keeper string) {
+			s.Step(keeper, func(m *host.Machine) core.Effects { return m.Stop(s.Now) })
+		}},
+		{"the keeper freezes", func(s *model.Site, keeper string) {
+			s.Freeze(keeper, true)
+			s.At(s.Now+3000, func() { s.Freeze(keeper, false) })
+		}},
+		{"the keeper is cut off from its zone", func(s *model.Site, keeper string) {
+			s.Isolate(keeper, s.View.HostNames(), true)
+			s.At(s.Now+6000, s.Heal)
+		}},
+		{"the keeper crashes and all are new to it", func(s *model.Site, keeper string) {
+			for _, name := range s.View.ZoneHosts(s.Zone(keeper)) {
+				s.Kill(name)
+				s.Begin(name)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				s, load := busySite(t, seed)
+				zone := s.View.Zones[0].Name
+				for _, name := range s.View.ZoneHosts(zone) {
+					for _, task := range s.Machines[name].Dump(s.Now).Leases {
+						if task == "slots/"+zone+"/kapora" {
+							c.happen(s, name)
+						}
+					}
+				}
+				s.For(14 * core.Second)
+				load.Stop()
+				s.For(6 * core.Second)
+				s.CheckDoubles()
+				s.CheckAnswered()
+			}
+		})
+	}
+}
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -22,7 +22,7 @@
 		if member.Name == r.Self {
 			continue
 		}
-		message := &Hello{Boot: r.vote.Boot, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
+		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
 		message.Header = r.header(member.Name)
 		message.ToIncarnation = 0
 		r.sendSynced(member.Name, message, out)
@@ -34,7 +34,7 @@
 	mark := r.boots[from]
 	answer := &HelloAnswer{Header: r.header(from), Boot: m.Boot}
 	answer.ToIncarnation = m.Incarnation
-	answer.Fenced = mark.Incarnation == m.Incarnation && mark.Boot >= m.Boot
+	answer.Fenced = mark.supersedes(m)
 	if r.role == Leader {
 		p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
 		answer.Fenced = answer.Fenced || p != nil && p.match > m.LastIndex
@@ -46,9 +46,17 @@
 	r.sendSynced(from, answer, out)
 }
 
+// supersedes tells whether the disk that a Hello speaks of is older than the start that was noted.
+func (b bootMark) supersedes(m *Hello) bool {
+	if b.Incarnation != m.Incarnation {
+		return false
+	}
+	return b.Boot > m.Boot || b.Boot == m.Boot && b.Nonce != m.Nonce
+}
+
 // noteBoot puts a member's start into the log.
 func (r *Replica) noteBoot(now core.Millis, from string, m *Hello, member bool, out *core.Effects) {
-	mark := bootMark{from, m.Incarnation, m.Boot}
+	mark := bootMark{from, m.Incarnation, m.Boot, m.Nonce}
 	if !member || r.boots[from] == mark {
 		return
 	}
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -88,6 +88,7 @@
 	Name        string
 	Incarnation uint64
 	Boot        uint64
+	Nonce       uint64
 }
 
 func (e entry) encode() []byte {
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -66,7 +66,9 @@
 // Hello announces a replica that has started and may not vote yet.
 type Hello struct {
 	Header
-	Boot      uint64
+	Boot uint64
+	// Nonce tells two starts with one number apart: a Hello that is sent again from a start of an older copy of the disk.
+	Nonce     uint64
 	LastIndex uint64
 	LastTerm  uint64
 }
--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -77,12 +77,15 @@
 	reads     map[uint64]func(bool)
 	history   []porcupine.Operation
 	elections int
+	// slowest bounds how long a write takes to be synced.
+	slowest int
 }
 
 func newGroup(t testing.TB, seed uint64, size int) *group {
 	g := &group{
 		World: fake.NewWorld(seed), t: t, disks: map[string]*fake.Disk{}, replicas: map[string]*quorum.Replica{},
 		tallies: map[string]*tally{}, leaders: map[uint64]string{}, proposed: map[uint64]core.Millis{}, acked: map[uint64]bool{}, applied: map[uint64]core.Millis{}, reads: map[uint64]func(bool){},
+		slowest: []int{4, 40, 120}[seed%3],
 	}
 	g.Delay = func(string, string) core.Millis { return 18 + core.Millis(g.Rand.IntN(5)) }
 	g.Carry = g.carry
@@ -126,7 +129,7 @@
 	if len(e.Writes) > 0 {
 		disk, last := g.disks[host], e.Writes[len(e.Writes)-1].Seq
 		disk.Queue(e.Writes...)
-		g.At(g.Now+1+core.Millis(g.Rand.IntN(4)), func() {
+		g.At(g.Now+1+core.Millis(g.Rand.IntN(g.slowest)), func() {
 			if g.replicas[host] != r || !g.Up(host) {
 				return
 			}
@@ -380,3 +383,82 @@
 		})
 	}
 }
+
+// TestReturningReplica checks how a replica comes back, by what has happened to its disk and its messages.
+func TestReturningReplica(t *testing.T) {
+	const name = "host-2"
+	cases := []struct {
+		name   string
+		happen func(g *group)
+		fenced bool
+		voter  bool
+	}{
+		{"after a plain restart", func(g *group) { g.crash(name); g.start(name) }, false, true},
+		{"when the answers to its hello are lost at first", func(g *group) {
+			g.crash(name)
+			for _, other := range g.names {
+				g.Cut(other, name, true)
+			}
+			g.start(name)
+			g.For(900)
+			g.Heal()
+		}, false, true},
+		{"on an older copy of its disk", func(g *group) {
+			g.crash(name)
+			old := g.disks[name].Copy()
+			g.start(name)
+			g.For(2000)
+			g.propose()
+			g.For(1000)
+			g.crash(name)
+			g.disks[name] = old
+			g.start(name)
+		}, true, true},
+		{"on an empty disk", func(g *group) {
+			g.crash(name)
+			g.disks[name] = fake.NewDisk(77)
+			g.start(name)
+		}, false, true},
+		{"on an empty disk, with another host lost right after", func(g *group) {
+			g.crash(name)
+			g.disks[name] = fake.NewDisk(77)
+			g.start(name)
+			g.For(3000)
+			g.crash("host-1")
+		}, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(t, 5, 3)
+			g.For(3000)
+			g.propose()
+			g.For(1000)
+			c.happen(g)
+			g.For(6000)
+			if got := g.replicas[name].Fenced(); got != c.fenced {
+				t.Fatalf("fenced is %t; expected %t", got, c.fenced)
+			}
+			before := len(g.committed)
+			g.propose()
+			g.For(2000)
+			if len(g.committed) <= before {
+				t.Fatal("no command is committed any more")
+			}
+			if status := g.replicas[name].Report(g.Now); !c.fenced && !status.Joined {
+				t.Fatalf("the replica has not joined: %+v", status)
+			}
+		})
+	}
+}
+
+// TestNothingCountsBeforeItIsSynced checks that a command is not committed while the followers' disks have not synced it.
+func TestNothingCountsBeforeItIsSynced(t *testing.T) {
+	g := newGroup(t, 5, 3)
+	g.For(3000)
+	g.slowest = 1 << 40
+	g.propose()
+	g.For(2 * core.Second)
+	if len(g.committed) > 0 {
+		t.Fatalf("%v is committed on disks that have not synced it", g.committed)
+	}
+}
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -95,6 +95,7 @@
 	minVote    uint64
 	fenced     bool
 	fresh      bool
+	nonce      uint64
 	expected   map[string]bool
 	transfer   bool
 	writeSeq   uint64
@@ -132,6 +133,7 @@
 	r.role = Follower
 	r.vote = stored.Vote
 	r.vote.Boot++
+	r.nonce = r.Rand.Uint64()
 	r.boots = map[string]bootMark{}
 	r.joinVotes = map[string]bool{}
 	r.syncedUpTo = map[uint64]uint64{}
--- a/core/tree/settings.go
+++ b/core/tree/settings.go
@@ -349,3 +349,8 @@
 	}
 	return nil
 }
+
+// Place says at which nodes the setting may stand.
+func (row *Setting) Place() string {
+	return levelNames[row.Level]
+}
--- /dev/null
+++ b/io/shell/cases_test.go
@@ -0,0 +1,51 @@
+package shell_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"clementinelock/io/shell"
+)
+
+// TestCases runs every folder of cases: its command line, the output that is expected and the error that is expected with its exit code.
+func TestCases(t *testing.T) {
+	folders, err := filepath.Glob("cases/*")
+	if err != nil || len(folders) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, folder := range folders {
+		t.Run(filepath.Base(folder), func(t *testing.T) {
+			var out, problems bytes.Buffer
+			code := shell.Main(context.Background(), strings.Fields(read(t, folder, "cmd")), &out, &problems)
+			fmt.Fprintf(&problems, "exit code %d\n", code)
+			compare(t, folder, "expout", out.String())
+			compare(t, folder, "experr", problems.String())
+		})
+	}
+}
+
+func read(t *testing.T, folder, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join(folder, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func compare(t *testing.T, folder, name, got string) {
+	t.Helper()
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if expected := read(t, folder, name); got != expected {
+		t.Errorf("%s is\n%s\nexpected\n%s", name, got, expected)
+	}
+}
--- a/io/shell/edit.go
+++ b/io/shell/edit.go
@@ -42,7 +42,7 @@
 		edit.ID = rand.Text()
 	}
 	if edit.Base == 0 {
-		body, err := s.Client.Ask(ctx, ctrl.Ask{Question: ctrl.AskTree})
+		body, err := askAgain(ctx, s, ctrl.Ask{Question: ctrl.AskTree})
 		if err != nil {
 			return err
 		}
@@ -72,7 +72,10 @@
 			return body, err
 		}
 	}
-	return body, fmt.Errorf("edit id %q: %w", ask.Edit.ID, err)
+	if ask.Edit != nil {
+		err = fmt.Errorf("edit id %q: %w", ask.Edit.ID, err)
+	}
+	return body, err
 }
 
 func writeOutcome(w io.Writer, o *edits.Outcome, dryRun bool) {
--- a/io/shell/shell.go
+++ b/io/shell/shell.go
@@ -139,7 +139,7 @@
 		FlagSet: flags, Subcommands: list,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return usagef("%s: verb %q does not exist", program, args[0])
+				return usagef("verb %q does not exist", args[0])
 			}
 			return flag.ErrHelp
 		},
--- a/io/trial/main.go
+++ b/io/trial/main.go
@@ -27,7 +27,7 @@
 }
 
 // verbTable lists the tool's verbs.
-var verbTable = []func(stdout io.Writer) *ffcli.Command{demoCommand, deployCommand, standCommand, benchCommand}
+var verbTable = []func(stdout io.Writer) *ffcli.Command{demoCommand, deployCommand, standCommand, benchCommand, docsCommand}
 
 // Main runs the load and experiment tool and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
