Signals during a start wait; large files split

Cause: the test with real daemons failed once: SIGTERM reached a host that was starting, before it listened for signals, and ended it at once.

Change: signals are listened for before the start. relay, slots, call, quorum, grant, model and daemon are split by concern, without a change of what they do.

Conclusion: a planned stop is graceful from the first moment of a process.

--- /dev/null
+++ b/core/call/ending.go
@@ -0,0 +1,140 @@
+package call
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/ledger"
+)
+
+// replay answers with what an earlier copy of the request got.
+func (d *Desk) replay(c *call, o ledger.Outcome, out *core.Effects) {
+	if o.Answer == nil {
+		d.refuse(c, core.Refuse(core.OutcomeLost, o.Ran, "an earlier copy was dispatched and its answer is not known"), out)
+		return
+	}
+	d.counts.Replayed++
+	d.answer(c, core.Answer{Request: c.ID, Stored: o.Answer}, out)
+	d.finish(c)
+}
+
+// ran is what may be said of a call that this host has not dispatched: another copy of a keyed one may still run.
+func (d *Desk) ran(c *call) core.Ran {
+	if c.ranMaybe || c.Key != "" && !c.Idempotent {
+		return core.RanUnknown
+	}
+	return core.RanNo
+}
+
+func (d *Desk) answer(c *call, a core.Answer, out *core.Effects) {
+	core.Assert(!c.answered, "request %d is answered twice", c.ID)
+	core.Assert(a.Refusal == nil || a.Refusal.Ran != core.RanNo || !c.ranMaybe, "request %d may have run and is called not run", c.ID)
+	c.answered = true
+	if a.Refusal != nil {
+		d.counts.Refused++
+		d.counts.RefusedBy[a.Refusal.Kind]++
+	} else {
+		d.counts.Answered++
+	}
+	out.Answers = append(out.Answers, a)
+}
+
+func (d *Desk) refuse(c *call, r *core.Refusal, out *core.Effects) {
+	d.answer(c, core.Answer{Request: c.ID, Refusal: r}, out)
+	d.finish(c)
+}
+
+// giveUp ends a call that this host will not dispatch any more.
+func (d *Desk) giveUp(now core.Millis, c *call, r *core.Refusal, out *core.Effects) {
+	if !c.keyed || c.ranMaybe {
+		r.Ran = d.ran(c)
+		d.refuse(c, r, out)
+		return
+	}
+	token := c.token
+	c.token = ledger.Token{}
+	if c.Attempt == 0 {
+		r.Ran = core.RanUnknown
+		d.Ledger.Release(now, 0, c.claim, token, false, out)
+		d.refuse(c, r, out)
+		return
+	}
+	c.phase, c.refusal = closing, r
+	d.Ledger.Release(now, c.ID, c.claim, token, true, out)
+}
+
+// OnSettled takes word of whether a majority noted that the call's attempt is closed; only then it is certain not to run.
+func (d *Desk) OnSettled(_ core.Millis, request uint64, noted bool, out *core.Effects) {
+	c := d.calls[request]
+	if c == nil || c.phase != closing || c.answered {
+		return
+	}
+	c.refusal.Ran = core.RanUnknown
+	if noted {
+		c.refusal.Ran = core.RanNo
+	}
+	d.refuse(c, c.refusal, out)
+}
+
+// finish forgets a call once it is answered and none of its attempts is under way.
+func (d *Desk) finish(c *call) {
+	if !c.answered && !c.gone || len(c.attempts) > 0 {
+		return
+	}
+	c.finished = true
+	delete(d.calls, c.ID)
+}
+
+// Cancel tells that the caller has gone.
+func (d *Desk) Cancel(now core.Millis, id uint64, out *core.Effects) {
+	c := d.calls[id]
+	if c == nil || c.gone {
+		return
+	}
+	c.gone = true
+	d.withdraw(now, c, out)
+	switch {
+	case c.answered:
+		d.abortAll(c, out)
+	case c.phase == claiming:
+		d.Ledger.Forget(now, id, out)
+		d.refuse(c, core.Refuse(core.CallerGone, core.RanUnknown, "the caller closed its connection"), out)
+	case c.phase == closing:
+	case len(c.attempts) == 0:
+		d.giveUp(now, c, core.Refuse(core.CallerGone, core.RanNo, "the caller closed its connection"), out)
+	case !c.keyed:
+		d.abortAll(c, out)
+		d.refuse(c, core.Refuse(core.CallerGone, core.RanUnknown, "the caller closed its connection"), out)
+	}
+}
+
+func (d *Desk) abortAll(c *call, out *core.Effects) {
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		if a := c.attempts[id]; !a.dropped {
+			a.dropped = true
+			out.Aborts = append(out.Aborts, core.Abort{Attempt: id})
+		}
+	}
+}
+
+func (d *Desk) expire(now core.Millis, c *call, out *core.Effects) {
+	d.withdraw(now, c, out)
+	d.abortAll(c, out)
+	for _, a := range c.attempts {
+		a.expired = !a.headed
+	}
+	if c.answered || c.gone || c.phase == closing {
+		return
+	}
+	r := core.Refuse(core.DeadlinePassed, core.RanUnknown, "the deadline passed")
+	switch {
+	case c.phase == claiming:
+		d.Ledger.Forget(now, c.ID, out)
+		d.refuse(c, r, out)
+	case len(c.attempts) == 0:
+		d.giveUp(now, c, r, out)
+	default:
+		d.refuse(c, r, out)
+	}
+}
--- /dev/null
+++ b/core/model/upstream.go
@@ -0,0 +1,162 @@
+package model
+
+import (
+	"clementinelock/core"
+	"clementinelock/core/call"
+	"clementinelock/core/host"
+)
+
+// Upstream is a model endpoint.
+type Upstream struct {
+	Address  string
+	Zone     string
+	Service  string
+	Slots    int
+	InFlight int
+	Peak     int
+	Served   int
+	Dead     bool
+	Slow     core.Millis
+	// Misleads makes the endpoint report that it is idle.
+	Misleads bool
+}
+
+// sending is an attempt at a model endpoint.
+type sending struct {
+	up      *Upstream
+	ran     core.Millis
+	mark    string
+	request *Request
+	running bool
+	over    bool
+}
+
+func (s *Site) addUpstreams() {
+	for _, zone := range s.View.Zones {
+		for _, service := range s.View.Services {
+			settings := s.View.Service(zone.Name, service)
+			for _, address := range settings.Endpoints {
+				s.Upstream[address] = &Upstream{Address: address, Zone: zone.Name, Service: service, Slots: settings.Slots}
+			}
+		}
+	}
+}
+
+func (s *Site) dispatch(name string, d core.Dispatch) {
+	r := s.told[requestID{name, d.Request}]
+	up := s.Upstream[d.Endpoint]
+	id := attemptID{name, d.Attempt}
+	sent := &sending{up: up, mark: r.Mark, request: r}
+	s.sends[id] = sent
+	way := s.between(s.Zone(name), up.Zone)
+	s.At(d.Deadline, func() { s.end(id, call.End{Ending: call.Broken, Detail: "deadline"}) })
+	if s.zonesCut(s.Zone(name), up.Zone) {
+		return
+	}
+	if up.Dead {
+		s.At(s.Now+2*way+1, func() { s.end(id, call.End{Ending: call.NotSent, Detail: "refused"}) })
+		return
+	}
+	began := s.Now
+	s.At(s.Now+way, func() { s.run(id, sent, began, way) })
+}
+
+func (s *Site) run(id attemptID, sent *sending, began, way core.Millis) {
+	if sent.over || s.zonesCut(s.Zone(id.host), sent.up.Zone) {
+		return
+	}
+	up := sent.up
+	sent.running = true
+	up.InFlight++
+	up.Served++
+	up.Peak = max(up.Peak, up.InFlight)
+	if up.InFlight > up.Slots {
+		s.Fail("seed %d: %d requests on %d slots in %s at %d", s.Seed, up.InFlight, up.Slots, up.Zone, s.Now)
+	}
+	s.runs[sent.mark]++
+	if s.notRun[sent.mark] {
+		s.Fail("seed %d: request %s runs after it was called not run", s.Seed, sent.mark)
+	}
+	sent.ran = s.Service() + up.Slow
+	if sent.request.firstRan == 0 {
+		sent.request.firstRan = sent.ran
+	}
+	s.At(s.Now+sent.ran, func() {
+		if !sent.running {
+			return
+		}
+		s.stopRun(sent)
+		if s.zonesCut(s.Zone(id.host), up.Zone) {
+			return
+		}
+		s.At(s.Now+way, func() { s.reply(id, sent, began) })
+	})
+}
+
+func (s *Site) stopRun(sent *sending) {
+	sent.over = true
+	if sent.running {
+		sent.running = false
+		sent.up.InFlight--
+	}
+}
+
+func (s *Site) reply(id attemptID, sent *sending, began core.Millis) {
+	if s.sends[id] != sent {
+		return
+	}
+	s.Step(id.host, func(m *host.Machine) core.Effects {
+		return m.Head(s.Now, id.attempt, call.Head{Status: 200, Report: sent.up.reported()})
+	})
+	answer := &core.StoredAnswer{Status: 200, Whole: true, Body: []byte(sent.mark)}
+	s.end(id, call.End{Ending: call.Whole, Latency: s.Now - began, Answer: answer})
+}
+
+func (s *Site) abort(name string, attempt uint64) {
+	id := attemptID{name, attempt}
+	sent := s.sends[id]
+	if sent == nil {
+		return
+	}
+	if !s.zonesCut(s.Zone(name), sent.up.Zone) {
+		s.At(s.Now+s.between(s.Zone(name), sent.up.Zone), func() { s.stopRun(sent) })
+	}
+	s.At(s.Now, func() { s.end(id, call.End{Ending: call.Broken, Detail: "cancelled"}) })
+}
+
+func (s *Site) end(id attemptID, e call.End) {
+	sent := s.sends[id]
+	if sent == nil {
+		return
+	}
+	delete(s.sends, id)
+	if e.Ending != call.Whole && !s.zonesCut(s.Zone(id.host), sent.up.Zone) {
+		s.At(s.Now+s.between(s.Zone(id.host), sent.up.Zone), func() { s.stopRun(sent) })
+	}
+	s.Step(id.host, func(m *host.Machine) core.Effects { return m.End(s.Now, id.attempt, e, 8000) })
+}
+
+// report is what the endpoint says of itself.
+func (u *Upstream) report() core.Report {
+	if u.Misleads {
+		return core.Report{}
+	}
+	return core.Report{InFlight: u.InFlight}
+}
+
+func (u *Upstream) reported() *core.Report {
+	r := u.report()
+	return &r
+}
+
+func (s *Site) poll(name, endpoint string) {
+	up := s.Upstream[endpoint]
+	way := s.between(s.Zone(name), up.Zone)
+	failed := up.Dead || s.zonesCut(s.Zone(name), up.Zone)
+	s.At(s.Now+way, func() {
+		report := up.report()
+		s.At(s.Now+way, func() {
+			s.Step(name, func(m *host.Machine) core.Effects { return m.Report(s.Now, endpoint, report, failed) })
+		})
+	})
+}
--- /dev/null
+++ b/core/quorum/status.go
@@ -0,0 +1,76 @@
+package quorum
+
+import (
+	"clementinelock/core"
+)
+
+// Status is the replica's state for dumps and operators.
+type Status struct {
+	Role        Role
+	Term        uint64
+	Leader      string
+	Commit      uint64
+	Applied     uint64
+	LastIndex   uint64
+	Incarnation uint64
+	Joined      bool
+	Fenced      bool
+	Members     []MemberStatus
+}
+
+// MemberStatus is one member with how far it is, as the leader knows it.
+type MemberStatus struct {
+	Member
+	Match     uint64
+	HeardAgo  core.Millis
+	Reachable bool
+}
+
+// LeaderName returns the leader as this replica knows it, or the empty string.
+func (r *Replica) LeaderName() string {
+	return r.leader
+}
+
+// IsLeader tells whether this replica believes that it leads.
+func (r *Replica) IsLeader() bool {
+	return r.role == Leader
+}
+
+// Durable tells whether everything that this replica has applied is on its disk.
+func (r *Replica) Durable() bool {
+	return r.syncedSeq == r.writeSeq
+}
+
+// Fenced tells whether this replica's disk was found older than what it promised; it must be emptied before a restart.
+func (r *Replica) Fenced() bool {
+	return r.fenced
+}
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 {
+	return r.vote.Term
+}
+
+// Report describes the replica.
+func (r *Replica) Report(now core.Millis) Status {
+	s := Status{
+		Role: r.role, Term: r.vote.Term, Leader: r.leader, Commit: r.commit, Applied: r.applied,
+		LastIndex: r.log.lastIndex(), Incarnation: r.vote.Incarnation, Joined: r.joined, Fenced: r.fenced,
+	}
+	for _, member := range r.members {
+		s.Members = append(s.Members, r.memberStatus(now, member))
+	}
+	return s
+}
+
+func (r *Replica) memberStatus(now core.Millis, member Member) MemberStatus {
+	if member.Name == r.Self && member.Incarnation == r.vote.Incarnation {
+		return MemberStatus{Member: member, Match: r.synced, Reachable: true}
+	}
+	p := r.peers[memberKey(member)]
+	if p == nil {
+		return MemberStatus{Member: member, HeardAgo: -1}
+	}
+	ago := now - p.heard
+	return MemberStatus{Member: member, Match: p.match, HeardAgo: ago, Reachable: ago < ElectionHigh}
+}
--- /dev/null
+++ b/core/relay/confirm.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/plan"
+)
+
+// newsFor lists the confirms that the parent was not told lately: those that changed, those of hosts that lag, and each of the others now and then.
+func (n *Node) newsFor(now core.Millis, parent string) []Confirm {
+	if parent != n.toldParent {
+		n.toldParent = parent
+		n.told = map[string]confirmAt{}
+	}
+	var out []Confirm
+	for _, c := range n.freshConfirms(now) {
+		before, known := n.told[c.Host]
+		same := known && before.Have == c.Have && before.Version == c.Version && before.Parent == c.Parent && before.Reason == c.Reason
+		if same && c.Version >= n.Version() && now-before.at < confirmAgain {
+			continue
+		}
+		n.told[c.Host] = confirmAt{c, now}
+		out = append(out, c)
+	}
+	return out
+}
+
+func (n *Node) freshConfirms(now core.Millis) []Confirm {
+	out := []Confirm{n.OwnConfirm()}
+	for _, name := range slices.Sorted(maps.Keys(n.confirms)) {
+		c := n.confirms[name]
+		if now-c.at >= confirmKept {
+			delete(n.confirms, name)
+			continue
+		}
+		if name == n.Self {
+			continue
+		}
+		relayed := c.Confirm
+		relayed.Age += now - c.at
+		out = append(out, relayed)
+	}
+	return out
+}
+
+// OwnConfirm describes what is in force at this host.
+func (n *Node) OwnConfirm() Confirm {
+	c := Confirm{Host: n.Self, Have: n.Version(), Version: n.confirmed, Parent: n.parent}
+	switch {
+	case n.view == nil && n.floor > 0:
+		c.Reason = "waits for the version that it had confirmed before its restart"
+	case n.view == nil:
+		c.Reason = "has no version yet"
+	case n.confirmed < n.Version():
+		c.Reason = "waits until a peer of its zone holds the version"
+	case n.parent == "" && !n.Control:
+		c.Reason = "reaches no parent"
+	}
+	return c
+}
+
+// demand sums this host's demand and that of the hosts below it.
+func (n *Node) demand(now core.Millis) Demand {
+	sums := map[plan.Flow]FlowDemand{}
+	addFlows(sums, n.OwnDemand(now))
+	for _, name := range slices.Sorted(maps.Keys(n.demands)) {
+		d := n.demands[name]
+		if now-d.at+d.Age >= demandKept {
+			delete(n.demands, name)
+			continue
+		}
+		addFlows(sums, d.Flows)
+	}
+	out := Demand{Source: n.Self}
+	for _, flow := range slices.SortedFunc(maps.Keys(sums), compareFlows) {
+		out.Flows = append(out.Flows, sums[flow])
+	}
+	return out
+}
+
+func compareFlows(a, b plan.Flow) int {
+	switch {
+	case a.Region+"/"+a.Service < b.Region+"/"+b.Service:
+		return -1
+	case a == b:
+		return 0
+	default:
+		return 1
+	}
+}
+
+// addFlows adds rates and averages times and sizes by rate.
+func addFlows(sums map[plan.Flow]FlowDemand, flows []FlowDemand) {
+	for _, f := range flows {
+		s := sums[f.Flow]
+		total := s.Rate + f.Rate
+		if total > 0 {
+			s.ServiceTime = core.Millis((float64(s.ServiceTime)*s.Rate + float64(f.ServiceTime)*f.Rate) / total)
+			s.Bits = (s.Bits*s.Rate + f.Bits*f.Rate) / total
+		}
+		s.Flow, s.Rate = f.Flow, total
+		sums[f.Flow] = s
+	}
+}
+
+// Demand returns the whole demand that this host knows of.
+func (n *Node) Demand(now core.Millis) []FlowDemand {
+	return n.demand(now).Flows
+}
+
+// InForce lists what hosts have confirmed, as far as this host was told.
+func (n *Node) InForce(now core.Millis) []Confirm {
+	return n.freshConfirms(now)
+}
+
+// confirm confirms the version in force once it would outlive this host's restart: a live peer of the zone holds it, if there is one, and a control host's own disk.
+func (n *Node) confirm(now core.Millis) {
+	if n.view == nil || n.confirmed >= n.view.Version {
+		return
+	}
+	held := n.view.Version
+	if witnessed, hasPeer := n.Witnessed(now); hasPeer {
+		held = min(held, witnessed)
+	}
+	if n.Control {
+		held = min(held, n.durable)
+	}
+	before := n.confirmed
+	n.confirmed = max(n.confirmed, held)
+	if n.confirmed > before {
+		n.nextSync = now
+	}
+}
+
+func (n *Node) takeConfirm(now core.Millis, c Confirm) {
+	old := n.confirms[c.Host]
+	if old != nil && old.Age+now-old.at < c.Age {
+		return
+	}
+	n.confirms[c.Host] = &confirmAt{c, now}
+}
--- a/core/slots/node.go
+++ b/core/slots/node.go
@@ -55,31 +55,6 @@
 	told            map[string]told
 }
 
-// asked is an ask that was not answered yet.
-type asked struct {
-	lease  string
-	sentAt core.Millis
-}
-
-// told is the last keeper that this host told of its slots.
-type told struct {
-	keeper string
-	at     core.Millis
-}
-
-// use is a slot that this host holds for a request.
-type use struct {
-	zone, service, endpoint string
-	until                   core.Millis
-}
-
-// undone is a Done that its keeper has not acknowledged.
-type undone struct {
-	message *Done
-	sentAt  core.Millis
-	until   core.Millis
-}
-
 const doneAgain = 250 * core.Millisecond
 
 // Start prepares the node.
@@ -201,91 +176,6 @@
 	}
 }
 
-func (n *Node) resendDone(now core.Millis, token Token, out *core.Effects) {
-	u := n.undone[token]
-	if now >= u.until {
-		delete(n.undone, token)
-		return
-	}
-	if now-u.sentAt >= doneAgain {
-		n.sendDone(now, u, out)
-	}
-}
-
-// sendDone tells the keeper that gave the slot, and the present one when it is another.
-func (n *Node) sendDone(now core.Millis, u *undone, out *core.Effects) {
-	u.sentAt = now
-	m := u.message
-	if m.Token.Keeper != n.Self {
-		out.Send(m.Token.Keeper, m)
-	}
-	present := n.KeeperOf(now, m.Zone, m.Service)
-	if present != "" && present != m.Token.Keeper && present != n.Self {
-		out.Send(present, m)
-	}
-}
-
-func compareTokens(a, b Token) int {
-	if a.Number != b.Number {
-		return int(a.Number) - int(b.Number)
-	}
-	return strings.Compare(a.Keeper, b.Keeper)
-}
-
-// Ask sends an ask to a keeper, which may be this host.
-func (n *Node) Ask(now core.Millis, keeper string, m *Ask, out *core.Effects) {
-	m.Incarnation = n.Incarnation
-	n.asked[m.Ask] = asked{LeaseName(m.Zone, m.Service), now}
-	if keeper != n.Self {
-		out.Send(keeper, m)
-		return
-	}
-	n.onAsk(now, n.Self, m, out)
-}
-
-// Withdraw takes an ask back.
-func (n *Node) Withdraw(now core.Millis, keeper string, m *Withdraw, out *core.Effects) {
-	m.Incarnation = n.Incarnation
-	delete(n.asked, m.Ask)
-	if keeper != n.Self {
-		out.Send(keeper, m)
-		return
-	}
-	n.onWithdraw(now, n.Self, m, out)
-}
-
-// Use notes that a request of this host uses the slot.
-func (n *Node) Use(token Token, zone, service, endpoint string, until core.Millis) {
-	n.held[token] = &use{zone, service, endpoint, until}
-}
-
-// Done gives a slot back and sees to it that the keeper learns of it.
-func (n *Node) Done(now core.Millis, token Token, zone, service string, result Result, out *core.Effects) {
-	until := now + 10*core.Second
-	if u := n.held[token]; u != nil {
-		until = u.until + tokenGrace
-	}
-	delete(n.held, token)
-	m := &Done{Token: token, Zone: zone, Service: service, Result: result}
-	n.onDone(now, m, out)
-	if token.Keeper == n.Self {
-		return
-	}
-	u := &undone{message: m, until: until}
-	n.undone[token] = u
-	n.sendDone(now, u, out)
-}
-
-// Undone counts the slots whose return their keeper has not acknowledged.
-func (n *Node) Undone() int {
-	return len(n.undone)
-}
-
-// InUse counts the slots that this host holds.
-func (n *Node) InUse() int {
-	return len(n.held)
-}
-
 // Receive takes one of the package's messages.
 func (n *Node) Receive(now core.Millis, from string, message core.Message, out *core.Effects) {
 	switch m := message.(type) {
@@ -318,35 +208,6 @@
 	}
 }
 
-// onGrant takes a slot, unless another keeper was told in the meantime that this host does not hold it.
-func (n *Node) onGrant(now core.Millis, m *Grant, out *core.Effects) {
-	a, ok := n.asked[m.Ask]
-	if !ok || m.Incarnation != n.Incarnation {
-		// The second answer to an ask that was sent twice names the slot that is in use already.
-		if n.held[m.Token] == nil {
-			n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
-		}
-		return
-	}
-	delete(n.asked, m.Ask)
-	if t := n.told[a.lease]; t.keeper != "" && t.keeper != m.Token.Keeper && a.sentAt <= t.at {
-		n.Done(now, m.Token, m.Zone, m.Service, Result{Unused: true}, out)
-		n.OnRefused(now, &Refused{Ask: m.Ask, Incarnation: m.Incarnation, Kind: core.NoUpstream, Moved: true, Zone: m.Zone, Service: m.Service}, out)
-		return
-	}
-	n.OnGrant(now, m, out)
-}
-
-func (n *Node) heldFor(now core.Millis, zone, service string) []HeldSlot {
-	var out []HeldSlot
-	for _, token := range slices.SortedFunc(maps.Keys(n.held), compareTokens) {
-		if u := n.held[token]; u.zone == zone && u.service == service {
-			out = append(out, HeldSlot{token, u.endpoint, max(0, u.until-now)})
-		}
-	}
-	return out
-}
-
 func (n *Node) onAsk(now core.Millis, from string, m *Ask, out *core.Effects) {
 	k := n.keepers[LeaseName(m.Zone, m.Service)]
 	if k == nil || k.settings == nil {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -257,107 +256,6 @@
 	}
 }
 
-// watchFence ends the process when its disk was found older than its promises, after moving the disk's files aside.
-func (d *Daemon) watchFence(ctx context.Context) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		d.driver.mutex.Lock()
-		fenced := d.driver.machine.Fenced()
-		d.driver.mutex.Unlock()
-		if !fenced {
-			continue
-		}
-		err := d.driver.folder.Reset(strconv.FormatInt(time.Now().UnixMilli(), 10))
-		d.failure <- errors.Join(fmt.Errorf("data folder %q is older than what this replica promised; its files were moved aside, start again", d.Settings.DataFolder), err)
-		return
-	}
-}
-
-// Stop begins a planned stop: callers are led elsewhere, nothing in flight is cut off. Wait returns when it is done.
-func (d *Daemon) Stop() {
-	d.driver.step(d.driver.machine.Stop)
-	go func() {
-		end := time.Now().Add(d.Settings.StopWithin.Duration())
-		for {
-			done, open := d.driver.stopped()
-			if done {
-				d.log.Info("host", "Stops: nothing is in flight.")
-				break
-			}
-			if time.Now().After(end) {
-				d.log.Error("host", fmt.Errorf("stops after %s with %d requests cut off", d.Settings.StopWithin, open))
-				break
-			}
-			time.Sleep(stopCheckEvery)
-		}
-		d.finish()
-	}()
-}
-
-func (d *driver) stopped() (done bool, open int) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.machine.Stopped()
-}
-
-// finish lets the servers write their last answers and ends the host.
-func (d *Daemon) finish() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
-	defer cancel()
-	for _, server := range d.servers {
-		_ = server.Shutdown(ctx)
-	}
-	select {
-	case <-d.stopped:
-	default:
-		close(d.stopped)
-	}
-}
-
-// Kill ends the host at once, as a crash would.
-func (d *Daemon) Kill() {
-	d.cancel()
-}
-
-// Wait returns when the host has stopped.
-func (d *Daemon) Wait() error {
-	var err error
-	select {
-	case err = <-d.failure:
-		d.log.Error("host", err)
-	case <-d.stopped:
-	case <-d.driver.context.Done():
-	}
-	d.cancel()
-	d.close()
-	d.wait.Wait()
-	return err
-}
-
-func (d *Daemon) close() {
-	for _, server := range d.servers {
-		_ = server.Close()
-	}
-	if d.driver == nil {
-		return
-	}
-	if d.driver.fetch != nil {
-		d.driver.fetch.Close()
-	}
-	if d.driver.folder != nil {
-		d.driver.mutex.Lock()
-		d.driver.dead = true
-		d.driver.mutex.Unlock()
-		_ = d.driver.folder.Close()
-	}
-}
-
 // Roles tells which roles the settings give the host.
 func (d *Daemon) Roles() []string {
 	return slices.Clone(d.Settings.Roles)
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -102,12 +102,13 @@
 
 // run serves until a planned stop is done. SIGTERM and SIGINT begin one, a second of them ends it at once; SIGUSR1 writes the dump.
 func run(ctx context.Context, s config.Settings, stdout io.Writer) error {
+	// Signals that come while the host starts wait for it.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	d := &Daemon{Settings: s, LogTo: os.Stderr}
 	if err := d.Start(ctx); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		stopping := false
 		for s := range signals {
