--- a/core/slots/endpoint.go
+++ b/core/slots/endpoint.go
@@ -152,7 +152,7 @@
 	return slices.Contains(k.settings.Leaving, name) || k.node.platformLeaving[name]
 }
 
-// ejected lists the endpoints that failures took out, at most a third of all, those that failed longest ago are let in first.
+// ejected lists the endpoints that failures took out: at most a third of all, and never the last one; those whose time ends first are let in first.
 func (k *keeper) ejected(now core.Millis) map[string]bool {
 	var out []*endpoint
 	for _, name := range k.settings.Endpoints {
@@ -164,7 +164,8 @@
 	if len(out) == 0 {
 		return nil
 	}
-	most := max(1, len(k.settings.Endpoints)/ejectedShare)
+	count := len(k.settings.Endpoints)
+	most := min(max(1, count/ejectedShare), count-1)
 	slices.SortFunc(out, func(a, b *endpoint) int { return int(b.ejectedUntil - a.ejectedUntil) })
 	set := map[string]bool{}
 	for _, e := range out[:min(most, len(out))] {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -35,7 +35,8 @@
 type Endpoint struct {
 	Endpoint string
 	State    string
-	Since    core.Millis
+	// Since is in milliseconds since the Unix epoch.
+	Since int64
 }
 
 // Link is what others use of the link between two regions.
@@ -88,7 +89,7 @@
 		if e.State != live && e.State != leaving || e.Since <= 0 {
 			return host.Feed{}, fmt.Errorf("endpoint %q has state %q since %d; expected Live or Leaving since a time", e.Endpoint, e.State, e.Since)
 		}
-		out.Notices = append(out.Notices, member.Notice{Endpoint: e.Endpoint, Leaving: e.State == leaving, Since: e.Since})
+		out.Notices = append(out.Notices, member.Notice{Endpoint: e.Endpoint, Leaving: e.State == leaving, Since: core.Millis(e.Since)})
 	}
 	for _, l := range list.Links {
 		if !(l.UsedBits >= 0) {
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -49,7 +49,7 @@
 	mutex     sync.Mutex
 	endpoints map[string]*Endpoint
 	runs      map[string]int
-	leaving   map[string]core.Millis
+	leaving   map[string]int64
 	random    *rand.Rand
 	wait      sync.WaitGroup
 }
@@ -58,7 +58,7 @@
 func (f *Fleet) Start() error {
 	f.endpoints = map[string]*Endpoint{}
 	f.runs = map[string]int{}
-	f.leaving = map[string]core.Millis{}
+	f.leaving = map[string]int64{}
 	f.random = rand.New(rand.NewPCG(f.Seed, 1))
 	view := tree.NewView(f.Tree)
 	for _, zone := range view.Zones {
@@ -132,7 +132,7 @@
 func (f *Fleet) Leave(address string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.leaving[address] = core.Millis(time.Now().UnixMilli())
+	f.leaving[address] = time.Now().UnixMilli()
 }
 
 // List returns the platform's list.
