Own the peer socket; fuzz target; plots of scale and of a shift

Cause: a host that was started again in the same process found its peer address in use, since the library kept accepted connections after the listener was closed. Fuzz targets had no command, the docs no plots.

Change: the host owns socket and transport and closes both; make fuzz; plots.

Conclusion: nothing of a stopped host is left behind.

--- a/Makefile
+++ b/Makefile
@@ -44,5 +44,15 @@
 docs: build
 	./bin/clementinelab docs
 
+# Each input that comes from outside has a fuzz target.
+FUZZTIME ?= 10s
+fuzz:
+	go test ./io/config -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME)
+	go test ./io/config -run '^$$' -fuzz FuzzTree -fuzztime $(FUZZTIME)
+	go test ./io/feed -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	go test ./io/proto -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZTIME)
+	go test ./core/host -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	go test ./core/ledger -run '^$$' -fuzz FuzzParseKey -fuzztime $(FUZZTIME)
+
 clean:
 	rm -rf bin tools
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -98,6 +98,9 @@
 	if d.driver == nil {
 		return
 	}
+	if d.network != nil {
+		d.network.Close()
+	}
 	if d.driver.fetch != nil {
 		d.driver.fetch.Close()
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	addresses map[string]string
 	peers     map[string]*peer
 	context   context.Context
+	socket    *net.UDPConn
+	transport *quic.Transport
 	listener  *quic.Listener
 	Stats     Stats
 }
@@ -85,11 +88,20 @@
 
 // Listen opens the host's address; it errs when the address can't be had.
 func (n *Network) Listen(ctx context.Context) error {
-	listener, err := quic.ListenAddr(n.Address, n.Keys.Config([]string{protocol}, certs.Hosts), config())
+	address, err := net.ResolveUDPAddr("udp", n.Address)
 	if err != nil {
 		return fmt.Errorf("peer address %q: %w", n.Address, err)
 	}
-	n.listener, n.context = listener, ctx
+	if n.socket, err = net.ListenUDP("udp", address); err != nil {
+		return fmt.Errorf("peer address %q: %w", n.Address, err)
+	}
+	n.transport = &quic.Transport{Conn: n.socket}
+	n.listener, err = n.transport.Listen(n.Keys.Config([]string{protocol}, certs.Hosts), config())
+	if err != nil {
+		n.Close()
+		return fmt.Errorf("peer address %q: %w", n.Address, err)
+	}
+	n.context = ctx
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.addresses == nil {
@@ -99,6 +111,16 @@
 	return nil
 }
 
+// Close frees the host's address at once, with every connection that came in on it.
+func (n *Network) Close() {
+	if n.socket == nil {
+		return
+	}
+	// Nobody is left to tell of an error while the host ends.
+	_ = n.transport.Close()
+	_ = n.socket.Close()
+}
+
 // SetAddresses adds and replaces the addresses of hosts.
 func (n *Network) SetAddresses(addresses map[string]string) {
 	n.mutex.Lock()
@@ -113,7 +135,7 @@
 
 // Run accepts connections until the context ends.
 func (n *Network) Run(ctx context.Context) error {
-	defer func() { _ = n.listener.Close() }()
+	defer n.Close()
 	for {
 		connection, err := n.listener.Accept(ctx)
 		if err != nil {
--- a/io/trial/bench_scale.go
+++ b/io/trial/bench_scale.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"clementinelock/core/host"
 	"clementinelock/core/model"
 	"clementinelock/core/tree"
+	"clementinelock/io/plots"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -157,7 +159,20 @@
 		b.add("  of these bytes", true, "", "%s", p.shares())
 	}
 	b.fit(points)
-	return nil
+	return b.drawScale(points)
+}
+
+// drawScale plots what control costs a node by the number of nodes.
+func (b *bench) drawScale(points []scalePoint) error {
+	if b.plots == "" {
+		return nil
+	}
+	mean, most := plots.Line{Name: "mean"}, plots.Line{Name: "busiest"}
+	for _, p := range points {
+		mean.X, mean.Y = append(mean.X, float64(p.nodes)), append(mean.Y, p.bytes/1000)
+		most.X, most.Y = append(most.X, float64(p.nodes)), append(most.Y, p.most/1000)
+	}
+	return plots.Lines(filepath.Join(b.plots, "scale.png"), "Control bytes of a node", "nodes", "KB/s", mean, most)
 }
 
 // shares lists the messages that most bytes go to.
--- a/io/trial/bench_steering.go
+++ b/io/trial/bench_steering.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"time"
 
 	"clementinelock/core"
+	"clementinelock/core/ctrl"
 	"clementinelock/core/host"
 	"clementinelock/core/member"
 	"clementinelock/core/model"
 	"clementinelock/core/plan"
 	"clementinelock/core/tree"
+	"clementinelock/io/plots"
 )
 
 const planRuns = 50
@@ -26,6 +29,9 @@
 		b.comparePlans(user, s.View)
 	}
 	b.planTime()
+	if err := b.shiftResponse(); err != nil {
+		return err
+	}
 	for _, user := range users {
 		if err := benchFaults(b, user); err != nil {
 			return err
@@ -135,6 +141,42 @@
 	b.add(fmt.Sprintf("one plan for %d regions, %d zones", len(view.Regions), len(view.Zones)), took < 100*time.Millisecond, "< 100ms", "%s", took.Round(10*time.Microsecond))
 }
 
+// shiftResponse drains a region on virtual time and follows its share of the traffic.
+func (b *bench) shiftResponse() error {
+	s, err := newSite(b, "instituto", nil)
+	if err != nil {
+		return err
+	}
+	const service = "extratos"
+	load := startLoad(s, service, 0.3, 0, core.Second)
+	s.For(warmUpFor)
+	region := s.View.Regions[0].Name
+	edit := &tree.Edit{ID: "drain", Base: newestVersion(s), Changes: []tree.Change{{Path: tree.Path("/" + region), Setting: "Weight", Value: "0"}}}
+	began := s.Now
+	s.Ask(s.Control[0], ctrl.Ask{Question: ctrl.AskEdit, Edit: edit}, func(*ctrl.Body, *core.Refusal) {})
+	line := plots.Line{Name: region}
+	worst, previous, settled := 0.0, 1.0, core.Millis(0)
+	for s.Now-began < 5*core.Minute && settled == 0 {
+		s.For(core.Second)
+		share := s.Machines[s.View.RegionHosts(region)[0]].Dump(s.Now).Plan.Of(region, service)[region]
+		worst = max(worst, previous-share)
+		previous = share
+		line.X, line.Y = append(line.X, float64(s.Now-began)/1000), append(line.Y, share)
+		if share == 0 {
+			settled = s.Now - began
+		}
+	}
+	load.Stop()
+	s.For(2 * core.Second)
+	// A third of the service's traffic is the region's; the cap is 0.3 of the service per minute, so the region's own share may fall by 0.9 per minute.
+	b.add("region emptied by weight 0, cap 0.3/min: time to settle", settled > 0, "", "%s", settled)
+	b.add("largest step of its share in a second", worst <= 0.9/60*10+0.01, "", "%.3f", worst)
+	if b.plots == "" {
+		return nil
+	}
+	return plots.Lines(filepath.Join(b.plots, "shift.png"), "A region emptied under its shift cap", "seconds", "share kept", line)
+}
+
 // fault is one row of the faults that callers are measured under.
 type fault struct {
 	name  string
