One adapter makes a part a process of the tests; clearer names in slots

Change: fake.Part does it once; names say what they hold.

Conclusion: core.Part is the one shape of a part.

--- a/core/fake/world.go
+++ b/core/fake/world.go
@@ -202,3 +202,22 @@
 	*h = old[:len(old)-1]
 	return last
 }
+
+// Part makes one part a process of the world.
+type Part struct {
+	core.Part
+}
+
+// Tick steps the part's time.
+func (p Part) Tick(now core.Millis) core.Effects {
+	out := core.Effects{}
+	p.Part.Tick(now, &out)
+	return out
+}
+
+// Receive hands the part a message.
+func (p Part) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	out := core.Effects{}
+	p.Part.Receive(now, from, message, &out)
+	return out
+}
--- a/core/grant/grant_test.go
+++ b/core/grant/grant_test.go
@@ -9,25 +9,6 @@
 	"clementinelock/core/grant"
 )
 
-// process is a host with its part in the limits.
-type process struct {
-	*grant.Node
-}
-
-// Tick steps the node's time.
-func (p process) Tick(now core.Millis) core.Effects {
-	out := core.Effects{}
-	p.Node.Tick(now, &out)
-	return out
-}
-
-// Receive hands the node a message.
-func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
-	out := core.Effects{}
-	p.Node.Receive(now, from, message, &out)
-	return out
-}
-
 const (
 	resource = "region"
 	capacity = 1000.0
@@ -56,7 +37,7 @@
 	n.Start()
 	n.SetLimits([]grant.Limit{{Resource: resource, Rate: capacity}}, len(hosts))
 	g.nodes[host] = n
-	g.Start(host, process{n})
+	g.Start(host, fake.Part{Part: n})
 }
 
 // use lets every host use what it can of its demand for a time, and returns how much each got.
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -14,8 +14,6 @@
 	"clementinelock/core/slots"
 )
 
-type ctrlFoundAsk = ctrl.FoundAsk
-
 const (
 	pollEvery      = 500 * core.Millisecond
 	directoryEvery = 250 * core.Millisecond
@@ -82,7 +80,7 @@
 	if d.at != 0 {
 		seconds := float64(now-d.at) / 1000
 		d.current = nil
-		for _, service := range m.view0() {
+		for _, service := range m.services() {
 			rate := float64(arrivals[service]-d.last[service]) / seconds
 			d.current = append(d.current, relay.FlowDemand{
 				Flow: plan.Flow{Region: m.Region, Service: service}, Rate: rate,
@@ -93,7 +91,7 @@
 	d.at, d.last = now, arrivals
 }
 
-func (m *Machine) view0() []string {
+func (m *Machine) services() []string {
 	if m.view == nil {
 		return nil
 	}
--- a/core/host/tasks.go
+++ b/core/host/tasks.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/ctrl"
 	"clementinelock/core/edits"
 	"clementinelock/core/grant"
 	"clementinelock/core/lease"
@@ -260,7 +261,7 @@
 		return
 	}
 	m.foundAt = now + foundEach
-	ask := &ctrlFoundAsk{Region: m.Region, Replicas: m.ledgerReplicas(m.Region), Incarnation: m.Incarnation}
+	ask := &ctrl.FoundAsk{Region: m.Region, Replicas: m.ledgerReplicas(m.Region), Incarnation: m.Incarnation}
 	for _, host := range m.ControlHosts {
 		if host != m.Self {
 			out.Send(host, ask)
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -8,25 +8,6 @@
 	"clementinelock/core/lease"
 )
 
-// process is a host with its part in the leases; hosts are told truly who is up.
-type process struct {
-	*lease.Node
-}
-
-// Tick steps the node's time.
-func (p process) Tick(now core.Millis) core.Effects {
-	out := core.Effects{}
-	p.Node.Tick(now, &out)
-	return out
-}
-
-// Receive hands the node a message.
-func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
-	out := core.Effects{}
-	p.Node.Receive(now, from, message, &out)
-	return out
-}
-
 // health tells from the world which hosts are up and reached.
 type health struct {
 	world *fake.World
@@ -70,7 +51,7 @@
 	out := core.Effects{}
 	n.SetDefinitions(g.Now, []lease.Definition{task}, &out)
 	g.nodes[host] = n
-	g.Start(host, process{n})
+	g.Start(host, fake.Part{Part: n})
 }
 
 func (g *group) holders() []string {
--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -43,23 +43,6 @@
 	return nil
 }
 
-// process makes a replica a process of the fake world.
-type process struct {
-	*quorum.Replica
-}
-
-func (p process) Tick(now core.Millis) core.Effects {
-	out := core.Effects{}
-	p.Replica.Tick(now, &out)
-	return out
-}
-
-func (p process) Receive(now core.Millis, from string, message core.Message) core.Effects {
-	out := core.Effects{}
-	p.Replica.Receive(now, from, message, &out)
-	return out
-}
-
 // group is a group of replicas under random faults.
 type group struct {
 	*fake.World
@@ -115,7 +98,7 @@
 		g.t.Fatal(err)
 	}
 	g.Do(name, out)
-	g.Start(name, process{r})
+	g.Start(name, fake.Part{Part: r})
 }
 
 func (g *group) crash(name string) {
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -53,9 +53,8 @@
 	queue     queue.Queue[waiter]
 	slots     map[Token]*granted
 	byAsk     map[askID]Token
-	closing   string
 	handedTo  string
-	service0  float64
+	meanUse   float64
 	round     uint64
 	whoAt     core.Millis
 	waitWho   map[string]bool
@@ -93,7 +92,7 @@
 
 // start begins to keep the service: slots that a former keeper gave out count as used until their hosts or the endpoints have told of them.
 func (k *keeper) start(now core.Millis, known bool) {
-	k.active, k.closing, k.handedTo, k.floorOnly = true, "", "", false
+	k.active, k.handedTo, k.floorOnly = true, "", false
 	k.waitWho = map[string]bool{}
 	k.round++
 	if known {
@@ -113,7 +112,7 @@
 
 // mayGive tells whether this host still has the right to give slots: the lease, or as its first candidate that lost it the reserved ones.
 func (k *keeper) mayGive(now core.Millis) bool {
-	return k.active && k.closing == "" && (k.floorOnly || k.node.Holds(now, k.zone, k.service))
+	return k.active && (k.floorOnly || k.node.Holds(now, k.zone, k.service))
 }
 
 // askWho asks the hosts that have not yet told which slots they hold.
@@ -199,7 +198,7 @@
 	case !m.Wait:
 		k.refuse(now, from, m, core.Overloaded, expected, false, out)
 		return
-	case expected > k.settings.QueueWait || expected+core.Millis(k.service0) > m.Remaining:
+	case expected > k.settings.QueueWait || expected+core.Millis(k.meanUse) > m.Remaining:
 		k.refuse(now, from, m, core.Overloaded, expected, false, out)
 		return
 	}
@@ -212,7 +211,7 @@
 // expectedWait estimates how long a new waiter would wait, from the mean time that a slot is used.
 func (k *keeper) expectedWait(now core.Millis) core.Millis {
 	capacity := max(1, k.capacity(now))
-	return core.Millis(float64(k.queue.Len()+1) * k.service0 / float64(capacity))
+	return core.Millis(float64(k.queue.Len()+1) * k.meanUse / float64(capacity))
 }
 
 // capacity counts the slots that this keeper may use now, in use or not.
@@ -283,7 +282,7 @@
 		if e == nil || !k.node.admit(now, k.service) {
 			return
 		}
-		w, ok := k.queue.Pop(now, core.Millis(k.service0), func(late waiter) {
+		w, ok := k.queue.Pop(now, core.Millis(k.meanUse), func(late waiter) {
 			k.refuse(now, late.from, late.ask, core.DeadlinePassed, 0, false, out)
 		})
 		if !ok {
@@ -318,11 +317,11 @@
 }
 
 func (k *keeper) learnServiceTime(latency core.Millis) {
-	if k.service0 == 0 {
-		k.service0 = float64(latency)
+	if k.meanUse == 0 {
+		k.meanUse = float64(latency)
 		return
 	}
-	k.service0 += smoothing * (float64(latency) - k.service0)
+	k.meanUse += smoothing * (float64(latency) - k.meanUse)
 }
 
 func (k *keeper) forget(g *granted) {
@@ -365,7 +364,7 @@
 
 // stop ends the keeping, but for the reserved slots when floor is true; what waits is told to ask again elsewhere.
 func (k *keeper) stop(now core.Millis, floor bool, out *core.Effects) {
-	k.active, k.floorOnly, k.closing = floor, floor, ""
+	k.active, k.floorOnly = floor, floor
 	k.queue.Drain(func(w waiter) {
 		k.refuse(now, w.from, w.ask, core.NoUpstream, 0, true, out)
 	})
--- a/io/trial/bench_control.go
+++ b/io/trial/bench_control.go
@@ -135,25 +135,6 @@
 	b.atMost(fmt.Sprintf("catch-up of a host after %d changes", catchUpOver), s.Now-began, 2*core.Second)
 }
 
-// replica makes a quorum replica a process of the fake world.
-type replica struct {
-	*quorum.Replica
-}
-
-// Tick steps the replica's time.
-func (r replica) Tick(now core.Millis) core.Effects {
-	out := core.Effects{}
-	r.Replica.Tick(now, &out)
-	return out
-}
-
-// Receive hands the replica a message.
-func (r replica) Receive(now core.Millis, from string, message core.Message) core.Effects {
-	out := core.Effects{}
-	r.Replica.Receive(now, from, message, &out)
-	return out
-}
-
 // nothing is a state machine without state.
 type nothing struct{}
 
@@ -192,7 +173,7 @@
 			panic(err)
 		}
 		w.Do(name, out)
-		w.Start(name, replica{r})
+		w.Start(name, fake.Part{Part: r})
 	}
 	w.For(5 * core.Second)
 	before := replicas["one"].Term()
