Silent connections: a read is tried elsewhere after half its time

Cause: a read on a connection that had gone silent waited for its whole deadline unless its service allowed hedges; a keyed request whose home region was known to be out of reach waited a second to be told so.

Change: when half of a read's time is over, a second attempt on a new connection, in another zone where one has a free slot, within the retry budget; ledger replicas that are known to be out of reach are not waited for.

Figures: a read with 2 s whose zone's endpoints say nothing is answered within 1.2 s (before: DeadlinePassed after 2 s); the write beside it is sent once and told Unknown.

Conclusion: the time that one attempt may take is now bounded for reads; a write still waits for its deadline, since it can't be sent twice.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -170,7 +170,7 @@
 	d.Slots.Use(m.Token, m.Zone, m.Service, m.Endpoint, c.deadline)
 	out.Dispatches = append(out.Dispatches, core.Dispatch{
 		Request: c.ID, Attempt: a.id, Endpoint: m.Endpoint, Deadline: c.deadline,
-		Fresh: !c.Idempotent, Capture: c.capture(),
+		Fresh: !c.Idempotent || c.sent > 1, Capture: c.capture(),
 	})
 }
 
@@ -337,21 +337,38 @@
 	d.giveUp(now, c, r, out)
 }
 
-// hedge makes a second attempt for an idempotent request whose first is slow, within the budget.
+// hedge makes a second attempt for an idempotent request: when its first is slow and the tree allows hedges, or when half of its time is over and the first may be on a connection that has gone silent.
 func (d *Desk) hedge(now core.Millis, c *call, out *core.Effects) {
 	if c.phase != running || c.hedged || !c.Idempotent || !c.Replayable || c.answered || c.ask != nil || len(c.attempts) != 1 {
 		return
 	}
-	if c.settings.HedgeBudget == 0 || now-d.oldest(c).began < c.settings.HedgeDelay {
+	age := now - d.oldest(c).began
+	budget := budgetFor(d.hedges, c.Service)
+	due := c.settings.HedgeBudget > 0 && age >= c.settings.HedgeDelay
+	if age >= (c.deadline-c.arrived)/silentShare {
+		budget, due = budgetFor(d.retries, c.Service), true
+	}
+	if !due {
 		return
 	}
 	c.hedged = true
 	targets := d.Router.Targets(now, c.region, c.Service)
-	if len(targets) == 0 || targets[0].Free == 0 || !budgetFor(d.hedges, c.Service).Spend() {
+	if len(targets) == 0 || targets[0].Free == 0 || !budget.Spend() {
 		return
 	}
-	c.exclude = append(c.exclude, d.oldest(c).endpoint)
-	d.sendAsk(now, c, targets[0], false, true, out)
+	first := d.oldest(c)
+	c.exclude = append(c.exclude, first.endpoint)
+	d.sendAsk(now, c, elsewhere(targets, first.zone), false, true, out)
+}
+
+// elsewhere prefers a free zone other than the first attempt's, which may be what is slow.
+func elsewhere(targets []route.Target, zone string) route.Target {
+	for _, target := range targets {
+		if target.Free > 0 && target.Zone != zone {
+			return target
+		}
+	}
+	return targets[0]
 }
 
 func (d *Desk) oldest(c *call) *attempt {
--- a/core/call/desk.go
+++ b/core/call/desk.go
@@ -17,8 +17,10 @@
 const (
 	askAgain     = 200 * core.Millisecond
 	mostAttempts = 3
-	mostAsks     = 24
-	seekAgain    = 50 * core.Millisecond
+	// silentShare is the part of a request's time, one in so many, that one attempt may take without a word while another can be made.
+	silentShare = 2
+	mostAsks    = 24
+	seekAgain   = 50 * core.Millisecond
 )
 
 // Arrival is a caller's request as the driver read it.
@@ -82,6 +84,7 @@
 	Arrival
 	phase    phase
 	settings *tree.Service
+	arrived  core.Millis
 	deadline core.Millis
 	claim    ledger.Claim
 	token    ledger.Token
@@ -211,7 +214,7 @@
 		return
 	}
 	d.arrivals[a.Service]++
-	c.deadline = now + d.deadlineOf(c)
+	c.arrived, c.deadline = now, now+d.deadlineOf(c)
 	budgetFor(d.retries, a.Service).First()
 	budgetFor(d.hedges, a.Service).First()
 	if c.keyed {
--- a/core/host/machine.go
+++ b/core/host/machine.go
@@ -150,6 +150,7 @@
 	m.replica.Start(now)
 	m.ledger = &ledger.Client{
 		Self: m.Self, Incarnation: m.Incarnation, Rand: m.Rand, Local: m.replica, Replicas: m.ledgerReplicas, Gone: m.gone,
+		Dead: func(now core.Millis, host string) bool { return m.members.Liveness(now, host) == core.Dead },
 		OnVerdict: func(now core.Millis, request uint64, v ledger.Verdict, out *core.Effects) {
 			m.desk.OnVerdict(now, request, v, out)
 		},
--- a/core/ledger/client.go
+++ b/core/ledger/client.go
@@ -65,6 +65,8 @@
 	Replicas func(region string) []string
 	// Gone tells whether the process that a token names has ended.
 	Gone func(now core.Millis, token Token) bool
+	// Dead tells whether a host is known to be out of reach, so that its answer need not be waited for.
+	Dead func(now core.Millis, host string) bool
 	// OnVerdict hands a claim's answer to its request.
 	OnVerdict func(now core.Millis, request uint64, verdict Verdict, out *core.Effects)
 	// OnSettled tells a request that a majority has noted its token's end, or with noted false that it can't be known.
@@ -153,13 +155,24 @@
 		c.OnVerdict(now, r.request, Verdict{Run: true, Token: r.token}, out)
 		return
 	}
-	open := len(r.replicas) - len(r.answers)
+	open := c.open(now, r)
 	if inTime && len(r.granted)+open >= majority && len(r.replicas) > 0 {
 		return
 	}
 	c.giveWay(now, r, out)
 }
 
+// open counts the replicas that may still answer.
+func (c *Client) open(now core.Millis, r *reservation) int {
+	open := 0
+	for _, host := range r.replicas {
+		if r.answers[host] == nil && !c.Dead(now, host) {
+			open++
+		}
+	}
+	return open
+}
+
 // certain returns the verdicts that one replica's answer is enough for.
 func (c *Client) certain(r *reservation) (Verdict, bool) {
 	for _, host := range r.replicas {
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -69,6 +69,7 @@
 	n.client = &ledger.Client{
 		Self: host, Incarnation: r.life, Rand: rand.New(rand.NewPCG(r.life, 6)), Local: n.replica,
 		Replicas: func(string) []string { return hosts },
+		Dead:     func(_ core.Millis, host string) bool { return !r.Up(host) },
 		Gone: func(_ core.Millis, token ledger.Token) bool {
 			return !r.Up(token.Host) || r.nodes[token.Host].client.Incarnation != token.Incarnation
 		},
--- a/core/model/keeper_test.go
+++ b/core/model/keeper_test.go
@@ -77,3 +77,32 @@
 		})
 	}
 }
+
+// TestSilentEndpoint checks that a read whose endpoint says nothing is answered by another within its time, and that a write is not sent twice.
+func TestSilentEndpoint(t *testing.T) {
+	s, load := busySite(t, 1)
+	load.Stop()
+	s.For(8 * core.Second)
+	s.Service = func() core.Millis { return 10 }
+	zone := s.View.Zones[0].Name
+	endpoints := s.View.Service(zone, "vitrin").Endpoints
+	host := s.View.ZoneHosts(zone)[0]
+	// Answered requests earn the budget for an extra attempt.
+	for range 40 {
+		s.Call(host, "vitrin", "", false, core.Second)
+		s.For(30)
+	}
+	for _, endpoint := range endpoints {
+		s.Upstream[endpoint].Slow = 10 * core.Second
+	}
+	read := s.Call(host, "vitrin", "", false, 2*core.Second)
+	write := s.Call(host, "vitrin", "", true, 2*core.Second)
+	s.For(4 * core.Second)
+	if !read.Answered || read.Answer.Refusal != nil || read.At-read.Began > 1200 {
+		t.Fatalf("the read got %+v after %s", read.Answer, read.At-read.Began)
+	}
+	if !write.Answered || write.Answer.Refusal == nil || write.Answer.Refusal.Ran != core.RanUnknown {
+		t.Fatalf("the write got %+v", write.Answer)
+	}
+	s.CheckDoubles()
+}
