--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -22,7 +22,7 @@
 		if member.Name == r.Self {
 			continue
 		}
-		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
+		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.startIndex, LastTerm: r.startTerm}
 		message.Header = r.header(member.Name)
 		message.ToIncarnation = 0
 		r.sendSynced(member.Name, message, out)
@@ -37,7 +37,7 @@
 	answer.Fenced = mark.supersedes(m)
 	if r.role == Leader {
 		p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
-		answer.Fenced = answer.Fenced || p != nil && p.match > m.LastIndex
+		answer.Fenced = answer.Fenced || p != nil && p.beforeStart(m.Nonce) > m.LastIndex
 		r.noteBoot(now, from, m, member && !answer.Fenced, out)
 	}
 	if _, known := r.members.find(from); !member && r.role == Leader && (known || r.expected[from]) {
@@ -46,6 +46,23 @@
 	r.sendSynced(from, answer, out)
 }
 
+// beforeStart returns how far earlier starts of the follower had acknowledged, as this leader knows.
+func (p *progress) beforeStart(nonce uint64) uint64 {
+	if p.nonce == nonce {
+		return p.former
+	}
+	return p.match
+}
+
+// noteStart begins anew with what a follower's new start tells, since its disk may be older.
+func (p *progress) noteStart(boot, nonce uint64) {
+	if p.nonce == nonce {
+		return
+	}
+	p.former = max(p.former, p.match)
+	p.boot, p.nonce, p.match = boot, nonce, 0
+}
+
 // supersedes tells whether the disk that a Hello speaks of is older than the start that was noted.
 func (b bootMark) supersedes(m *Hello) bool {
 	if b.Incarnation != m.Incarnation {
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -39,6 +39,9 @@
 // AppendAnswer tells how far the follower's log matches; Hint is where to go back to when it does not.
 type AppendAnswer struct {
 	Header
+	// Boot and Nonce are those of the follower's start.
+	Boot    uint64
+	Nonce   uint64
 	Matches bool
 	Match   uint64
 	Hint    uint64
@@ -68,7 +71,8 @@
 	Header
 	Boot uint64
 	// Nonce tells two starts with one number apart: a Hello that is sent again from a start of an older copy of the disk.
-	Nonce     uint64
+	Nonce uint64
+	// LastIndex and LastTerm are those that the disk had at the start.
 	LastIndex uint64
 	LastTerm  uint64
 }
--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -386,6 +386,18 @@
 			g.For(900)
 			g.Heal()
 		}, false, true},
+		{"when an old hello comes after it has caught up", func(g *group) {
+			g.crash(name)
+			g.propose()
+			g.For(300)
+			g.Delay = func(from, to string) core.Millis {
+				if from == name && g.Rand.IntN(2) == 0 {
+					return 700
+				}
+				return 20
+			}
+			g.start(name)
+		}, false, true},
 		{"on an older copy of its disk", func(g *group) {
 			g.crash(name)
 			old := g.disks[name].Copy()
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -12,6 +12,8 @@
 	HeartbeatEvery  = 100 * core.Millisecond
 	ElectionLow     = 700 * core.Millisecond
 	ElectionHigh    = 1100 * core.Millisecond
+	campaignLow     = 150 * core.Millisecond
+	campaignHigh    = 600 * core.Millisecond
 	helloEvery      = 200 * core.Millisecond
 	resendAfter     = 150 * core.Millisecond
 	appendBytes     = 64 << 10
@@ -44,13 +46,15 @@
 
 // progress is what a leader knows of one other replica.
 type progress struct {
-	match, next   uint64
-	heard         core.Millis
-	moved         core.Millis
-	round         uint64
-	installOffset int
-	installIndex  uint64
-	installSent   core.Millis
+	match, next uint64
+	// nonce is that of the start that match is of, former what an earlier start had acknowledged.
+	boot, nonce, former uint64
+	heard               core.Millis
+	moved               core.Millis
+	round               uint64
+	installOffset       int
+	installIndex        uint64
+	installSent         core.Millis
 }
 
 type heldSend struct {
@@ -96,6 +100,8 @@
 	fenced     bool
 	fresh      bool
 	nonce      uint64
+	startIndex uint64
+	startTerm  uint64
 	expected   map[string]bool
 	transfer   bool
 	writeSeq   uint64
@@ -125,6 +131,7 @@
 	}
 	r.log = recordLog{snapshot: stored.Snapshot, records: stored.Records}
 	r.synced = r.log.lastIndex()
+	r.startIndex, r.startTerm = r.log.lastIndex(), r.log.lastTerm()
 	r.scanMembers()
 	r.write(core.Write{Vote: r.voteCopy()}, out)
 	r.commitTo(now, stored.Vote.Commit, out)
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -126,6 +126,7 @@
 func (r *Replica) answerAppend(to string, incarnation uint64, answer *AppendAnswer, out *core.Effects) {
 	answer.Header = r.header(to)
 	answer.ToIncarnation = incarnation
+	answer.Boot, answer.Nonce = r.vote.Boot, r.nonce
 	r.sendSynced(to, answer, out)
 }
 
@@ -197,10 +198,12 @@
 		return
 	}
 	p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
-	if r.role != Leader || m.Term != r.vote.Term || p == nil {
+	// An answer of an earlier start says nothing of what the follower has now.
+	if r.role != Leader || m.Term != r.vote.Term || p == nil || m.Boot < p.boot {
 		return
 	}
 	p.heard = now
+	p.noteStart(m.Boot, m.Nonce)
 	p.round = max(p.round, m.Round)
 	member, _ := r.members.has(from, m.Incarnation)
 	if !m.Matches {
