Live hosts of large zones are no longer called dead

Cause: at 34 hosts a zone, gossip took longer than the time after which a host is called dead: reports named 1 to 7 of 270 live hosts as down at any moment. It showed as bytes: a report that keeps changing is sent in full.

Change: the time grows by two beats for each doubling of the zone (5.5 s at 34 hosts; 1.5 s at two, as before). Test: zones of 2, 3, 9 and 34 hosts, nobody alive is called dead in 20 s and a crashed host is by all.

Conclusion: a crash in a large zone is noticed within 5.5 s instead of 3.5 s.

--- a/core/member/table.go
+++ b/core/member/table.go
@@ -16,7 +16,9 @@
 	DeadAfter  = 1500 * core.Millisecond
 	zoneStale  = 5 * core.Second
 	zoneFanOut = 2
-	minBeatGap = 20 * core.Millisecond
+	// roundFactor is how many beats the slowest word takes for each doubling of the zone.
+	roundFactor = 2
+	minBeatGap  = 20 * core.Millisecond
 	// smallGroup is the number of hosts in a zone, or of zones, up to which beats carry everything.
 	smallGroup = 6
 	// news is how long a change is passed on in full.
@@ -147,7 +149,7 @@
 	for size := len(t.zone); size > 2; size /= 2 {
 		rounds++
 	}
-	return DeadAfter + rounds*t.beatEvery()
+	return DeadAfter + rounds*roundFactor*t.beatEvery()
 }
 
 // Liveness returns what is known of a host: from its own counter inside the zone, from the zone's report outside it.
--- /dev/null
+++ b/core/member/table_test.go
@@ -0,0 +1,50 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/core/member"
+)
+
+// TestNobodyIsCalledDead checks that in zones of several sizes no live host is ever called dead, and that one that crashes is by all.
+func TestNobodyIsCalledDead(t *testing.T) {
+	for _, size := range []int{2, 3, 9, 34} {
+		w := fake.NewWorld(uint64(size))
+		seeds := map[string][]string{"z": nil}
+		for i := range size {
+			seeds["z"] = append(seeds["z"], fmt.Sprintf("h%d", i))
+		}
+		tables := map[string]*member.Table{}
+		for i, name := range seeds["z"] {
+			table := &member.Table{Self: name, Zone: "z", Incarnation: 1, Rand: rand.New(rand.NewPCG(uint64(i), 8)), Seeds: seeds}
+			table.Own = func(core.Millis, *member.Entry) {}
+			table.OnFloor = func(uint64) {}
+			table.OnNewer = func(core.Millis, string, uint64, *core.Effects) {}
+			table.Start(w.Now)
+			tables[name] = table
+			w.Start(name, fake.Part{Part: table})
+		}
+		w.For(10 * core.Second)
+		for range 100 {
+			w.For(200)
+			for _, one := range seeds["z"] {
+				for _, other := range seeds["z"] {
+					if state := tables[one].Liveness(w.Now, other); state != core.Alive {
+						t.Fatalf("in a zone of %d, %s calls %s %s", size, one, other, state)
+					}
+				}
+			}
+		}
+		w.Crash("h0")
+		w.For(8 * core.Second)
+		for _, one := range seeds["z"][1:] {
+			if state := tables[one].Liveness(w.Now, "h0"); state != core.Dead {
+				t.Fatalf("in a zone of %d, %s calls a crashed host %s", size, one, state)
+			}
+		}
+	}
+}
