--- /dev/null
+++ b/io/certs/certs_test.go
@@ -0,0 +1,56 @@
+package certs_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"clementinelock/io/certs"
+)
+
+// TestReload checks that a certificate that is issued anew is used without a restart, and that a file that can't be read leaves the former one in use.
+func TestReload(t *testing.T) {
+	folder := t.TempDir()
+	issue := func() {
+		if err := certs.Issue(folder, "h", certs.Hosts, nil, time.Hour); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := certs.MakeAuthority(folder, "test"); err != nil {
+		t.Fatal(err)
+	}
+	issue()
+	var told error
+	keys := &certs.Keys{
+		Files:   certs.Files{Certificate: filepath.Join(folder, "h.crt"), Key: filepath.Join(folder, "h.key"), Authority: filepath.Join(folder, certs.AuthorityFile)},
+		OnError: func(err error) { told = errors.Join(told, err) },
+	}
+	if err := keys.Load(); err != nil {
+		t.Fatal(err)
+	}
+	config := keys.Config(nil, certs.Hosts)
+	// The files are looked at again at most once a second.
+	serial := func() string {
+		time.Sleep(1100 * time.Millisecond)
+		pair, err := config.GetCertificate(&tls.ClientHelloInfo{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return pair.Leaf.SerialNumber.String()
+	}
+	first := serial()
+	issue()
+	second := serial()
+	if first == second {
+		t.Fatal("the new certificate is not used")
+	}
+	if err := os.WriteFile(filepath.Join(folder, "h.crt"), []byte("not a certificate"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if third := serial(); third != second || told == nil {
+		t.Fatalf("an unreadable file changes the certificate, or nobody is told: %v", told)
+	}
+}
