A host that becomes a ledger replica has noted nothing before

Cause: on reading the change again: a host that had run for longer than keys are kept and then became a ledger replica by an edit of the tree counted as one that remembers every key. With {a,b,c} changed to {a,b,d}, a key noted by b and c could be granted again by a and d: a booking could run twice.

Change: a host that joins the replicas begins as after a restart: it takes the entries over first, and until then votes on keys issued later only.

Conclusion: memory of keys counts from membership, not from the process.

--- a/core/host/tasks.go
+++ b/core/host/tasks.go
@@ -40,7 +40,7 @@
 	m.desk.SetView(view)
 	m.leases.SetDefinitions(now, m.definitions(view), out)
 	m.grants.SetLimits(m.limits(view), len(view.RegionHosts(m.Region)))
-	m.replica.SetReplicas(m.ledgerReplicas(m.Region))
+	m.replica.SetReplicas(now, m.ledgerReplicas(m.Region))
 	for _, region := range view.Regions {
 		if region.Name == m.Region {
 			m.replica.LimitBytes, m.replica.Retention = region.Root.LedgerBytes, region.Root.KeyRetention
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -65,7 +65,7 @@
 	n := &node{toward: map[uint64]ledger.Verdict{}, settled: map[uint64]bool{}, claims: map[uint64]ledger.Claim{}}
 	n.replica = &ledger.Replica{Self: host, Retention: core.Minute, LimitBytes: limit}
 	n.replica.Start(r.Now)
-	n.replica.SetReplicas(hosts)
+	n.replica.SetReplicas(r.Now, hosts)
 	n.client = &ledger.Client{
 		Self: host, Incarnation: r.life, Rand: rand.New(rand.NewPCG(r.life, 6)), Local: n.replica,
 		Replicas: func(string) []string { return hosts },
@@ -322,3 +322,17 @@
 		_, _ = ledger.ParseKey(text, []string{"faro", "lisboa"})
 	})
 }
+
+// TestNewReplicaHasNotedNothing checks that a host which has run for longer than keys are kept, and only then becomes a replica, does not count as one that remembers.
+func TestNewReplicaHasNotedNothing(t *testing.T) {
+	w := fake.NewWorld(1)
+	r := &ledger.Replica{Self: "d", Retention: core.Minute, LimitBytes: limit}
+	r.Start(w.Now)
+	later := w.Now + core.Hour
+	r.SetReplicas(later, []string{"a", "b", "d"})
+	out := core.Effects{}
+	r.Tick(later, &out)
+	if r.Recovered() {
+		t.Fatal("a new replica votes on keys that it can't know")
+	}
+}
--- a/core/ledger/replica.go
+++ b/core/ledger/replica.go
@@ -56,12 +56,16 @@
 	r.pulls = map[string]*pull{}
 }
 
-// SetReplicas takes the hosts that keep the ledger of this host's region.
-func (r *Replica) SetReplicas(replicas []string) {
+// SetReplicas takes the hosts that keep the ledger of this host's region. A host that becomes one of them has noted nothing before, as if it had just started.
+func (r *Replica) SetReplicas(now core.Millis, replicas []string) {
 	if slices.Equal(r.replicas, replicas) {
 		return
 	}
+	joins := !r.member()
 	r.replicas = slices.Clone(replicas)
+	if joins && r.member() {
+		r.started, r.recovered, r.pulls = now, false, map[string]*pull{}
+	}
 }
 
 func (r *Replica) member() bool {
