--- a/cmd/clementinelockd/main.go
+++ b/cmd/clementinelockd/main.go
@@ -5,8 +5,11 @@
 	"os"
 
 	"clementinelock/io/daemon"
+	"clementinelock/io/fleet"
+	"clementinelock/platform"
 )
 
 func main() {
-	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+	further := fleet.Commands("clementinelockd", platform.Adapter{}, os.Stdout, os.Stderr)
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr, further...))
 }
--- a/core/edits/book.go
+++ b/core/edits/book.go
@@ -5,6 +5,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/codec"
+	"clementinelock/core/routes"
 	"clementinelock/core/tree"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,10 +52,12 @@
 	Replicas map[string]uint64
 }
 
-// Command is one record of the replicated log: an edit or a founding.
+// Command is one record of the replicated log: an edit, a founding, a published document or an evacuation.
 type Command struct {
-	Edit     *tree.Edit
-	Founding *Founding
+	Edit       *tree.Edit
+	Founding   *Founding
+	Publish    *routes.Document
+	Evacuation *Evacuation
 }
 
 // Checker decides whether a next tree is dangerous without an override; it returns the empty string when it is not.
@@ -70,6 +73,7 @@
 	outcomes  map[string]Outcome
 	order     []string
 	foundings map[string]Founding
+	published Published
 	// OnOutcome is called with each edit's outcome as it is decided.
 	OnOutcome func(outcome Outcome)
 	// OnAccept is called after each version that comes into force.
@@ -99,7 +103,7 @@
 }
 
 // Apply carries out one committed command.
-func (b *Book) Apply(_ uint64, command []byte) {
+func (b *Book) Apply(index uint64, command []byte) {
 	c, err := codec.Decode[Command](command)
 	core.Assert(err == nil, "a committed command can't be decoded: %v", err)
 	switch {
@@ -107,6 +111,10 @@
 		b.apply(*c.Edit)
 	case c.Founding != nil:
 		b.found(*c.Founding)
+	case c.Publish != nil:
+		b.published.publish(index, *c.Publish)
+	case c.Evacuation != nil:
+		b.published.evacuate(index, *c.Evacuation)
 	}
 }
 
@@ -254,11 +262,12 @@
 	History   []Version
 	Outcomes  []Outcome
 	Foundings map[string]Founding
+	Published Published
 }
 
 // Snapshot encodes the whole book.
 func (b *Book) Snapshot() []byte {
-	state := bookState{Tree: b.tree, History: b.history, Foundings: b.foundings}
+	state := bookState{Tree: b.tree, History: b.history, Foundings: b.foundings, Published: b.published}
 	for _, id := range b.order {
 		state.Outcomes = append(state.Outcomes, b.outcomes[id])
 	}
@@ -277,7 +286,7 @@
 	core.Assert(state.Tree.Version >= b.tree.Version, "snapshot of version %d would replace version %d", state.Tree.Version, b.tree.Version)
 	b.tree, b.view, b.history = state.Tree, tree.NewView(state.Tree), state.History
 	b.outcomes, b.order = map[string]Outcome{}, nil
-	b.foundings = state.Foundings
+	b.foundings, b.published = state.Foundings, state.Published
 	if b.foundings == nil {
 		b.foundings = map[string]Founding{}
 	}
--- /dev/null
+++ b/core/edits/published.go
@@ -0,0 +1,46 @@
+package edits
+
+import (
+	"slices"
+
+	"clementinelock/core/routes"
+)
+
+// Evacuation asks that nothing more goes to the endpoints of an availability zone, or withdraws that.
+type Evacuation struct {
+	Zone   string
+	Active bool
+}
+
+// Published is what operators have published beside the tree: a document of routes and the evacuated availability zones.
+type Published struct {
+	// Index is that of the log's record that changed this last.
+	Index     uint64
+	Document  routes.Document
+	Evacuated []string
+}
+
+// Published returns what operators have published.
+func (b *Book) Published() Published {
+	return b.published
+}
+
+// publish takes a document of a higher version; any other one changes nothing.
+func (p *Published) publish(index uint64, document routes.Document) {
+	if document.Version <= p.Document.Version {
+		return
+	}
+	p.Document, p.Index = document, index
+}
+
+func (p *Published) evacuate(index uint64, e Evacuation) {
+	if slices.Contains(p.Evacuated, e.Zone) == e.Active {
+		return
+	}
+	next := slices.DeleteFunc(slices.Clone(p.Evacuated), func(zone string) bool { return zone == e.Zone })
+	if e.Active {
+		next = append(next, e.Zone)
+		slices.Sort(next)
+	}
+	p.Evacuated, p.Index = next, index
+}
--- /dev/null
+++ b/core/fleet/control.go
@@ -0,0 +1,219 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/quorum"
+	"clementinelock/core/roster"
+)
+
+// Lengths of time of a control host. They follow from a bound of 2.5 s for a configuration in force and of 3 s for an endpoint that leaves.
+const (
+	// ControlTick is how often the driver calls Tick.
+	ControlTick = 50 * core.Millisecond
+	shareEvery  = core.Second
+	listEvery   = 800 * core.Millisecond
+	// listStale is the age at which a list of another reader no longer spares the own reading.
+	listStale    = 1700 * core.Millisecond
+	entryGone    = 2500 * core.Millisecond
+	controlGone  = 4 * core.Second
+	leaderSilent = 1200 * core.Millisecond
+	resendAfter  = 400 * core.Millisecond
+	mostVoters   = 9
+	removeAfter  = 15 * core.Second
+	// Pace keeps a group whose replicas are 20 ms apart well under the 3 s in which it has to find a new leader.
+	heartbeat    = 250 * core.Millisecond
+	electionLow  = 900 * core.Millisecond
+	electionHigh = 1400 * core.Millisecond
+)
+
+// Control is one control host. Set the exported fields before Start; calls must not overlap.
+type Control struct {
+	ControlHost
+	// Process is greater than that of every earlier process of this host.
+	Process uint64
+	Rand    *rand.Rand
+	// Seeds names the control hosts that are known at the start.
+	Seeds []string
+	// ListCallsPerSecond is how many calls a second the platform's list takes from all hosts together.
+	ListCallsPerSecond float64
+
+	quorum   *quorum.Replica
+	book     *edits.Book
+	entries  map[string]*entryState
+	controls map[string]*controlState
+	number   uint64
+	list     roster.Journal
+	listAt   core.Millis
+	reading  bool
+	readMost core.Millis
+	shareAt  core.Millis
+	sent     uint64
+	orders   orderBook
+}
+
+// entryState is an entry host that reports here.
+type entryState struct {
+	Report
+	heard       core.Millis
+	sentVersion uint64
+	sentNumber  uint64
+	sentAt      core.Millis
+}
+
+// controlState is another control host.
+type controlState struct {
+	ControlHost
+	heard   core.Millis
+	process uint64
+	number  uint64
+	entries []EntryHost
+	// have is what the other one holds of this host's entry hosts.
+	have     uint64
+	list     roster.Copy
+	theyList [2]uint64
+}
+
+// Start brings the host up with what its disk holds; it errs when that can't be read.
+func (c *Control) Start(now core.Millis, stored core.Stored) (core.Effects, error) {
+	out := &core.Effects{}
+	c.entries = map[string]*entryState{}
+	c.controls = map[string]*controlState{}
+	c.number = 1
+	c.list.Process = c.Process
+	c.orders = orderBook{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}}
+	c.book = edits.NewBook()
+	c.quorum = &quorum.Replica{
+		Self: c.Name, Rand: c.Rand, Machine: c.book, Initial: c.Seeds, OnRead: c.onRead,
+		Pace: quorum.Pace{Heartbeat: heartbeat, ElectionLow: electionLow, ElectionHigh: electionHigh},
+	}
+	err := c.quorum.Start(now, stored, out)
+	return *out, err
+}
+
+// Tick carries out what is due; the driver calls it every ControlTick.
+func (c *Control) Tick(now core.Millis) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		c.quorum.Tick(now, out)
+		c.dropGone(now, out)
+		c.tickOrders(now, out)
+		c.retireMember(now, out)
+		if now >= c.shareAt {
+			c.share(now, out)
+		}
+		c.resend(now, out)
+	})
+}
+
+// step runs one input and passes on what it changed.
+func (c *Control) step(now core.Millis, input func(out *core.Effects)) core.Effects {
+	out := &core.Effects{}
+	index, number := c.book.Published().Index, c.list.Number()
+	input(out)
+	c.finishOrders(now, out)
+	if c.book.Published().Index != index {
+		out.Logf("config", "Version %d with %v evacuated is applied at index %d.", c.book.Published().Document.Version, c.book.Published().Evacuated, c.book.Published().Index)
+	}
+	if c.book.Published().Index != index || c.list.Number() != number {
+		for _, name := range sortedNames(c.entries) {
+			c.update(now, c.entries[name], out)
+		}
+	}
+	return *out
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Receive takes a message that another host sent.
+func (c *Control) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		switch m := message.(type) {
+		case *Report:
+			c.onReport(now, from, m, out)
+		case *Share:
+			c.onShare(now, from, m, out)
+		case *Order:
+			c.onOrder(now, from, m, out)
+		case *OrderAnswer:
+			c.onOrderAnswer(now, m, out)
+		case *quorum.Hello:
+			c.expect(from)
+			c.quorum.Receive(now, from, message, out)
+		default:
+			c.quorum.Receive(now, from, message, out)
+		}
+	})
+}
+
+// Synced tells that all writes up to the sequence number are on disk.
+func (c *Control) Synced(now core.Millis, seq uint64) core.Effects {
+	return c.step(now, func(out *core.Effects) { c.quorum.Synced(now, seq, out) })
+}
+
+// Stop hands leadership over before a planned stop.
+func (c *Control) Stop(now core.Millis) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		handed := c.quorum.Transfer(now, out)
+		out.Logf("host", "Stops; leadership needs nobody or is handed over: %t.", handed)
+	})
+}
+
+// Fenced tells whether this host's disk was found older than what it promised.
+func (c *Control) Fenced() bool {
+	return c.quorum.Fenced()
+}
+
+// expect lets the leader take in a control host that is not a member yet, as long as the group is not full.
+func (c *Control) expect(name string) {
+	if !c.quorum.IsLeader() {
+		return
+	}
+	members := c.quorum.Members()
+	if len(members) < mostVoters || slices.ContainsFunc(members, func(m quorum.Member) bool { return m.Name == name }) {
+		// The replica leads, so that nothing is refused here.
+		_ = c.quorum.Expect(name)
+	}
+}
+
+// retireMember takes out a voter that was not heard for long while every other member is, so that a replaced host does not weigh on the majority.
+func (c *Control) retireMember(now core.Millis, out *core.Effects) {
+	if !c.quorum.IsLeader() {
+		return
+	}
+	silent, heard := "", 0
+	report := c.quorum.Report(now)
+	for _, member := range report.Members {
+		switch {
+		case member.Name == c.Name || member.HeardAgo >= 0 && member.HeardAgo < entryGone:
+			heard++
+		case member.HeardAgo > removeAfter:
+			silent = member.Name
+		}
+	}
+	if silent == "" || heard < len(report.Members)-1 || heard < 3 {
+		return
+	}
+	if refusal := c.quorum.Remove(now, silent, out); refusal == nil {
+		out.Logf("quorum", "Takes %s out, which was not heard for %s.", silent, removeAfter)
+	}
+}
+
+// leaderHeard tells whether this host follows a leader now.
+func (c *Control) leaderHeard(now core.Millis) bool {
+	return c.quorum.LeaderHeard(now) < leaderSilent
+}
+
+// Ready tells whether the host has a configuration to pass on.
+func (c *Control) Ready() bool {
+	return c.book.Published().Document.Version > 0
+}
--- /dev/null
+++ b/core/fleet/entry.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/roster"
+	"clementinelock/core/routes"
+)
+
+// Lengths of time of an entry host.
+const (
+	// EntryTick is how often the driver calls Tick.
+	EntryTick      = 50 * core.Millisecond
+	reportEvery    = 500 * core.Millisecond
+	eagerEvery     = 200 * core.Millisecond
+	controlSilent  = 1200 * core.Millisecond
+	avoidFor       = 3 * core.Second
+	betterEvery    = 3 * core.Second
+	unledAtMost    = 300 * core.Millisecond
+)
+
+// Entry is an entry host's knowledge of what is in force. Set the exported fields before Start; calls must not overlap.
+type Entry struct {
+	EntryHost
+	Rand *rand.Rand
+	// Seeds names the control hosts that are known at the start.
+	Seeds []string
+
+	controls  []ControlHost
+	current   string
+	since     core.Millis
+	heard     core.Millis
+	unledAt   core.Millis
+	avoid     map[string]core.Millis
+	reportAt  core.Millis
+	betterAt  core.Millis
+	index     uint64
+	document  routes.Document
+	evacuated []string
+	list      roster.Copy
+	counts    [2]int
+}
+
+// Start begins to look for a control host.
+func (e *Entry) Start(now core.Millis) {
+	e.avoid = map[string]core.Millis{}
+	for _, name := range e.Seeds {
+		e.controls = append(e.controls, ControlHost{Name: name})
+	}
+	e.betterAt = now + betterEvery
+	e.change(now, "")
+}
+
+// rank orders control hosts by their distance.
+func (e *Entry) rank(c ControlHost) int {
+	switch {
+	case c.Zone == e.Zone:
+		return 0
+	case c.Region == e.Region:
+		return 1
+	case c.Zone != "":
+		return 2
+	}
+	return 3
+}
+
+// change picks another control host: the nearest that did not fail a moment ago.
+func (e *Entry) change(now core.Millis, failed string) {
+	if failed != "" {
+		e.avoid[failed] = now + avoidFor
+	}
+	all := slices.Clone(e.controls)
+	e.Rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b ControlHost) int {
+		avoidA, avoidB := e.avoid[a.Name] > now, e.avoid[b.Name] > now
+		if avoidA != avoidB {
+			if avoidA {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(e.rank(a), e.rank(b))
+	})
+	if len(all) > 0 {
+		e.current = all[0].Name
+	}
+	e.since, e.heard, e.unledAt = now, now, 0
+	e.reportAt = now
+}
+
+// Tick carries out what is due; the driver calls it every EntryTick.
+func (e *Entry) Tick(now core.Millis) core.Effects {
+	out := &core.Effects{}
+	if now-e.heard > controlSilent {
+		failed := e.current
+		e.change(now, failed)
+		out.Logf("control", "Host %s was not heard for %s; reports to %s.", failed, controlSilent, e.current)
+	}
+	if e.unledAt != 0 && now-e.unledAt > unledAtMost {
+		failed := e.current
+		e.change(now, failed)
+		out.Logf("control", "Host %s hears no leader; reports to %s.", failed, e.current)
+	}
+	if now >= e.reportAt {
+		e.report(now, e.current, out)
+	}
+	if now >= e.betterAt {
+		e.tryBetter(now, out)
+	}
+	return *out
+}
+
+// report tells a control host what this host is and holds.
+func (e *Entry) report(now core.Millis, to string, out *core.Effects) {
+	e.reportAt = now + reportEvery
+	if e.document.Version == 0 {
+		e.reportAt = now + eagerEvery
+	}
+	if to == "" {
+		return
+	}
+	out.Send(to, &Report{
+		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
+		ListProcess: e.list.Process(), ListNumber: e.list.Number(),
+	})
+}
+
+// tryBetter reports to a nearer control host too, which becomes the current one when it answers.
+func (e *Entry) tryBetter(now core.Millis, out *core.Effects) {
+	e.betterAt = now + betterEvery
+	best := ControlHost{Name: e.current}
+	for _, c := range e.controls {
+		if c.Name == e.current {
+			best = c
+		}
+	}
+	for _, c := range e.controls {
+		if e.rank(c) < e.rank(best) {
+			best = c
+		}
+	}
+	if best.Name != e.current {
+		e.report(now, best.Name, out)
+	}
+}
+
+// Receive takes a message from a control host; it returns whether what is in force may have changed.
+func (e *Entry) Receive(now core.Millis, from string, message core.Message) (changed bool, effects core.Effects) {
+	u, ok := message.(*Update)
+	if !ok {
+		return false, effects
+	}
+	out := &core.Effects{}
+	if from != e.current {
+		e.considerSwitch(now, from, u, out)
+	}
+	if from == e.current {
+		e.heard = now
+		e.noteLeader(now, u)
+	}
+	return e.take(now, from, u, out), *out
+}
+
+// considerSwitch changes to a nearer control host that hears the leader.
+func (e *Entry) considerSwitch(now core.Millis, from string, u *Update, out *core.Effects) {
+	var mine, theirs ControlHost
+	for _, c := range u.Controls {
+		if c.Name == from {
+			theirs = c
+		}
+		if c.Name == e.current {
+			mine = c
+		}
+	}
+	if u.LeaderHeard && e.rank(theirs) < e.rank(mine) {
+		out.Logf("control", "Reports to %s, which is nearer than %s.", from, e.current)
+		e.current, e.since, e.unledAt = from, now, 0
+	}
+}
+
+func (e *Entry) noteLeader(now core.Millis, u *Update) {
+	switch {
+	case u.LeaderHeard:
+		e.unledAt = 0
+	case e.unledAt == 0:
+		e.unledAt = now
+	}
+}
+
+// take brings into force what an update holds beyond what is held; nothing ever goes back.
+func (e *Entry) take(now core.Millis, from string, u *Update, out *core.Effects) bool {
+	changed := false
+	if u.Document != nil && u.Document.Version > e.document.Version {
+		e.document = *u.Document
+		changed = true
+	}
+	if u.Index > e.index && u.Version <= e.document.Version {
+		e.index, e.evacuated = u.Index, u.Evacuated
+		changed = true
+		out.Logf("config", "Takes version %d, evacuated %v, index %d from %s.", e.document.Version, e.evacuated, e.index, from)
+	}
+	if len(u.Controls) > 0 && u.LeaderHeard {
+		e.controls = u.Controls
+	}
+	e.counts = [2]int{u.ZoneEntries, u.AllEntries}
+	if u.Endpoints == nil {
+		return changed
+	}
+	newer := u.Endpoints.Process == e.list.Process() || u.Endpoints.Age < e.list.Age(now) || e.list.Process() == 0
+	number := e.list.Number()
+	if newer && e.list.Apply(now, u.Endpoints) && (u.Endpoints.From == 0 || e.list.Number() != number) {
+		changed = true
+	}
+	if changed {
+		e.reportAt = now
+	}
+	return changed
+}
+
+// View is what an entry host's requests are decided by.
+type View struct {
+	Index     uint64
+	Document  routes.Document
+	Evacuated []string
+	Endpoints []roster.Entry
+	// ListKnown is false before the first list.
+	ListKnown   bool
+	ListAge     core.Millis
+	ZoneEntries int
+	AllEntries  int
+}
+
+// View returns what is in force here.
+func (e *Entry) View(now core.Millis) View {
+	return View{
+		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
+		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now), ZoneEntries: max(1, e.counts[0]), AllEntries: max(1, e.counts[1]),
+	}
+}
+
+// SetReady tells the control hosts at once whether this host serves.
+func (e *Entry) SetReady(now core.Millis, ready bool) core.Effects {
+	out := &core.Effects{}
+	if e.Ready != ready {
+		e.Ready = ready
+		e.report(now, e.current, out)
+	}
+	return *out
+}
+
+// Current returns the control host that this one reports to.
+func (e *Entry) Current() string {
+	return e.current
+}
--- /dev/null
+++ b/core/fleet/orders.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"clementinelock/core"
+	"clementinelock/core/codec"
+	"clementinelock/core/edits"
+	"clementinelock/core/routes"
+)
+
+const (
+	// orderWithin is below the second after which an operator's call goes to another host.
+	orderWithin  = 900 * core.Millisecond
+	reorderAfter = 300 * core.Millisecond
+)
+
+// order is something that an operator asked this host for.
+type order struct {
+	Order
+	until  core.Millis
+	sentAt core.Millis
+	sentTo string
+	// waitFor is the index that a confirmed read waits for; 0 before it is known.
+	waitFor uint64
+}
+
+// proposal is an order that this host, as the leader, has put into its log or is confirming.
+type proposal struct {
+	from   string
+	ticket uint64
+	index  uint64
+	term   uint64
+	read   bool
+}
+
+type orderBook struct {
+	pending  map[uint64]*order
+	proposed map[uint64]proposal
+	next     uint64
+}
+
+// Publish takes a document from an operator; the reply comes with the ticket.
+func (c *Control) Publish(now core.Millis, ticket uint64, document routes.Document) core.Effects {
+	return c.take(now, Order{Ticket: ticket, Publish: &document})
+}
+
+// Evacuate takes the begin or end of an evacuation from an operator; the reply comes with the ticket.
+func (c *Control) Evacuate(now core.Millis, ticket uint64, e edits.Evacuation) core.Effects {
+	return c.take(now, Order{Ticket: ticket, Evacuation: &e})
+}
+
+// Read asks for the newest document; the reply comes with the ticket and an OrderDone.
+func (c *Control) Read(now core.Millis, ticket uint64) core.Effects {
+	return c.take(now, Order{Ticket: ticket, Read: true})
+}
+
+func (c *Control) take(now core.Millis, o Order) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		c.orders.pending[o.Ticket] = &order{Order: o, until: now + orderWithin}
+		c.sendOrder(now, c.orders.pending[o.Ticket], out)
+	})
+}
+
+// sendOrder hands an order to the leader, which may be this host.
+func (c *Control) sendOrder(now core.Millis, o *order, out *core.Effects) {
+	leader := c.quorum.LeaderName()
+	if leader == "" || o.waitFor != 0 {
+		return
+	}
+	o.sentAt, o.sentTo = now, leader
+	if leader == c.Name {
+		c.onOrder(now, c.Name, &o.Order, out)
+		return
+	}
+	message := o.Order
+	out.Send(leader, &message)
+}
+
+// onOrder carries out an order as the leader.
+func (c *Control) onOrder(now core.Millis, from string, m *Order, out *core.Effects) {
+	if !c.quorum.IsLeader() {
+		return
+	}
+	c.orders.next++
+	id := c.orders.next
+	p := proposal{from: from, ticket: m.Ticket, term: c.quorum.Term()}
+	switch {
+	case m.Read:
+		p.read = true
+		c.orders.proposed[id] = p
+		if !c.quorum.Read(now, id, out) {
+			delete(c.orders.proposed, id)
+		}
+		return
+	case m.Publish != nil && m.Publish.Version <= c.book.Published().Document.Version:
+		// What is applied is committed, so that the version is overtaken for good.
+		c.answerOrder(now, p, &OrderAnswer{Ticket: m.Ticket, Done: true}, out)
+		return
+	}
+	command := edits.Command{Publish: m.Publish, Evacuation: m.Evacuation}
+	index, ok := c.quorum.Propose(now, codec.Encode(command), out)
+	if !ok {
+		return
+	}
+	p.index = index
+	c.orders.proposed[id] = p
+}
+
+// onRead ends the leader's part of a read.
+func (c *Control) onRead(now core.Millis, id uint64, confirmed bool, out *core.Effects) {
+	p, known := c.orders.proposed[id]
+	delete(c.orders.proposed, id)
+	if !known || !confirmed {
+		return
+	}
+	c.answerOrder(now, p, &OrderAnswer{Ticket: p.ticket, Done: true, Index: c.quorum.Applied()}, out)
+}
+
+func (c *Control) answerOrder(now core.Millis, p proposal, answer *OrderAnswer, out *core.Effects) {
+	if p.from == c.Name {
+		c.onOrderAnswer(now, answer, out)
+		return
+	}
+	out.Send(p.from, answer)
+}
+
+// finishOrders answers the proposals that are committed and drops those of a term that this host no longer leads.
+func (c *Control) finishOrders(now core.Millis, out *core.Effects) {
+	for id, p := range c.orders.proposed {
+		switch {
+		case !c.quorum.IsLeader() || c.quorum.Term() != p.term:
+			delete(c.orders.proposed, id)
+		case !p.read && c.quorum.Applied() >= p.index:
+			delete(c.orders.proposed, id)
+			c.answerOrder(now, p, &OrderAnswer{Ticket: p.ticket, Done: true}, out)
+		}
+	}
+	for ticket, o := range c.orders.pending {
+		if o.waitFor != 0 && c.quorum.Applied() >= o.waitFor {
+			delete(c.orders.pending, ticket)
+			out.Reply(ticket, nil, &OrderDone{Document: c.book.Published().Document})
+		}
+	}
+}
+
+func (c *Control) onOrderAnswer(_ core.Millis, m *OrderAnswer, out *core.Effects) {
+	o := c.orders.pending[m.Ticket]
+	if o == nil || !m.Done {
+		return
+	}
+	if o.Read {
+		o.waitFor = max(m.Index, 1)
+		return
+	}
+	delete(c.orders.pending, m.Ticket)
+	out.Reply(m.Ticket, nil, &OrderDone{})
+}
+
+// tickOrders sends orders again that the leader did not answer, and gives up those whose time is over.
+func (c *Control) tickOrders(now core.Millis, out *core.Effects) {
+	for ticket, o := range c.orders.pending {
+		if now >= o.until {
+			delete(c.orders.pending, ticket)
+			out.Reply(ticket, core.Refuse(core.NoLeader, core.RanUnknown, "no leader confirmed it within %s", orderWithin), nil)
+			continue
+		}
+		if o.sentTo != c.quorum.LeaderName() || now-o.sentAt >= reorderAfter {
+			c.sendOrder(now, o, out)
+		}
+	}
+}
--- /dev/null
+++ b/core/fleet/spread.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/roster"
+)
+
+func (c *Control) onReport(now core.Millis, from string, m *Report, out *core.Effects) {
+	e := c.entries[from]
+	if e != nil && e.Process > m.Process {
+		return
+	}
+	if e == nil {
+		e = &entryState{}
+		c.entries[from] = e
+		out.Logf("entries", "Host %s reports here.", from)
+	}
+	changed := e.EntryHost != m.EntryHost
+	if e.Process != m.Process || now-e.sentAt > resendAfter {
+		e.sentVersion, e.sentNumber = 0, 0
+	}
+	e.Report, e.heard = *m, now
+	if changed {
+		c.number++
+		c.share(now, out)
+	}
+	c.update(now, e, out)
+}
+
+// update sends an entry host what it lacks, or a sign of life.
+func (c *Control) update(now core.Millis, e *entryState, out *core.Effects) {
+	published := c.book.Published()
+	u := &Update{
+		Process: c.Process, LeaderHeard: c.leaderHeard(now), Index: published.Index, Version: published.Document.Version,
+		Evacuated: published.Evacuated, Controls: c.controlHosts(),
+	}
+	if published.Document.Version > max(e.Version, e.sentVersion) {
+		u.Document = &published.Document
+	}
+	e.sentVersion = published.Document.Version
+	process, number := e.ListProcess, e.ListNumber
+	if e.sentNumber > 0 {
+		process, number = c.list.Process, e.sentNumber
+	}
+	u.Endpoints = c.list.Since(now, process, number)
+	e.sentNumber = c.list.Number()
+	e.sentAt = now
+	for _, each := range c.readyEntries(now) {
+		u.AllEntries++
+		if each.Zone == e.Zone {
+			u.ZoneEntries++
+		}
+	}
+	out.Send(e.Name, u)
+}
+
+// resend repeats an update that an entry host has not confirmed.
+func (c *Control) resend(now core.Millis, out *core.Effects) {
+	published := c.book.Published()
+	for _, name := range sortedNames(c.entries) {
+		e := c.entries[name]
+		if e.Index < published.Index && now-e.sentAt > 2*resendAfter {
+			e.sentVersion = 0
+			c.update(now, e, out)
+		}
+	}
+}
+
+func (c *Control) controlHosts() []ControlHost {
+	hosts := []ControlHost{c.ControlHost}
+	for _, name := range sortedNames(c.controls) {
+		hosts = append(hosts, c.controls[name].ControlHost)
+	}
+	return hosts
+}
+
+// share tells the other control hosts of this one's entry hosts and list.
+func (c *Control) share(now core.Millis, out *core.Effects) {
+	c.shareAt = now + shareEvery
+	names := map[string]bool{}
+	for _, name := range c.Seeds {
+		names[name] = true
+	}
+	for _, member := range c.quorum.Members() {
+		names[member.Name] = true
+	}
+	for name := range c.controls {
+		names[name] = true
+	}
+	delete(names, c.Name)
+	for _, name := range sortedNames(names) {
+		c.shareWith(now, name, out)
+	}
+}
+
+func (c *Control) shareWith(now core.Millis, name string, out *core.Effects) {
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.number}
+	if other := c.controls[name]; other != nil {
+		s.HaveOf, s.Have = other.process, other.number
+		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
+		s.Whole = other.have != c.number
+		if c.reading {
+			s.Endpoints = c.list.Since(now, other.theyList[0], other.theyList[1])
+			// A lost message is noticed by the number that the next share brings back.
+			other.theyList = [2]uint64{c.Process, c.list.Number()}
+		}
+	} else {
+		s.Whole = true
+	}
+	if s.Whole {
+		for _, entry := range sortedNames(c.entries) {
+			s.Entries = append(s.Entries, c.entries[entry].EntryHost)
+		}
+	}
+	out.Send(name, s)
+}
+
+func (c *Control) onShare(now core.Millis, from string, m *Share, out *core.Effects) {
+	other := c.controls[from]
+	if other == nil {
+		other = &controlState{}
+		c.controls[from] = other
+		out.Logf("controls", "Host %s in availability zone %s is a control host.", from, m.Zone)
+	}
+	if other.process > m.Process {
+		return
+	}
+	if other.process != m.Process {
+		*other = controlState{process: m.Process}
+	}
+	other.ControlHost, other.heard = m.ControlHost, now
+	if m.Whole {
+		other.entries, other.number = m.Entries, m.Number
+	} else if other.number != m.Number {
+		other.number = 0
+	}
+	other.have = 0
+	if m.HaveOf == c.Process {
+		other.have = m.Have
+	}
+	other.theyList = [2]uint64{m.ListProcess, m.ListNumber}
+	if m.Endpoints != nil && other.list.Apply(now, m.Endpoints) {
+		c.takeList(now, other)
+	}
+}
+
+// takeList takes another host's list when it is newer than what is held here.
+func (c *Control) takeList(now core.Millis, other *controlState) {
+	if c.reading && c.quorum.IsLeader() || c.list.Known() && other.list.Age(now) > c.list.Age(now) {
+		return
+	}
+	c.reading = false
+	c.list.Set(now-other.list.Age(now), other.list.Entries())
+}
+
+// WantsList tells whether the platform's list is to be read now; the driver hands it in by TakeList or FailList.
+func (c *Control) WantsList(now core.Millis) bool {
+	if now < c.listAt {
+		return false
+	}
+	if !c.quorum.IsLeader() && c.list.Known() && c.list.Age(now) < listStale+c.stagger() {
+		return false
+	}
+	c.listAt = now + max(listEvery, c.readMost)
+	return true
+}
+
+// stagger keeps hosts that miss the same reader from all reading at once.
+func (c *Control) stagger() core.Millis {
+	return core.Millis(c.Process % 7 * 50)
+}
+
+// TakeList takes the platform's list, which was asked for at the time in that many calls.
+func (c *Control) TakeList(now, askedAt core.Millis, entries []roster.Entry, calls int) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		if !c.reading {
+			c.reading = true
+			out.Logf("list", "Reads the platform's list: %d endpoints.", len(entries))
+		}
+		// All control hosts may be reading; the list's rate is divided among them.
+		if c.ListCallsPerSecond > 0 && !c.quorum.IsLeader() {
+			readers := float64(len(c.controls) + 1)
+			c.readMost = core.Millis(readers * float64(calls) / c.ListCallsPerSecond * 1500)
+		} else {
+			c.readMost = 0
+		}
+		if c.list.Set(askedAt, entries) {
+			c.share(now, out)
+		}
+	})
+}
+
+// dropGone forgets hosts that were not heard for long.
+func (c *Control) dropGone(now core.Millis, out *core.Effects) {
+	for _, name := range sortedNames(c.entries) {
+		if now-c.entries[name].heard > entryGone {
+			delete(c.entries, name)
+			c.number++
+			out.Logf("entries", "Host %s was not heard for %s.", name, entryGone)
+		}
+	}
+	for _, name := range sortedNames(c.controls) {
+		if now-c.controls[name].heard > controlGone {
+			delete(c.controls, name)
+			out.Logf("controls", "Host %s was not heard for %s.", name, controlGone)
+		}
+	}
+}
+
+// readyEntries lists the entry hosts that serve, by name; of one that is known twice the later process counts.
+func (c *Control) readyEntries(core.Millis) []EntryHost {
+	byName := map[string]EntryHost{}
+	take := func(e EntryHost) {
+		if old, known := byName[e.Name]; !known || old.Process < e.Process || old.Process == e.Process && old.Ready {
+			byName[e.Name] = e
+		}
+	}
+	for _, e := range c.entries {
+		take(e.EntryHost)
+	}
+	for _, other := range c.controls {
+		for _, e := range other.entries {
+			take(e)
+		}
+	}
+	var out []EntryHost
+	for _, name := range sortedNames(byName) {
+		if byName[name].Ready {
+			out = append(out, byName[name])
+		}
+	}
+	return out
+}
+
+// Directory lists the entry hosts that a client in the availability zone should use: those near it, at least two where there are as many.
+func (c *Control) Directory(now core.Millis, region, zone string) []string {
+	all := c.readyEntries(now)
+	for _, near := range []func(EntryHost) bool{
+		func(e EntryHost) bool { return e.Zone == zone },
+		func(e EntryHost) bool { return e.Region == region },
+		func(EntryHost) bool { return true },
+	} {
+		var addresses []string
+		for _, e := range all {
+			if near(e) {
+				addresses = append(addresses, e.Address)
+			}
+		}
+		if len(addresses) >= min(2, len(all)) {
+			slices.Sort(addresses)
+			return addresses
+		}
+	}
+	return nil
+}
--- a/core/host/messages.go
+++ b/core/host/messages.go
@@ -7,6 +7,7 @@
 	"clementinelock/core"
 	"clementinelock/core/codec"
 	"clementinelock/core/ctrl"
+	"clementinelock/core/fleet"
 	"clementinelock/core/grant"
 	"clementinelock/core/lease"
 	"clementinelock/core/ledger"
@@ -31,6 +32,7 @@
 	ctrlPart
 	operatorPart
 	foundPart
+	fleetPart
 )
 
 // kind is one row of the message table.
@@ -96,6 +98,11 @@
 	of[ctrl.Answer](operatorPart),
 	of[ctrl.FoundAsk](ctrlPart),
 	of[ctrl.FoundAnswer](foundPart),
+	of[fleet.Report](fleetPart),
+	of[fleet.Update](fleetPart),
+	of[fleet.Share](fleetPart),
+	of[fleet.Order](fleetPart),
+	of[fleet.OrderAnswer](fleetPart),
 }
 
 var numberOf = indexKinds()
--- /dev/null
+++ b/core/pick/endpoint.go
@@ -0,0 +1,119 @@
+package pick
+
+import (
+	"math"
+
+	"clementinelock/core"
+	"clementinelock/core/roster"
+)
+
+// Weights and lengths of time of the judgement of one endpoint.
+const (
+	// loadHalf is the time in which a report of others' load loses half of its weight.
+	loadHalf = 600 * core.Millisecond
+	// shedLoad is how many slots' worth of work an endpoint is taken to have waiting after it has shed.
+	shedLoad       = 2.0
+	failWeight     = 0.2
+	failuresToStop = 3
+	stopFirst      = 500 * core.Millisecond
+	stopMost       = 4 * core.Second
+	keptObjects    = 25
+	warmFor        = 20 * core.Second
+)
+
+// Endpoint is one endpoint as this entry host sees it.
+type Endpoint struct {
+	roster.Entry
+	Region string
+
+	evacuated bool
+	gone      bool
+	inFlight  int
+	others    float64
+	othersAt  core.Millis
+	failing   float64
+	failures  int
+	stopUntil core.Millis
+	stopFor   core.Millis
+	coldUntil core.Millis
+	coldAt    []core.Millis
+	objects   map[string]core.Millis
+	usedAt    core.Millis
+}
+
+// load estimates how many requests the endpoint has.
+func (e *Endpoint) load(now core.Millis) float64 {
+	return float64(e.inFlight) + e.others*math.Exp2(-float64(now-e.othersAt)/float64(loadHalf))
+}
+
+// wait estimates how long a request would wait for a slot, in units of one request's work.
+func (e *Endpoint) wait(now core.Millis) float64 {
+	slots := float64(max(1, e.Slots))
+	return max(0, e.load(now)+1-slots) / slots
+}
+
+func (e *Endpoint) isCold(now core.Millis) bool {
+	return now < e.coldUntil
+}
+
+// usable tells whether new requests may go to the endpoint at all.
+func (e *Endpoint) usable(now core.Millis) bool {
+	return !e.Draining && !e.evacuated && !e.gone && now >= e.stopUntil
+}
+
+func (e *Endpoint) isWarmFor(now core.Millis, object string) bool {
+	at, known := e.objects[object]
+	return known && now-at < warmFor
+}
+
+func (e *Endpoint) noteObject(now core.Millis, object string) {
+	if object == "" {
+		return
+	}
+	if e.objects == nil {
+		e.objects = map[string]core.Millis{}
+	}
+	e.objects[object] = now
+	if len(e.objects) <= keptObjects {
+		return
+	}
+	oldest, oldestAt := "", core.Never
+	for each, at := range e.objects {
+		if at < oldestAt || at == oldestAt && each < oldest {
+			oldest, oldestAt = each, at
+		}
+	}
+	delete(e.objects, oldest)
+}
+
+// noteReport takes the endpoint's own account, less what is this host's.
+func (e *Endpoint) noteReport(now core.Millis, report *core.Report) {
+	if report == nil {
+		return
+	}
+	e.others = max(0, float64(report.InFlight+report.Queue-e.inFlight-1))
+	e.othersAt = now
+}
+
+func (e *Endpoint) noteGood() {
+	e.failures, e.stopFor = 0, 0
+	e.failing *= 1 - failWeight
+}
+
+// noteFailure stops using an endpoint that fails again and again, each time for longer.
+func (e *Endpoint) noteFailure(now core.Millis, atOnce bool) {
+	e.failing += failWeight * (1 - e.failing)
+	e.failures++
+	if e.failures < failuresToStop && !atOnce {
+		return
+	}
+	e.stopFor = min(stopMost, max(stopFirst, 2*e.stopFor))
+	e.stopUntil = now + e.stopFor
+}
+
+// noteShed takes an endpoint as full that has turned a request away.
+func (e *Endpoint) noteShed(now core.Millis) {
+	e.failing += failWeight * (1 - e.failing)
+	e.others = max(e.others, shedLoad*float64(max(1, e.Slots)))
+	e.othersAt = now
+}
--- /dev/null
+++ b/core/pick/table.go
@@ -0,0 +1,355 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/core/retry"
+	"clementinelock/core/roster"
+	"clementinelock/core/routes"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weights of the choice; a request's usual work is the unit of waiting.
+const (
+	// farAway is the way to another region and back, with the connection's rounds.
+	farAway = 45 * core.Millisecond
+	// notAtHome is what an object's data costs that the endpoint has to fetch, as part of the usual work.
+	notAtHome = 0.8
+	// warmElsewhere keeps an object at its home while that has room.
+	warmElsewhere = 0.15
+	coldWork      = 1.0
+	failCost      = 3.0
+	workWeight    = 0.05
+	firstWork     = 150 * core.Millisecond
+	coldWindow    = 1100 * core.Millisecond
+	// coldPart leaves room for requests that other hosts sent late.
+	coldPart  = 0.7
+	coldAgain = 3 * core.Second
+	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
+	retryPart = 0.8
+)
+
+// Bounds are the limits of the deployment that choices keep.
+type Bounds struct {
+	// ColdOverrun and ColdSlack bound a cold endpoint's requests per second as a multiple of its rate plus a number.
+	ColdOverrun float64
+	ColdSlack   float64
+	// RetryRatio and RetrySlack bound a service's extra attempts over all hosts, as a part of its requests plus a number.
+	RetryRatio float64
+	RetrySlack float64
+}
+
+// Table is one entry host's view of all endpoints. Set the exported fields before use; calls must not overlap.
+type Table struct {
+	Region string
+	Zone   string
+	// Regions maps availability zones to their regions.
+	Regions map[string]string
+	Bounds  Bounds
+	Rand    *rand.Rand
+
+	endpoints   map[string]*Endpoint
+	services    map[string]*service
+	configured  map[string]routes.Service
+	evacuated   map[string]bool
+	coldZone    map[string]core.Millis
+	zoneEntries int
+	allEntries  int
+	// OnGone is called with the address of an endpoint that is not used any more.
+	OnGone func(address string)
+}
+
+// service is what this host knows of one service.
+type service struct {
+	endpoints []*Endpoint
+	work      float64
+	budget    retry.Budget
+}
+
+// Update brings a new view into force.
+func (t *Table) Update(now core.Millis, view fleet.View, table *routes.Table) {
+	if t.endpoints == nil {
+		t.endpoints, t.services = map[string]*Endpoint{}, map[string]*service{}
+		t.evacuated, t.coldZone = map[string]bool{}, map[string]core.Millis{}
+	}
+	if table != nil {
+		t.configured = table.Services
+	}
+	t.zoneEntries, t.allEntries = view.ZoneEntries, view.AllEntries
+	t.noteEvacuations(now, view.Evacuated)
+	listed := make(map[string]bool, len(view.Endpoints))
+	for _, entry := range view.Endpoints {
+		listed[entry.ID] = true
+		t.take(now, view.ListAge, entry)
+	}
+	for id, e := range t.endpoints {
+		if !listed[id] && view.ListKnown {
+			e.gone = true
+			delete(t.endpoints, id)
+			t.OnGone(e.Address)
+		}
+	}
+	t.group()
+}
+
+// noteEvacuations takes the evacuated availability zones; the endpoints of one that is taken back count as cold.
+func (t *Table) noteEvacuations(now core.Millis, zones []string) {
+	next := map[string]bool{}
+	for _, zone := range zones {
+		next[zone] = true
+	}
+	for zone := range t.evacuated {
+		if !next[zone] {
+			t.coldZone[zone] = now + coldAgain
+		}
+	}
+	t.evacuated = next
+}
+
+func (t *Table) take(now, age core.Millis, entry roster.Entry) {
+	e := t.endpoints[entry.ID]
+	if e == nil || e.Address != entry.Address || e.Service != entry.Service {
+		e = &Endpoint{}
+		t.endpoints[entry.ID] = e
+	}
+	if entry.ColdFor > 0 && entry != e.Entry {
+		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor))
+	}
+	e.Entry, e.Region = entry, t.Regions[entry.Zone]
+	e.evacuated = t.evacuated[entry.Zone]
+	if until := t.coldZone[entry.Zone]; !e.evacuated && now < until {
+		e.coldUntil = max(e.coldUntil, until)
+	}
+}
+
+func (t *Table) group() {
+	for _, s := range t.services {
+		s.endpoints = s.endpoints[:0]
+	}
+	ids := make([]string, 0, len(t.endpoints))
+	for id := range t.endpoints {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		e := t.endpoints[id]
+		s := t.service(e.Service)
+		s.endpoints = append(s.endpoints, e)
+	}
+}
+
+func (t *Table) service(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{work: float64(firstWork)}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Want describes a request that needs an endpoint.
+type Want struct {
+	Service string
+	// Object is the value that requests for one object have in common, or empty.
+	Object string
+	// Remaining is the time until the request's deadline.
+	Remaining core.Millis
+	// Regions lists the only regions that may serve it; none sets no limit.
+	Regions []string
+	// Tried lists the endpoints that were tried already.
+	Tried []string
+}
+
+// Choice is the endpoint for a request, with the inputs that decided it.
+type Choice struct {
+	Endpoint *Endpoint
+	// Wait is how long the request is expected to wait there, Work how long it then takes.
+	Wait core.Millis
+	Work core.Millis
+	Cold bool
+	// Load is the endpoint's estimated number of requests, Usable how many endpoints could be chosen.
+	Load   float64
+	Usable int
+}
+
+// Choose returns the endpoint where the request is expected to be answered first, and counts it there until Done; it refuses what can't be answered in time.
+func (t *Table) Choose(now core.Millis, w Want) (Choice, *core.Refusal) {
+	s := t.service(w.Service)
+	best, bestCost := Choice{}, 0.0
+	usable := 0
+	for _, e := range s.endpoints {
+		if !e.usable(now) || !allowed(w.Regions, e.Region) || slices.Contains(w.Tried, e.ID) {
+			continue
+		}
+		if e.isCold(now) && !t.coldRoom(now, e) {
+			continue
+		}
+		usable++
+		cost, wait := t.cost(now, s, e, w.Object)
+		if best.Endpoint == nil || cost < bestCost {
+			bestCost = cost
+			best = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now)}
+		}
+	}
+	if best.Endpoint == nil {
+		return best, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
+	}
+	best.Usable = usable
+	if best.Wait > w.Remaining {
+		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s, %s remain", w.Service, best.Wait, w.Remaining)
+		refusal.RetryAfter = t.retryAfter(best.Wait)
+		return best, refusal
+	}
+	e := best.Endpoint
+	e.inFlight++
+	e.usedAt = now
+	if best.Cold {
+		e.coldAt = append(e.coldAt, now)
+	}
+	e.noteObject(now, w.Object)
+	return best, nil
+}
+
+// retryAfter spreads callers over the time in which the queue is expected to shrink.
+func (t *Table) retryAfter(wait core.Millis) core.Millis {
+	return max(100, wait/4+core.Millis(t.Rand.Int64N(int64(wait)/2+1)))
+}
+
+func allowed(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
+// cost is what a request would wait for at the endpoint, in milliseconds; wait is the part that is the queue.
+func (t *Table) cost(now core.Millis, s *service, e *Endpoint, object string) (cost, wait float64) {
+	wait = e.wait(now) * s.work
+	cost = wait + e.failing*failCost*s.work
+	if e.isCold(now) {
+		cost += coldWork * s.work
+	}
+	if e.Region != t.Region {
+		cost += float64(farAway)
+	}
+	if object == "" {
+		// Requests without an object go to the least loaded endpoint.
+		return cost + e.load(now)*s.work*warmElsewhere, wait
+	}
+	switch {
+	case t.isHome(now, s, e, object):
+	case e.isWarmFor(now, object):
+		cost += warmElsewhere * s.work
+	default:
+		cost += notAtHome * s.work
+	}
+	return cost, wait
+}
+
+// isHome tells whether the endpoint is the object's home in its region.
+func (t *Table) isHome(now core.Millis, s *service, e *Endpoint, object string) bool {
+	mine := rendezvous(object, e.ID)
+	for _, other := range s.endpoints {
+		if other != e && other.Region == e.Region && other.usable(now) && !other.isCold(now) && rendezvous(object, other.ID) > mine {
+			return false
+		}
+	}
+	return true
+}
+
+func rendezvous(object, id string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(object)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
+
+// coldRoom tells whether this host may send a cold endpoint one more request. Only hosts of its availability zone may, each its part of the endpoint's rate.
+func (t *Table) coldRoom(now core.Millis, e *Endpoint) bool {
+	if e.Zone != t.Zone {
+		return false
+	}
+	kept := e.coldAt[:0]
+	for _, at := range e.coldAt {
+		if now-at < coldWindow {
+			kept = append(kept, at)
+		}
+	}
+	e.coldAt = kept
+	rate := t.configured[e.Service].ColdPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
+	return len(kept) < int(coldPart*rate/float64(max(1, t.zoneEntries)))
+}
+
+// MayRetry takes one extra attempt of the service from this host's part of the budget.
+func (t *Table) MayRetry(name string) bool {
+	return t.service(name).budget.Spend()
+}
+
+// NoteRequest counts a caller's request towards the service's budget of extra attempts.
+func (t *Table) NoteRequest(name string) {
+	s := t.service(name)
+	s.budget.Ratio = retryPart * t.Bounds.RetryRatio
+	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(max(1, t.allEntries)))
+	s.budget.First()
+}
+
+// Outcome tells how a sending ended.
+type Outcome int
+
+// The outcomes of a sending.
+const (
+	// Good is a whole answer of the endpoint, whatever its status.
+	Good Outcome = iota
+	// Failed is an answer that tells of the endpoint's own failure.
+	Failed
+	// Shed means that the endpoint turned the request away.
+	Shed
+	// Unreached means that no connection could be had.
+	Unreached
+	// Lost means that the answer broke off, was spoiled or did not come.
+	Lost
+	// Misled means that another endpoint has the address now.
+	Misled
+	// GivenUp means that the sender ended it, which says nothing of the endpoint.
+	GivenUp
+)
+
+// Done takes the end of a sending; took is its length, report the endpoint's account of its load, or nil.
+func (t *Table) Done(now core.Millis, e *Endpoint, outcome Outcome, took core.Millis, report *core.Report) {
+	e.inFlight--
+	switch outcome {
+	case Good:
+		e.noteGood()
+		e.noteReport(now, report)
+		t.noteWork(e, took, report)
+	case Failed:
+		e.noteReport(now, report)
+		e.noteFailure(now, false)
+	case Shed:
+		e.noteShed(now)
+	case Unreached:
+		e.noteFailure(now, true)
+	case Lost:
+		e.noteFailure(now, false)
+	case Misled:
+		e.gone = true
+	case GivenUp:
+	}
+}
+
+// noteWork learns the service's usual work from answers that waited for nothing.
+func (t *Table) noteWork(e *Endpoint, took core.Millis, report *core.Report) {
+	if report != nil && report.Queue > 0 || e.inFlight >= e.Slots {
+		return
+	}
+	s := t.service(e.Service)
+	s.work += workWeight * (float64(took) - s.work)
+}
+
+// Usual returns the usual work of a service.
+func (t *Table) Usual(name string) core.Millis {
+	return core.Millis(t.service(name).work)
+}
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -23,6 +23,13 @@
 	promoteWithin   = 16
 )
 
+// Pace holds the lengths of time that depend on the distance between replicas and on what their talk may cost.
+type Pace struct {
+	Heartbeat    core.Millis
+	ElectionLow  core.Millis
+	ElectionHigh core.Millis
+}
+
 // Role is what a replica is in its term.
 type Role string
 
@@ -73,6 +80,8 @@
 	Machine Machine
 	// Initial lists the first voters by name; all have incarnation 1.
 	Initial []string
+	// Pace is that of the constants above when it is left zero.
+	Pace Pace
 	// OnRead is called when the read with the ticket may be answered; confirmed is false when the leader was deposed first.
 	OnRead func(now core.Millis, ticket uint64, confirmed bool, out *core.Effects)
 
@@ -114,6 +123,9 @@
 
 // Start takes up what the disk held; the driver must carry out the effects before it hands in anything else.
 func (r *Replica) Start(now core.Millis, stored core.Stored, out *core.Effects) error {
+	if r.Pace == (Pace{}) {
+		r.Pace = Pace{HeartbeatEvery, ElectionLow, ElectionHigh}
+	}
 	r.role = Follower
 	r.vote = stored.Vote
 	r.vote.Boot++
@@ -136,7 +148,7 @@
 	r.write(core.Write{Vote: r.voteCopy()}, out)
 	r.commitTo(now, stored.Vote.Commit, out)
 	r.resetElection(now)
-	r.heardAt = now - ElectionHigh
+	r.heardAt = now - r.Pace.ElectionHigh
 	_, member := r.members.has(r.Self, r.vote.Incarnation)
 	r.fresh = !member
 	r.checkJoined(now)
@@ -257,7 +269,7 @@
 }
 
 func (r *Replica) resetElection(now core.Millis) {
-	r.electionAt = now + ElectionLow + core.Millis(r.Rand.Int64N(int64(ElectionHigh-ElectionLow)))
+	r.electionAt = now + r.Pace.ElectionLow + core.Millis(r.Rand.Int64N(int64(r.Pace.ElectionHigh-r.Pace.ElectionLow)))
 }
 
 // Receive takes a message of this package from another replica.
--- a/core/quorum/status.go
+++ b/core/quorum/status.go
@@ -46,6 +46,22 @@
 	return r.fenced
 }
 
+// Applied returns the index of the last record that the state machine has carried out.
+func (r *Replica) Applied() uint64 {
+	return r.applied
+}
+
+// LeaderHeard tells how long ago a leader that a majority follows was heard; a leader hears itself.
+func (r *Replica) LeaderHeard(now core.Millis) core.Millis {
+	if r.role == Leader {
+		return 0
+	}
+	if r.leader == "" {
+		return core.Never
+	}
+	return now - r.heardAt
+}
+
 // Term returns the current term.
 func (r *Replica) Term() uint64 {
 	return r.vote.Term
@@ -72,5 +88,10 @@
 		return MemberStatus{Member: member, HeardAgo: -1}
 	}
 	ago := now - p.heard
-	return MemberStatus{Member: member, Match: p.match, HeardAgo: ago, Reachable: ago < ElectionHigh}
+	return MemberStatus{Member: member, Match: p.match, HeardAgo: ago, Reachable: ago < r.Pace.ElectionHigh}
+}
+
+// Members returns the group's members as this replica knows them.
+func (r *Replica) Members() Members {
+	return r.members
 }
--- /dev/null
+++ b/core/roster/journal.go
@@ -0,0 +1,182 @@
+package roster
+
+import (
+	"slices"
+
+	"clementinelock/core"
+)
+
+// keptRemovals is how many removed endpoints a journal remembers; a follower that is further behind gets the whole list.
+const keptRemovals = 4096
+
+// Journal holds a list and numbers its changes, so that followers get only what they lack. Set Process before use.
+type Journal struct {
+	// Process is greater than 0 and differs between the processes that keep a journal.
+	Process uint64
+
+	number   uint64
+	readAt   core.Millis
+	known    bool
+	entries  map[string]numbered
+	removals []removal
+	forgot   uint64
+}
+
+type numbered struct {
+	Entry
+	number uint64
+}
+
+type removal struct {
+	id     string
+	number uint64
+}
+
+// Known tells whether the journal has held a list.
+func (j *Journal) Known() bool {
+	return j.known
+}
+
+// Number returns the number of the newest change.
+func (j *Journal) Number() uint64 {
+	return j.number
+}
+
+// Age returns how long ago the list was read from the platform.
+func (j *Journal) Age(now core.Millis) core.Millis {
+	return now - j.readAt
+}
+
+// Set takes a whole list that was read at the time; it returns whether the list changed.
+func (j *Journal) Set(readAt core.Millis, entries []Entry) bool {
+	if j.entries == nil {
+		j.entries = map[string]numbered{}
+	}
+	next := j.number + 1
+	changed := !j.known
+	j.known = true
+	j.readAt = max(j.readAt, readAt)
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		if old, held := j.entries[e.ID]; held && old.saysSame(e) {
+			continue
+		}
+		j.entries[e.ID] = numbered{e, next}
+		changed = true
+	}
+	for id := range j.entries {
+		if !listed[id] {
+			delete(j.entries, id)
+			j.removals = append(j.removals, removal{id, next})
+			changed = true
+		}
+	}
+	j.trim()
+	if changed {
+		j.number = next
+	}
+	return changed
+}
+
+func (j *Journal) trim() {
+	if over := len(j.removals) - keptRemovals; over > 0 {
+		j.forgot = j.removals[over-1].number
+		j.removals = slices.Clone(j.removals[over:])
+	}
+}
+
+// Since returns what a follower lacks that holds the number of the process; nil when the journal has no list yet.
+func (j *Journal) Since(now core.Millis, process, number uint64) *Delta {
+	if !j.known {
+		return nil
+	}
+	if process != j.Process || number > j.number || number < j.forgot {
+		number = 0
+	}
+	d := &Delta{Process: j.Process, From: number, Number: j.number, Age: j.Age(now)}
+	for _, e := range j.entries {
+		if e.number > number {
+			d.Entries = append(d.Entries, e.Entry)
+		}
+	}
+	slices.SortFunc(d.Entries, func(a, b Entry) int { return compareText(a.ID, b.ID) })
+	for _, r := range j.removals {
+		if number > 0 && r.number > number {
+			d.Removed = append(d.Removed, r.id)
+		}
+	}
+	return d
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Entries lists the endpoints by id.
+func (j *Journal) Entries() []Entry {
+	out := make([]Entry, 0, len(j.entries))
+	for _, e := range j.entries {
+		out = append(out, e.Entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return compareText(a.ID, b.ID) })
+	return out
+}
+
+// Copy follows a journal of another process.
+type Copy struct {
+	process uint64
+	number  uint64
+	readAt  core.Millis
+	entries map[string]Entry
+}
+
+// Process returns the process whose journal the copy follows, 0 at first.
+func (c *Copy) Process() uint64 {
+	return c.process
+}
+
+// Number returns the number of the newest change that the copy holds.
+func (c *Copy) Number() uint64 {
+	return c.number
+}
+
+// Age returns how long ago the list was read from the platform.
+func (c *Copy) Age(now core.Millis) core.Millis {
+	return now - c.readAt
+}
+
+// Apply takes a delta; it returns false when the delta does not follow on what the copy holds.
+func (c *Copy) Apply(now core.Millis, d *Delta) bool {
+	follows := d.Process == c.process && d.From <= c.number && d.Number >= c.number
+	if d.From != 0 && !follows {
+		return false
+	}
+	if d.From == 0 {
+		c.entries = make(map[string]Entry, len(d.Entries))
+	}
+	c.process, c.number, c.readAt = d.Process, d.Number, now-d.Age
+	for _, e := range d.Entries {
+		c.entries[e.ID] = e
+	}
+	for _, id := range d.Removed {
+		delete(c.entries, id)
+	}
+	return true
+}
+
+// Entries lists the endpoints by id.
+func (c *Copy) Entries() []Entry {
+	out := make([]Entry, 0, len(c.entries))
+	for _, e := range c.entries {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return compareText(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/core/routes/table.go
@@ -0,0 +1,145 @@
+package routes
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"clementinelock/core"
+)
+
+// MostTimeout is the longest timeout that a route may have; operators' routes beyond it are typing errors.
+const MostTimeout = 10 * core.Minute
+
+// Document is a set of routes as its operator wrote it.
+type Document struct {
+	Version uint64
+	// Text is compressed by the adapter that took the document in.
+	Text []byte
+}
+
+// Part is one service of a route with its weight among the route's parts.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Route tells what is done with the requests of one host name below one path prefix.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is how long a caller is kept waiting at most; 0 sets no limit.
+	Timeout core.Millis
+	// Objective is the latency within which an answer is worth most.
+	Objective core.Millis
+	// Priority ranks the route; 0 is the most urgent.
+	Priority     int
+	Parts        []Part
+	MostAttempts int
+	// Affinity asks to lead requests of one object to endpoints that know it.
+	Affinity bool
+	// Regions lists the only regions in which the requests may be served; none sets no limit.
+	Regions []string
+}
+
+// Service is what a document says of one service.
+type Service struct {
+	Name       string
+	HealthPath string
+	// Connections is how many connections an endpoint takes from all hosts together.
+	Connections int
+	// ColdStart is how long an endpoint stays cold after its start.
+	ColdStart core.Millis
+	// ColdPerSecond is the rate of requests that a cold endpoint bears.
+	ColdPerSecond float64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout core.Millis
+	IdleTimeout   core.Millis
+}
+
+// Table is a decoded document.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	hosts    map[string][]*Route
+	count    int
+}
+
+// NewTable returns a table; it errs on the first route that can't be in force.
+func NewTable(version uint64, limits Limits, services []Service, all []Route) (*Table, error) {
+	t := &Table{Version: version, Limits: limits, Services: map[string]Service{}, hosts: map[string][]*Route{}, count: len(all)}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for i := range all {
+		if err := t.check(&all[i]); err != nil {
+			return nil, err
+		}
+		t.hosts[all[i].Host] = append(t.hosts[all[i].Host], &all[i])
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) check(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return fmt.Errorf("route %q: path prefix %q does not begin with a slash", r.Name, r.Prefix)
+	}
+	if r.Timeout < 0 || r.Timeout > MostTimeout {
+		return fmt.Errorf("route %q: timeout %s is not between 0 and %s", r.Name, r.Timeout, MostTimeout)
+	}
+	if len(r.Parts) == 0 {
+		return fmt.Errorf("route %q names no service", r.Name)
+	}
+	for _, part := range r.Parts {
+		if _, known := t.Services[part.Service]; !known {
+			return fmt.Errorf("route %q names service %q, which the document does not have", r.Name, part.Service)
+		}
+		if part.Weight < 0 {
+			return fmt.Errorf("route %q: weight %g of service %q is below 0", r.Name, part.Weight, part.Service)
+		}
+	}
+	return nil
+}
+
+// Find returns the route of a host name with the longest prefix that begins the path, or nil.
+func (t *Table) Find(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Count returns how many routes the table has.
+func (t *Table) Count() int {
+	return t.count
+}
+
+// Choose returns the part that a point between 0 and 1 falls on, in proportion to the weights.
+func (r *Route) Choose(point float64) string {
+	total := 0.0
+	for _, part := range r.Parts {
+		total += part.Weight
+	}
+	rest := point * total
+	for _, part := range r.Parts {
+		if rest < part.Weight {
+			return part.Service
+		}
+		rest -= part.Weight
+	}
+	return r.Parts[0].Service
+}
--- /dev/null
+++ b/io/certs/unverified.go
@@ -0,0 +1,43 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"time"
+)
+
+// unverifiedValid is longer than a process runs; nobody checks it.
+const unverifiedValid = 10 * 365 * 24 * time.Hour
+
+// Unverified is the identity of a host in a deployment without an authority: connections are encrypted, and the other side's name is taken as it says.
+type Unverified struct {
+	pair tls.Certificate
+}
+
+// MakeUnverified makes a certificate in memory for the host.
+func MakeUnverified(name string) (*Unverified, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template, err := newTemplate(name, Hosts, unverifiedValid)
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Unverified{pair: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}}, nil
+}
+
+// Config returns a TLS configuration in which each side only tells its name.
+func (u *Unverified) Config(protocols []string, _ ...string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, NextProtos: protocols, ClientAuth: tls.RequireAnyClientCert,
+		InsecureSkipVerify: true, Certificates: []tls.Certificate{u.pair},
+	}
+}
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -26,9 +26,10 @@
 	exitUsage = 2
 )
 
-// Main runs the daemon's command line and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+// Main runs the daemon's command line, with further verbs beside its own, and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer, further ...*ffcli.Command) int {
 	root := command(stdout, stderr)
+	root.Subcommands = append(root.Subcommands, further...)
 	err := root.ParseAndRun(context.Background(), args)
 	switch {
 	case err == nil:
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -71,6 +71,15 @@
 	return writeWhole(path, identityName, []byte("1\n"))
 }
 
+// IsInitialised tells whether a data folder belongs to a replica already; it errs when the folder can't be looked at.
+func IsInitialised(path string) (bool, error) {
+	_, err := os.Stat(filepath.Join(path, identityName))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // Open locks the folder; it errs when another process has it.
 func (f *Folder) Open() error {
 	if err := os.MkdirAll(f.Path, folderMode); err != nil {
--- /dev/null
+++ b/io/entry/body.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// bodyDeadline is when a caller must have sent the next part of a body.
+func (c *conn) bodyDeadline() time.Time {
+	return time.Now().Add(c.server.limits().IdleTimeout.Duration())
+}
+
+// restOfBody streams the rest of a caller's long body within the limit.
+type restOfBody struct {
+	conn *conn
+	body io.Reader
+	room int64
+	over bool
+}
+
+// Read reads the next part; it errs on a body that is longer than the limit.
+func (r *restOfBody) Read(p []byte) (int, error) {
+	_ = r.conn.conn.SetReadDeadline(r.conn.bodyDeadline())
+	n, err := r.body.Read(p)
+	r.room -= int64(n)
+	if r.room < 0 {
+		return 0, fmt.Errorf("body is longer than the limit")
+	}
+	r.over = err == io.EOF
+	return n, err
+}
--- /dev/null
+++ b/io/entry/conn.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/pool"
+)
+
+// conn is one caller's connection.
+type conn struct {
+	server *Server
+	conn   net.Conn
+	limit  io.LimitedReader
+	reader *bufio.Reader
+	writer *bufio.Writer
+	ctx    context.Context
+	cancel context.CancelFunc
+	queue  chan *exchange
+	// open counts the requests that were read and not answered yet.
+	open atomic.Int64
+	// written is closed, and made anew, with each answer, for requests that wait for those before them.
+	ended chan struct{}
+}
+
+// exchange is one request on its way to its answer.
+type exchange struct {
+	request *pool.Request
+	path    string
+	arrived core.Millis
+	// deadline is the caller's; 0 means that it named none.
+	patience core.Millis
+	object   string
+	closes   bool
+	reply    chan *reply
+	// first is closed when all answers before this one are written.
+	first chan struct{}
+	// bodyRead is closed when a streamed body has been read or given up; nil without one.
+	bodyRead chan struct{}
+}
+
+func newConn(parent context.Context, s *Server, accepted net.Conn) *conn {
+	ctx, cancel := context.WithCancel(parent)
+	c := &conn{server: s, conn: accepted, ctx: ctx, cancel: cancel, queue: make(chan *exchange, mostAhead), ended: make(chan struct{})}
+	c.limit.R = accepted
+	c.reader = bufio.NewReaderSize(&c.limit, readBuffer)
+	c.writer = bufio.NewWriterSize(accepted, writeBuffer)
+	return c
+}
+
+// run serves the connection until either side ends it.
+func (c *conn) run() {
+	defer c.server.forget(c)
+	go c.write()
+	c.readAll()
+	close(c.queue)
+	<-c.ended
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// readAll reads requests and starts them; it returns when no more can come.
+func (c *conn) readAll() {
+	for {
+		x, refused := c.read()
+		if x == nil {
+			if refused != nil {
+				c.hand(refused)
+				return
+			}
+			// The caller has gone, so that nothing under way is wanted any more.
+			c.cancel()
+			return
+		}
+		c.hand(x)
+		go c.serve(x)
+		if x.bodyRead != nil {
+			<-x.bodyRead
+		}
+		if x.closes {
+			c.watchEnd()
+			return
+		}
+	}
+}
+
+// watchEnd notes that the caller leaves while its last request is under way.
+func (c *conn) watchEnd() {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	for {
+		if _, err := c.reader.Discard(1); err != nil {
+			c.cancel()
+			return
+		}
+	}
+}
+
+func (c *conn) hand(x *exchange) {
+	c.open.Add(1)
+	c.server.active.Add(1)
+	select {
+	case c.queue <- x:
+	case <-c.ended:
+		c.done()
+	}
+}
+
+func (c *conn) done() {
+	c.open.Add(-1)
+	c.server.active.Add(-1)
+}
+
+// read takes the next request; it returns an exchange with its refusal where the bytes are no request that may be served.
+func (c *conn) read() (x, refused *exchange) {
+	limits := c.server.limits()
+	c.limit.N = int64(limits.HeaderBytes) + readBuffer
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Duration()))
+	if _, err := c.reader.Peek(1); err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() && c.open.Load() > 0 {
+			return c.read()
+		}
+		return nil, nil
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
+	request, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil, c.unreadable(err)
+	}
+	c.limit.N = 1<<63 - 1
+	_ = c.conn.SetReadDeadline(time.Time{})
+	return c.accept(request, limits.BodyBytes)
+}
+
+func (c *conn) unreadable(err error) *exchange {
+	var network net.Error
+	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && c.limit.N > 0 {
+		return nil
+	}
+	if c.limit.N <= 0 {
+		return refusedExchange(http.StatusRequestHeaderFieldsTooLarge)
+	}
+	return refusedExchange(http.StatusBadRequest)
+}
+
+// refusedExchange is the answer to what can't be taken as a request; the connection ends with it.
+func refusedExchange(status int) *exchange {
+	x := &exchange{closes: true, reply: make(chan *reply, 1), request: &pool.Request{}}
+	x.reply <- &reply{status: status, close: true}
+	return x
+}
+
+// write writes the answers in the order of their requests.
+func (c *conn) write() {
+	defer close(c.ended)
+	for x := range c.queue {
+		if x.first != nil {
+			close(x.first)
+		}
+		r := <-x.reply
+		last := x.closes || r.close || c.server.Stopping()
+		err := c.send(x, r, last)
+		c.done()
+		if err != nil || last {
+			c.finish()
+			return
+		}
+	}
+}
+
+// finish ends the connection after its last answer; what the caller sent behind it counts as not read.
+func (c *conn) finish() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		// The caller reads the answer before it sees the end.
+		_ = tcp.CloseWrite()
+	}
+	c.cancel()
+	for {
+		select {
+		case x, more := <-c.queue:
+			if !more {
+				return
+			}
+			c.abandon(x)
+		case <-time.After(lingerFor):
+			_ = c.conn.Close()
+			c.drainQueue()
+			return
+		}
+	}
+}
+
+// lingerFor lets the caller take the last answer before unread bytes reset the connection.
+const lingerFor = 500 * time.Millisecond
+
+func (c *conn) drainQueue() {
+	for x := range c.queue {
+		c.abandon(x)
+	}
+}
+
+func (c *conn) abandon(x *exchange) {
+	if x.first != nil {
+		// The request is not started: its context has ended.
+		close(x.first)
+	}
+	<-x.reply
+	c.done()
+}
--- /dev/null
+++ b/io/entry/read.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"clementinelock/core"
+	"clementinelock/io/pool"
+)
+
+// accept makes an exchange of a parsed request; it refuses a body that is longer than the limit.
+func (c *conn) accept(request *http.Request, mostBody int64) (x, refused *exchange) {
+	if request.ContentLength > mostBody {
+		return nil, refusedExchange(http.StatusRequestEntityTooLarge)
+	}
+	if request.Header.Get("Expect") != "" && c.open.Load() == 0 {
+		// A failed write shows at the next read.
+		_, _ = io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	d := c.server.Dialect
+	x = &exchange{
+		path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
+		first: make(chan struct{}),
+		request: &pool.Request{
+			ID: request.Header.Get(d.RequestID), Method: request.Method, Target: request.RequestURI, Host: request.Host,
+			Header: request.Header, Length: request.ContentLength,
+		},
+	}
+	if cookie, err := request.Cookie(d.ObjectCookie); err == nil {
+		x.object = cookie.Value
+	}
+	if left, err := strconv.ParseInt(request.Header.Get(d.Deadline), 10, 64); err == nil && left > 0 {
+		x.patience = core.Millis(left)
+	}
+	return c.takeBody(x, request, mostBody)
+}
+
+// takeBody reads a short body whole and leaves a long one to be streamed.
+func (c *conn) takeBody(x *exchange, request *http.Request, mostBody int64) (taken, refused *exchange) {
+	if request.Body == nil || request.Body == http.NoBody {
+		x.request.Length = 0
+		return x, nil
+	}
+	_ = c.conn.SetReadDeadline(c.bodyDeadline())
+	body, err := io.ReadAll(io.LimitReader(request.Body, bufferedBody))
+	if err != nil {
+		return nil, c.unreadable(err)
+	}
+	x.request.Body = body
+	if len(body) < bufferedBody {
+		x.request.Length = int64(len(body))
+		return x, nil
+	}
+	x.bodyRead = make(chan struct{})
+	x.request.Rest = &restOfBody{conn: c, body: request.Body, room: mostBody - int64(len(body))}
+	return x, nil
+}
+
+// hostOf returns the host name that routes are found by.
+func hostOf(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return strings.ToLower(name)
+}
--- /dev/null
+++ b/io/entry/reply.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/pool"
+)
+
+// reply is what a caller gets.
+type reply struct {
+	status     int
+	retryAfter core.Millis
+	// answer is an endpoint's answer, or nil for one of this host's own.
+	answer *pool.Answer
+	close  bool
+}
+
+const copyBuffer = 16 << 10
+
+// send writes a reply; a streamed answer that breaks off ends the connection before its end.
+func (c *conn) send(x *exchange, r *reply, last bool) error {
+	if c.ctx.Err() != nil {
+		discard(r)
+		return c.ctx.Err()
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
+	w := c.writer
+	text := http.StatusText(r.status)
+	if text == "" {
+		text = "Status"
+	}
+	write(w, "HTTP/1.1 ", strconv.Itoa(r.status), " ", text, "\r\n")
+	if last {
+		write(w, "Connection: close\r\n")
+	}
+	if r.answer == nil {
+		c.sendOwn(x, r)
+	} else if err := c.sendAnswer(x, r.answer); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func discard(r *reply) {
+	if r.answer != nil && r.answer.Rest != nil {
+		_ = r.answer.Rest.Close()
+	}
+}
+
+// write appends texts; the writer keeps the first error until Flush.
+func write(w io.StringWriter, texts ...string) {
+	for _, text := range texts {
+		_, _ = w.WriteString(text)
+	}
+}
+
+// sendOwn writes the head of this host's own answer, which has no body.
+func (c *conn) sendOwn(x *exchange, r *reply) {
+	if x.request.ID != "" {
+		write(c.writer, c.server.Dialect.RequestID, ": ", x.request.ID, "\r\n")
+	}
+	if r.retryAfter > 0 {
+		write(c.writer, "Retry-After: ", strconv.FormatFloat(float64(r.retryAfter)/float64(core.Second), 'f', -1, 64), "\r\n")
+	}
+	write(c.writer, "Content-Length: 0\r\n\r\n")
+}
+
+func (c *conn) sendAnswer(x *exchange, a *pool.Answer) error {
+	w := c.writer
+	for name, values := range a.Header {
+		if pool.IsHop(name, a.Header) || name == c.server.Dialect.Load {
+			continue
+		}
+		for _, value := range values {
+			write(w, name, ": ", value, "\r\n")
+		}
+	}
+	if a.Rest != nil {
+		return c.sendStream(a)
+	}
+	switch {
+	case x.request.Method == http.MethodHead:
+		if a.Length >= 0 {
+			write(w, "Content-Length: ", strconv.FormatInt(a.Length, 10), "\r\n")
+		}
+		write(w, "\r\n")
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+		write(w, "\r\n")
+	default:
+		write(w, "Content-Length: ", strconv.Itoa(len(a.Body)), "\r\n\r\n")
+		_, _ = w.Write(a.Body)
+	}
+	return nil
+}
+
+// sendStream passes a long body on; an error ends the connection, so that what broke off never looks whole.
+func (c *conn) sendStream(a *pool.Answer) error {
+	defer func() { _ = a.Rest.Close() }()
+	w := c.writer
+	chunked := a.Length < 0
+	if chunked {
+		write(w, "Transfer-Encoding: chunked\r\n\r\n")
+	} else {
+		write(w, "Content-Length: ", strconv.FormatInt(a.Length, 10), "\r\n\r\n")
+	}
+	part := a.Body
+	buffer := make([]byte, copyBuffer)
+	for {
+		writePart(w, part, chunked)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
+		n, err := a.Rest.Read(buffer)
+		part = buffer[:n]
+		if errors.Is(err, io.EOF) {
+			writePart(w, part, chunked)
+			break
+		}
+		if err != nil {
+			_ = c.conn.Close()
+			return err
+		}
+	}
+	if chunked {
+		write(w, "0\r\n\r\n")
+	}
+	return nil
+}
+
+// partWriter is what parts of a body are written to.
+type partWriter interface {
+	io.Writer
+	io.StringWriter
+}
+
+func writePart(w partWriter, part []byte, chunked bool) {
+	if len(part) == 0 {
+		return
+	}
+	if chunked {
+		write(w, strconv.FormatInt(int64(len(part)), 16), "\r\n")
+	}
+	_, _ = w.Write(part)
+	if chunked {
+		write(w, "\r\n")
+	}
+}
--- /dev/null
+++ b/io/fleet/control.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/fleet"
+	"clementinelock/core/routes"
+	"clementinelock/io/disk"
+	"clementinelock/io/logs"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	listWithin = 900 * time.Millisecond
+	// handOverWithin lets a successor be elected before a leader stops.
+	handOverWithin = 400 * time.Millisecond
+	diskRetry      = 200 * time.Millisecond
+)
+
+// Control is a control host's process. Set the exported fields before Run.
+type Control struct {
+	host
+	machine *fleet.Control
+	folder  *disk.Folder
+	pending []core.Write
+	wake    chan struct{}
+	replies map[uint64]chan core.Reply
+	tickets uint64
+	reading bool
+}
+
+// NewControl returns a control host with the settings.
+func NewControl(s Settings, p Platform, log *logs.Logger) *Control {
+	return &Control{host: host{Settings: s, Platform: p, Log: log}, wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{}}
+}
+
+// Run serves until the stop context ends and the planned stop is done; it errs when the host can't go on.
+func (c *Control) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	defer c.closeServers()
+	select {
+	case err := <-c.failure:
+		return err
+	case <-stop.Done():
+	}
+	c.Log.Info("host", "Stops as planned.")
+	c.step(c.machine.Stop)
+	time.Sleep(handOverWithin)
+	return nil
+}
+
+func (c *Control) start(ctx context.Context) error {
+	s := &c.Settings
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if err := c.open(ctx, c.receive); err != nil {
+		return err
+	}
+	stored, err := c.openFolder()
+	if err != nil {
+		return err
+	}
+	now := c.clock.Now()
+	c.machine = &fleet.Control{
+		ControlHost: fleet.ControlHost{Name: s.Host, Region: s.Region, Zone: s.Zone},
+		Process:     uint64(now), Rand: newRand(), Seeds: s.seedHosts(), ListCallsPerSecond: s.ListCallsPerSecond,
+	}
+	effects, err := c.machine.Start(now, stored)
+	if err != nil {
+		return err
+	}
+	c.carry(effects)
+	c.tickets = uint64(now)
+	go c.write(ctx)
+	go every(ctx, fleet.ControlTick, func() { c.tick(ctx) })
+	if err := c.listen(s.Operators, c.Platform.OperatorHandler(c)); err != nil {
+		return err
+	}
+	if s.Directory != "" {
+		if err := c.listen(s.Directory, c.Platform.DirectoryHandler(c, s.LookupSeconds)); err != nil {
+			return err
+		}
+	}
+	c.Log.Info("host", fmt.Sprintf("Starts as control host %s in availability zone %s with %d records on disk.", s.Name, s.Zone, len(stored.Records)))
+	return c.listenMetrics(newMetrics(prometheus.NewRegistry(), &c.host).handler())
+}
+
+// openFolder opens the data folder; a seed of a deployment's first start founds the group.
+func (c *Control) openFolder() (core.Stored, error) {
+	s := &c.Settings
+	if s.Founding && s.isSeed() {
+		founded, err := disk.IsInitialised(s.DataFolder)
+		if err != nil {
+			return core.Stored{}, err
+		}
+		if !founded {
+			if err := disk.Initialise(s.DataFolder); err != nil {
+				return core.Stored{}, err
+			}
+		}
+	}
+	c.folder = &disk.Folder{Path: s.DataFolder}
+	if err := c.folder.Open(); err != nil {
+		return core.Stored{}, err
+	}
+	return c.folder.Load()
+}
+
+func (s *Settings) isSeed() bool {
+	for _, seed := range s.seedHosts() {
+		if seed == s.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// step runs one input under the lock and carries out its effects.
+func (c *Control) step(input func(now core.Millis) core.Effects) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	defer c.catch()
+	c.carry(input(c.clock.Now()))
+}
+
+func (c *Control) carry(e core.Effects) {
+	c.carryOut(e)
+	if len(e.Writes) > 0 {
+		c.pending = append(c.pending, e.Writes...)
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+	for _, r := range e.Replies {
+		if reply := c.replies[r.Ticket]; reply != nil {
+			delete(c.replies, r.Ticket)
+			reply <- r
+		}
+	}
+}
+
+func (c *Control) receive(from string, message core.Message) {
+	c.step(func(now core.Millis) core.Effects { return c.machine.Receive(now, from, message) })
+}
+
+func (c *Control) tick(ctx context.Context) {
+	c.step(c.machine.Tick)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine.Fenced() {
+		err := c.folder.Reset(strconv.FormatInt(time.Now().UnixMilli(), 10))
+		c.failure <- fmt.Errorf("the data folder is older than what this replica promised; its files were moved aside (%v)", err)
+		return
+	}
+	if !c.reading && c.Settings.List != "" && c.machine.WantsList(c.clock.Now()) {
+		c.reading = true
+		go c.readList(ctx)
+	}
+}
+
+// readList reads the platform's list once.
+func (c *Control) readList(ctx context.Context) {
+	asked := c.clock.Now()
+	within, cancel := context.WithTimeout(ctx, listWithin)
+	defer cancel()
+	entries, calls, err := c.Platform.ReadList(within, c.Settings.List)
+	if err != nil && ctx.Err() == nil {
+		c.Log.Error("list", err)
+	}
+	c.step(func(now core.Millis) core.Effects {
+		c.reading = false
+		if err != nil {
+			return core.Effects{}
+		}
+		return c.machine.TakeList(now, asked, entries, calls)
+	})
+}
+
+// write syncs what the machine asks for, several writes at once when they wait.
+func (c *Control) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		c.mutex.Lock()
+		batch := c.pending
+		c.pending = nil
+		c.mutex.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		if err := c.folder.Apply(batch...); err != nil {
+			c.failure <- fmt.Errorf("data folder: %w", err)
+			return
+		}
+		last := batch[len(batch)-1].Seq
+		c.step(func(now core.Millis) core.Effects { return c.machine.Synced(now, last) })
+	}
+}
+
+// ask puts an operator's question and waits for its reply.
+func (c *Control) ask(ctx context.Context, question func(now core.Millis, ticket uint64) core.Effects) core.Reply {
+	reply := make(chan core.Reply, 1)
+	c.step(func(now core.Millis) core.Effects {
+		c.tickets++
+		c.replies[c.tickets] = reply
+		return question(now, c.tickets)
+	})
+	select {
+	case r := <-reply:
+		return r
+	case <-ctx.Done():
+		return core.Reply{Refusal: core.Refuse(core.NoLeader, core.RanUnknown, "the caller has gone")}
+	}
+}
+
+// Publish brings a document into force.
+func (c *Control) Publish(ctx context.Context, document routes.Document) *core.Refusal {
+	r := c.ask(ctx, func(now core.Millis, ticket uint64) core.Effects { return c.machine.Publish(now, ticket, document) })
+	c.logOrder(fmt.Sprintf("Version %d", document.Version), r.Refusal)
+	return r.Refusal
+}
+
+// Evacuate begins or ends an evacuation.
+func (c *Control) Evacuate(ctx context.Context, zone string, active bool) *core.Refusal {
+	order := edits.Evacuation{Zone: zone, Active: active}
+	r := c.ask(ctx, func(now core.Millis, ticket uint64) core.Effects { return c.machine.Evacuate(now, ticket, order) })
+	c.logOrder(fmt.Sprintf("Evacuation of %s: %t", zone, active), r.Refusal)
+	return r.Refusal
+}
+
+func (c *Control) logOrder(order string, refusal *core.Refusal) {
+	if refusal != nil {
+		c.Log.Info("order", fmt.Sprintf("%s is not confirmed: %v.", order, refusal))
+		return
+	}
+	c.Log.Info("order", order+" is confirmed.")
+}
+
+// Read returns the newest document.
+func (c *Control) Read(ctx context.Context) (routes.Document, *core.Refusal) {
+	r := c.ask(ctx, c.machine.Read)
+	if done, ok := r.Body.(*fleet.OrderDone); ok {
+		return done.Document, r.Refusal
+	}
+	return routes.Document{}, r.Refusal
+}
+
+// EntryHosts lists the addresses for a caller in the availability zone.
+func (c *Control) EntryHosts(region, zone string) []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.machine.Directory(c.clock.Now(), region, zone)
+}
--- /dev/null
+++ b/io/fleet/entry.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/core/pick"
+	"clementinelock/core/routes"
+	"clementinelock/io/entry"
+	"clementinelock/io/logs"
+	"clementinelock/io/pool"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Parts of the time that a planned stop may take.
+const (
+	// leaveFor lets callers learn that the host leaves while it still serves.
+	leaveFor = 0.55
+	endMost  = 0.9
+)
+
+// Entry is an entry host's process. Set the exported fields before Run.
+type Entry struct {
+	host
+	machine *fleet.Entry
+	server  *entry.Server
+	pool    *pool.Pool
+	metrics *metrics
+	version uint64
+	ready   bool
+}
+
+// NewEntry returns an entry host with the settings.
+func NewEntry(s Settings, p Platform, log *logs.Logger) *Entry {
+	return &Entry{host: host{Settings: s, Platform: p, Log: log}}
+}
+
+// Run serves until the stop context ends and the planned stop is done; it errs when the host can't go on.
+func (e *Entry) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := e.start(ctx); err != nil {
+		return err
+	}
+	defer e.closeServers()
+	select {
+	case err := <-e.failure:
+		return err
+	case <-stop.Done():
+	}
+	e.stop()
+	return nil
+}
+
+func (e *Entry) start(ctx context.Context) error {
+	s := &e.Settings
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
+	e.pool = &pool.Pool{Dialect: e.Platform.Dialect()}
+	picks := &pick.Table{Region: s.Region, Zone: s.Zone, Regions: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnGone: e.pool.CloseTo}
+	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.account}
+	if err := e.open(ctx, e.receive); err != nil {
+		return err
+	}
+	e.server.Now = e.clock.Now
+	now := e.clock.Now()
+	e.machine = &fleet.Entry{
+		EntryHost: fleet.EntryHost{Name: s.Host, Region: s.Region, Zone: s.Zone, Address: s.Callers, Process: uint64(now)},
+		Rand:      newRand(), Seeds: s.seedHosts(),
+	}
+	e.machine.Start(now)
+	listener, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := e.server.Serve(ctx, listener); err != nil {
+			e.failure <- err
+		}
+	}()
+	go e.pool.Sweep(ctx)
+	go every(ctx, fleet.EntryTick, func() { e.step(e.machine.Tick) })
+	if err := e.listen(s.Readiness, e.Platform.ReadinessHandler(e.isReady)); err != nil {
+		return err
+	}
+	e.Log.Info("host", fmt.Sprintf("Starts as entry host %s in availability zone %s.", s.Name, s.Zone))
+	return e.listenMetrics(e.metrics.handler())
+}
+
+func (e *Entry) step(input func(now core.Millis) core.Effects) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	defer e.catch()
+	e.carryOut(input(e.clock.Now()))
+}
+
+func (e *Entry) receive(from string, message core.Message) {
+	e.step(func(now core.Millis) core.Effects {
+		changed, effects := e.machine.Receive(now, from, message)
+		if !changed {
+			return effects
+		}
+		e.bringIntoForce(now)
+		if !e.ready && e.server.Table() != nil && e.machine.View(now).ListKnown && !e.server.Stopping() {
+			e.ready = true
+			e.Log.Info("host", "Is ready.")
+			more := e.machine.SetReady(now, true)
+			effects.Sends = append(effects.Sends, more.Sends...)
+		}
+		return effects
+	})
+}
+
+// bringIntoForce takes the machine's view into the server.
+func (e *Entry) bringIntoForce(now core.Millis) {
+	view := e.machine.View(now)
+	var table *routes.Table
+	if view.Document.Version > e.version {
+		decoded, err := e.Platform.Decode(view.Document)
+		if err != nil {
+			// A control host has checked it, so that only a newer program could have accepted it.
+			e.Log.Error("config", fmt.Errorf("version %d can't be read: %w", view.Document.Version, err))
+		} else {
+			table, e.version = decoded, view.Document.Version
+		}
+	}
+	current := table
+	if current == nil {
+		current = e.server.Table()
+	}
+	e.server.Update(table, func(p *pick.Table) { p.Update(now, view, current) })
+}
+
+func (e *Entry) isReady() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.ready && !e.server.Stopping()
+}
+
+// stop leads callers elsewhere, answers what is under way and returns.
+func (e *Entry) stop() {
+	within := e.Settings.stopWithin().Duration()
+	end := time.Now().Add(time.Duration(endMost * float64(within)))
+	e.Log.Info("host", fmt.Sprintf("Stops as planned with %d requests under way.", e.server.Active()))
+	e.server.BeginStop()
+	e.step(func(now core.Millis) core.Effects { return e.machine.SetReady(now, false) })
+	time.Sleep(time.Duration(leaveFor * float64(within)))
+	left := e.server.FinishStop(time.Until(end))
+	e.Log.Info("host", fmt.Sprintf("Has stopped with %d requests cut off.", left))
+}
+
+// account logs and counts a request.
+func (e *Entry) account(a entry.Account) {
+	e.metrics.count(a)
+	e.Log.Line("request", "Answers.", logs.Fields{
+		"RequestID": a.RequestID, "Route": a.Route, "Service": a.Service, "Version": a.Version, "Attempts": a.Attempts,
+		"Endpoint": a.Endpoint, "Zone": a.Zone, "Ending": a.Ending, "Status": a.Status, "Kind": a.Kind, "Detail": a.Detail,
+		"Wait": int64(a.Wait), "Load": a.Load, "Usable": a.Usable, "Took": int64(a.Took), "Patience": int64(a.Patience),
+	})
+}
--- /dev/null
+++ b/io/fleet/host.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/io/certs"
+	"clementinelock/io/clock"
+	"clementinelock/io/link"
+	"clementinelock/io/logs"
+)
+
+// Lengths of time between hosts. Silence is found by the regular messages, so that keeping alive costs little.
+const (
+	peerSilentAfter = 1500 * time.Millisecond
+	peerKeepAlive   = 700 * time.Millisecond
+	headerWithin    = 3 * time.Second
+)
+
+// host is what control and entry hosts have in common.
+type host struct {
+	Settings Settings
+	Platform Platform
+	Log      *logs.Logger
+
+	clock   *clock.Clock
+	network *link.Network
+	mutex   sync.Mutex
+	failure chan error
+	servers []*http.Server
+}
+
+// open makes the network between hosts.
+func (h *host) open(ctx context.Context, receive func(from string, message core.Message)) error {
+	h.clock = clock.New()
+	h.failure = make(chan error, 8)
+	keys, err := certs.MakeUnverified(h.Settings.Host)
+	if err != nil {
+		return err
+	}
+	h.network = &link.Network{
+		Self: h.Settings.Host, Address: h.Settings.peerAddress(h.Settings.Host), Keys: keys, Receive: receive,
+		AddressOf: h.Settings.peerAddress, SilentAfter: peerSilentAfter, KeepAliveEvery: peerKeepAlive,
+		OnError: func(peer string, err error) { h.Log.Debug("link", fmt.Sprintf("Host %s: %v.", peer, err)) },
+	}
+	if err := h.network.Listen(ctx); err != nil {
+		return err
+	}
+	go func() {
+		if err := h.network.Run(ctx); err != nil && ctx.Err() == nil {
+			h.failure <- err
+		}
+	}()
+	return nil
+}
+
+// listen serves a handler on an address.
+func (h *host) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWithin}
+	h.servers = append(h.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			h.failure <- err
+		}
+	}()
+	return nil
+}
+
+// listenMetrics serves the metrics where the settings ask for it.
+func (h *host) listenMetrics(handler http.Handler) error {
+	if h.Settings.MetricsPort == 0 {
+		return nil
+	}
+	return h.listen(net.JoinHostPort(h.Settings.Host, strconv.Itoa(h.Settings.MetricsPort)), handler)
+}
+
+func (h *host) closeServers() {
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+}
+
+// catch turns a broken invariant into the end of the process.
+func (h *host) catch() {
+	if fault := recover(); fault != nil {
+		h.failure <- fmt.Errorf("%v\n%s", fault, debug.Stack())
+	}
+}
+
+// carryOut sends and logs what a step asks for.
+func (h *host) carryOut(e core.Effects) {
+	for _, line := range e.Logs {
+		h.Log.Info(line.Part, line.Text)
+	}
+	for _, s := range e.Sends {
+		h.network.Send(s.To, s.Message)
+	}
+}
+
+// every calls the function again and again until the context ends.
+func every(ctx context.Context, period core.Millis, call func()) {
+	ticker := time.NewTicker(period.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			call()
+		}
+	}
+}
+
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -32,11 +34,22 @@
 	protocol       = "clementinelock/1"
 )
 
+// Credentials make the TLS configuration of connections between hosts of the units.
+type Credentials interface {
+	// Config returns the configuration for the application protocols.
+	Config(protocols []string, units ...string) *tls.Config
+}
+
 // Network sends and receives the messages of one host. Set the exported fields before Run.
 type Network struct {
 	Self    string
 	Address string
-	Keys    *certs.Keys
+	Keys    Credentials
+	// AddressOf finds hosts that no address was set for; it may be nil.
+	AddressOf func(name string) string
+	// SilentAfter and KeepAliveEvery are those of the constants above when they are left zero.
+	SilentAfter    time.Duration
+	KeepAliveEvery time.Duration
 	// Receive is called with each message and the name in its sender's certificate.
 	Receive func(from string, message core.Message)
 	// OnError is told of connections that fail.
@@ -77,11 +90,11 @@
 	update(s)
 }
 
-func config() *quic.Config {
+func (n *Network) config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: dialWithin,
-		MaxIdleTimeout:       silentAfter,
-		KeepAlivePeriod:      keepAliveEvery,
+		MaxIdleTimeout:       cmp.Or(n.SilentAfter, silentAfter),
+		KeepAlivePeriod:      cmp.Or(n.KeepAliveEvery, keepAliveEvery),
 		MaxIncomingStreams:   -1,
 	}
 }
@@ -96,7 +109,7 @@
 		return fmt.Errorf("peer address %q: %w", n.Address, err)
 	}
 	n.transport = &quic.Transport{Conn: n.socket}
-	n.listener, err = n.transport.Listen(n.Keys.Config([]string{protocol}, certs.Hosts), config())
+	n.listener, err = n.transport.Listen(n.Keys.Config([]string{protocol}, certs.Hosts), n.config())
 	if err != nil {
 		n.Close()
 		return fmt.Errorf("peer address %q: %w", n.Address, err)
@@ -208,7 +221,10 @@
 func (n *Network) addressOf(name string) string {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.addresses[name]
+	if address := n.addresses[name]; address != "" || n.AddressOf == nil {
+		return address
+	}
+	return n.AddressOf(name)
 }
 
 // peer sends to one host.
@@ -279,7 +295,7 @@
 	within, cancel := context.WithTimeout(ctx, dialWithin)
 	defer cancel()
 	p.network.Stats.add(func(s *Stats) { s.Dials++ })
-	connection, err := quic.DialAddr(within, address, p.network.Keys.Config([]string{protocol}, certs.Hosts), config())
+	connection, err := quic.DialAddr(within, address, p.network.Keys.Config([]string{protocol}, certs.Hosts), p.network.config())
 	if err == nil {
 		err = p.open(connection)
 	}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -8,8 +8,9 @@
 
 // Logger writes the lines of one process.
 type Logger struct {
-	base *logrus.Logger
-	host string
+	base  *logrus.Logger
+	host  string
+	queue *queue
 }
 
 // New returns a logger for a host; level is a logrus level's name.
@@ -39,3 +40,15 @@
 func (l *Logger) Debug(part, text string) {
 	l.base.WithField("Host", l.host).Debug(part + ": " + text)
 }
+
+// NewStructured returns a logger that writes one JSON object a line from a queue, so that a slow output holds nobody up.
+func NewStructured(w io.Writer, host string) *Logger {
+	q := &queue{lines: make(chan []byte, queuedLines)}
+	base := logrus.New()
+	base.SetOutput(q)
+	base.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00", FieldMap: logrus.FieldMap{
+		logrus.FieldKeyTime: "Time", logrus.FieldKeyLevel: "Level", logrus.FieldKeyMsg: "Text",
+	}})
+	go q.run(w)
+	return &Logger{base: base, host: host, queue: q}
+}
--- /dev/null
+++ b/io/logs/request.go
@@ -0,0 +1,60 @@
+package logs
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Sizes of the queue between a process and its log.
+const (
+	queuedLines = 4096
+	batchBytes  = 32 << 10
+)
+
+// queue writes lines without ever holding up those who log.
+type queue struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+// Write queues a line; when the queue is full the line is dropped and counted.
+func (q *queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// run writes the lines, several at once when they wait; an output that fails loses them.
+func (q *queue) run(w io.Writer) {
+	var batch []byte
+	for line := range q.lines {
+		batch = append(batch[:0], line...)
+		for len(q.lines) > 0 && len(batch) < batchBytes {
+			batch = append(batch, <-q.lines...)
+		}
+		if _, err := w.Write(batch); err != nil {
+			q.dropped.Add(1)
+		}
+	}
+}
+
+// Fields are the typed fields of a line.
+type Fields = logrus.Fields
+
+// Line writes a structured line of a part with its fields.
+func (l *Logger) Line(part, text string, fields Fields) {
+	l.base.WithFields(fields).WithField("Part", part).Info(text)
+}
+
+// Dropped returns how many lines were dropped.
+func (l *Logger) Dropped() uint64 {
+	if l.queue == nil {
+		return 0
+	}
+	return l.queue.dropped.Load()
+}
--- /dev/null
+++ b/io/pool/connection.go
@@ -0,0 +1,297 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// connection is one kept connection; at most one request is on it.
+type connection struct {
+	pool    *Pool
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
+
+	mutex     sync.Mutex
+	pending   *exchange
+	busy      bool
+	closed    bool
+	idleSince time.Time
+	closesAt  time.Time
+}
+
+// exchange is the request that a connection waits with.
+type exchange struct {
+	id     string
+	method string
+	result chan Result
+	// wrote tells, once it is closed, that the whole request has left.
+	wrote chan struct{}
+	// taken is closed when a streamed body has been read or given up.
+	taken chan struct{}
+	whole bool
+}
+
+func newConnection(p *Pool, address string, conn net.Conn) *connection {
+	return &connection{
+		pool: p, address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer),
+		closesAt: time.Now().Add(24 * time.Hour),
+	}
+}
+
+// begin takes the connection for a request; it returns false when it has ended.
+func (c *connection) begin() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closed || c.busy {
+		return false
+	}
+	c.busy = true
+	return true
+}
+
+func (c *connection) close() {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+	c.pool.drop(c)
+	// Nobody waits for what a close would tell.
+	_ = c.conn.Close()
+}
+
+// exchange sends a request and waits for its answer or the context's end.
+func (c *connection) exchange(ctx context.Context, r *Request, t Target) Result {
+	e := &exchange{id: r.ID, method: r.Method, result: make(chan Result, 1), wrote: make(chan struct{}), taken: make(chan struct{})}
+	c.mutex.Lock()
+	if c.closed {
+		c.mutex.Unlock()
+		return Result{Ending: NotSent, Detail: "the connection had ended"}
+	}
+	c.pending = e
+	c.mutex.Unlock()
+	if r.Rest == nil && r.Length >= 0 {
+		if sent, err := c.write(r, t); err != nil && sent == 0 {
+			c.close()
+			return Result{Ending: NotSent, Detail: err.Error()}
+		}
+		close(e.wrote)
+	} else {
+		go c.stream(r, t, e)
+	}
+	return c.await(ctx, e)
+}
+
+func (c *connection) await(ctx context.Context, e *exchange) Result {
+	select {
+	case result := <-e.result:
+		return result
+	case <-ctx.Done():
+	}
+	c.close()
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return Result{Ending: Silent, Detail: "no answer in time"}
+	}
+	return Result{Ending: Cancelled, Detail: "given up"}
+}
+
+func (c *connection) write(r *Request, t Target) (int, error) {
+	now := time.Now()
+	_ = c.conn.SetWriteDeadline(t.Deadline)
+	n, err := c.conn.Write(c.pool.head(r, t, now))
+	if err != nil {
+		// The reader sees the broken connection and ends the exchange.
+		c.breakReads()
+	}
+	return n, err
+}
+
+func (c *connection) breakReads() {
+	_ = c.conn.SetReadDeadline(time.Now())
+}
+
+// stream sends a long body part by part.
+func (c *connection) stream(r *Request, t Target, e *exchange) {
+	_, err := c.write(r, t)
+	chunked := r.Length < 0
+	if err == nil && chunked {
+		err = c.writeChunk(r.Body)
+	}
+	buffer := make([]byte, copyBuffer)
+	for err == nil && r.Rest != nil {
+		n, readErr := r.Rest.Read(buffer)
+		if chunked {
+			err = c.writeChunk(buffer[:n])
+		} else if n > 0 {
+			_, err = c.conn.Write(buffer[:n])
+		}
+		if errors.Is(readErr, io.EOF) {
+			break
+		}
+		if err == nil {
+			err = readErr
+		}
+	}
+	if err == nil && chunked {
+		_, err = io.WriteString(c.conn, "0\r\n\r\n")
+	}
+	if err != nil {
+		c.breakReads()
+		return
+	}
+	close(e.wrote)
+}
+
+func (c *connection) writeChunk(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	_, err := c.conn.Write(append([]byte(strconv.FormatInt(int64(len(data)), 16)+"\r\n"), append(data, '\r', '\n')...))
+	return err
+}
+
+// read takes answers as long as the connection lasts.
+func (c *connection) read() {
+	for {
+		_, err := c.reader.Peek(1)
+		c.mutex.Lock()
+		e := c.pending
+		c.mutex.Unlock()
+		if err != nil || e == nil {
+			c.close()
+			if e != nil {
+				e.result <- Result{Ending: Broken, Detail: brokenText(err)}
+			}
+			return
+		}
+		if !c.answer(e) {
+			c.close()
+			return
+		}
+	}
+}
+
+func brokenText(err error) string {
+	if errors.Is(err, io.EOF) {
+		return "the endpoint closed the connection"
+	}
+	return err.Error()
+}
+
+// answer reads one answer; it returns whether the connection may be used on.
+func (c *connection) answer(e *exchange) bool {
+	request := &http.Request{Method: e.method}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		e.result <- Result{Ending: Spoiled, Detail: err.Error()}
+		return false
+	}
+	if response.StatusCode < http.StatusOK {
+		return true
+	}
+	if got := response.Header.Get(c.pool.Dialect.RequestID); got != e.id {
+		return c.skip(e, response, got)
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedBody))
+	if err != nil {
+		e.result <- Result{Ending: Spoiled, Detail: err.Error()}
+		return false
+	}
+	answer.Body = body
+	if len(body) == bufferedBody {
+		return c.passStream(e, response, answer)
+	}
+	answer.Whole = true
+	e.result <- Result{Answer: answer}
+	c.finish(e, response)
+	return c.usable()
+}
+
+// skip drops an answer of an earlier request, after which the connection is not used again.
+func (c *connection) skip(e *exchange, response *http.Response, got string) bool {
+	_, err := io.Copy(io.Discard, response.Body)
+	c.mutex.Lock()
+	c.closesAt = time.Time{}
+	c.mutex.Unlock()
+	if err == nil && got != "" && !response.Close {
+		return true
+	}
+	e.result <- Result{Ending: Spoiled, Detail: fmt.Sprintf("the answer is that of request %q", got)}
+	return false
+}
+
+// finish frees the connection for the next request unless something speaks against it.
+func (c *connection) finish(e *exchange, response *http.Response) {
+	written := true
+	select {
+	case <-e.wrote:
+	case <-time.After(writeGrace):
+		written = false
+	}
+	c.mutex.Lock()
+	c.pending = nil
+	c.busy = false
+	now := time.Now()
+	c.idleSince = now
+	c.noteKeepAlive(now, response)
+	keep := written && !response.Close && !c.closed && !c.closesAt.Before(now) && c.reader.Buffered() == 0
+	c.closed = c.closed || !keep
+	c.mutex.Unlock()
+	if keep {
+		c.pool.put(c)
+	}
+}
+
+func (c *connection) usable() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.closed
+}
+
+// noteKeepAlive takes the idle time that the endpoint grants, less a fifth of it.
+func (c *connection) noteKeepAlive(now time.Time, response *http.Response) {
+	for _, part := range strings.Split(response.Header.Get("Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		seconds, err := strconv.Atoi(text)
+		if found && err == nil && !c.closesAt.IsZero() {
+			c.closesAt = now.Add(time.Duration(seconds) * time.Second * 4 / 5)
+		}
+	}
+}
+
+// passStream hands a long body on and waits until it is read.
+func (c *connection) passStream(e *exchange, response *http.Response, answer *Answer) bool {
+	answer.Rest = &restOf{connection: c, body: response.Body, taken: e.taken}
+	e.result <- Result{Answer: answer}
+	<-e.taken
+	return false
+}
+
+// restOf is the rest of a long body; the connection ends with it.
+type restOf struct {
+	connection *connection
+	body       io.Reader
+	taken      chan struct{}
+	once       sync.Once
+}
+
+// Read reads the body; it errs on one that breaks off.
+func (r *restOf) Read(p []byte) (int, error) {
+	return r.body.Read(p)
+}
+
+// Close ends the connection.
+func (r *restOf) Close() error {
+	r.once.Do(func() { close(r.taken) })
+	r.connection.close()
+	return nil
+}
--- /dev/null
+++ b/io/pool/pool.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"clementinelock/io/proto"
+
+	"golang.org/x/sys/unix"
+)
+
+// Lengths of time and sizes of connections to endpoints.
+const (
+	dialWithin = 600 * time.Millisecond
+	// userTimeout ends a connection whose peer acknowledges nothing any more.
+	userTimeout = 3 * time.Second
+	// idleMost is below the 10 s after which endpoints close idle connections.
+	idleMost = 8 * time.Second
+	// unsafeIdleMost keeps requests that must not be sent twice off connections that may be closing.
+	unsafeIdleMost = 4 * time.Second
+	sweepEvery     = time.Second
+	// writeGrace lets a sender that was overtaken by its answer note that all has left.
+	writeGrace = 20 * time.Millisecond
+	headBytes  = 1024
+	readBuffer     = 4 << 10
+	// bufferedBody is how much of an answer is read before any of it is passed on.
+	bufferedBody = 256 << 10
+	copyBuffer   = 16 << 10
+)
+
+// Pool keeps connections to endpoints. Set the exported fields before use.
+type Pool struct {
+	Dialect proto.Dialect
+
+	mutex sync.Mutex
+	idle  map[string][]*connection
+	// Opened counts the connections that were opened.
+	opened uint64
+}
+
+// Opened returns how many connections were opened.
+func (p *Pool) Opened() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.opened
+}
+
+// Do sends the request to the endpoint and waits for its answer until the context ends.
+func (p *Pool) Do(ctx context.Context, r *Request, t Target) Result {
+	c, reused, err := p.take(ctx, r, t.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return Result{Ending: NotSent, Detail: "no connection in time"}
+		}
+		return Result{Ending: NotSent, Detail: err.Error()}
+	}
+	result := c.exchange(ctx, r, t)
+	result.Reused = reused
+	return result
+}
+
+// take returns a kept connection that may be used, or opens one.
+func (p *Pool) take(ctx context.Context, r *Request, address string) (c *connection, reused bool, err error) {
+	most := idleMost
+	if !r.Idempotent {
+		most = unsafeIdleMost
+	}
+	now := time.Now()
+	p.mutex.Lock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if now.Sub(c.idleSince) > most || now.After(c.closesAt) {
+			continue
+		}
+		p.idle[address] = append(list[:i:i], list[i+1:]...)
+		p.mutex.Unlock()
+		if c.begin() {
+			return c, true, nil
+		}
+		return p.take(ctx, r, address)
+	}
+	p.opened++
+	p.mutex.Unlock()
+	c, err = p.dial(ctx, address)
+	return c, false, err
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: dialWithin, KeepAlive: -1, Control: setUserTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := newConnection(p, address, conn)
+	c.begin()
+	go c.read()
+	return c, nil
+}
+
+// setUserTimeout lets the kernel end connections whose peer has gone without a word.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var inner error
+	err := raw.Control(func(fd uintptr) {
+		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return inner
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*connection{}
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// drop forgets a connection that has ended.
+func (p *Pool) drop(c *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[c.address]
+	for i, each := range list {
+		if each == c {
+			p.idle[c.address] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(p.idle[c.address]) == 0 {
+		delete(p.idle, c.address)
+	}
+}
+
+// Sweep closes connections that were idle for too long, until the context ends.
+func (p *Pool) Sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, c := range p.expired(now) {
+				c.close()
+			}
+		}
+	}
+}
+
+func (p *Pool) expired(now time.Time) []*connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var out []*connection
+	for _, list := range p.idle {
+		for _, c := range list {
+			if now.Sub(c.idleSince) > idleMost || now.After(c.closesAt) {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// CloseTo ends the kept connections to an address, since another endpoint may have it now.
+func (p *Pool) CloseTo(address string) {
+	p.mutex.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mutex.Unlock()
+	for _, c := range list {
+		c.close()
+	}
+}
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -104,3 +104,35 @@
 	}
 	return m, nil
 }
+
+// Dialect names the headers that a deployment's callers and upstreams use; the adapter of a platform sets it.
+type Dialect struct {
+	// RequestID names one attempt of a caller; upstreams echo it.
+	RequestID string
+	// Deadline holds how many milliseconds the caller still waits.
+	Deadline string
+	// ObjectCookie is the cookie that requests for one object have in common.
+	ObjectCookie string
+	// Stamp is an upstream's signature of an answer that it made.
+	Stamp string
+	// ExpectInstance names the only endpoint that may run the request.
+	ExpectInstance string
+	// Load holds an endpoint's running requests, waiting requests and slots.
+	Load string
+	// NotRun tells that the endpoint did not run the request.
+	NotRun string
+}
+
+// ParseReport reads running requests, waiting requests and slots, separated by commas; nil when the text is none.
+func ParseReport(text string) *core.Report {
+	parts := strings.Split(text, ",")
+	if len(parts) < 2 {
+		return nil
+	}
+	running, errRunning := strconv.Atoi(strings.TrimSpace(parts[0]))
+	waiting, errWaiting := strconv.Atoi(strings.TrimSpace(parts[1]))
+	if errRunning != nil || errWaiting != nil {
+		return nil
+	}
+	return &core.Report{InFlight: running, Queue: waiting}
+}
