An overdue idempotent request is hedged instead of broken off

Change: a second attempt starts only beside the first, towards an endpoint with a free slot, when the answer is overdue; a request that can't be answered within its time is refused at once.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -13,13 +13,13 @@
 // Lengths of time of an entry host.
 const (
 	// EntryTick is how often the driver calls Tick.
-	EntryTick      = 50 * core.Millisecond
-	reportEvery    = 500 * core.Millisecond
-	eagerEvery     = 200 * core.Millisecond
-	controlSilent  = 1200 * core.Millisecond
-	avoidFor       = 3 * core.Second
-	betterEvery    = 3 * core.Second
-	unledAtMost    = 300 * core.Millisecond
+	EntryTick     = 50 * core.Millisecond
+	reportEvery   = 500 * core.Millisecond
+	eagerEvery    = 200 * core.Millisecond
+	controlSilent = 1200 * core.Millisecond
+	avoidFor      = 3 * core.Second
+	betterEvery   = 3 * core.Second
+	unledAtMost   = 300 * core.Millisecond
 )
 
 // Entry is an entry host's knowledge of what is in force. Set the exported fields before Start; calls must not overlap.
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -162,6 +162,10 @@
 	Regions []string
 	// Tried lists the endpoints that were tried already.
 	Tried []string
+	// Objective is the latency within which the answer is worth most; 0 means that it is not known.
+	Objective core.Millis
+	// FreeOnly asks for an endpoint with a free slot.
+	FreeOnly bool
 }
 
 // Choice is the endpoint for a request, with the inputs that decided it.
@@ -190,6 +194,9 @@
 		}
 		usable++
 		cost, wait := t.cost(now, s, e, w.Object)
+		if w.FreeOnly && wait > 0 {
+			continue
+		}
 		if best.Endpoint == nil || cost < bestCost {
 			bestCost = cost
 			best = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now)}
@@ -199,7 +206,7 @@
 		return best, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
 	}
 	best.Usable = usable
-	if best.Wait > w.Remaining {
+	if best.Wait+best.Work > w.Remaining {
 		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s, %s remain", w.Service, best.Wait, w.Remaining)
 		refusal.RetryAfter = t.retryAfter(best.Wait)
 		return best, refusal
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -13,8 +13,11 @@
 	"clementinelock/io/proto"
 )
 
-// silentPart is the part of the remaining time after which an idempotent request is tried elsewhere.
-const silentPart = 0.6
+// A second attempt beside the first waits until an answer is overdue by several times the usual work, and by a part of the remaining time.
+const (
+	hedgeUsual = 4
+	hedgePart  = 0.4
+)
 
 // Account tells how one request was decided, for the log and the metrics.
 type Account struct {
@@ -23,6 +26,7 @@
 	Service   string
 	Version   uint64
 	Attempts  int
+	Hedged    bool
 	Endpoint  string
 	Zone      string
 	Ending    string
@@ -100,72 +104,73 @@
 	return &reply{status: row.Status, retryAfter: refusal.RetryAfter}
 }
 
+// sending is one attempt under way, or its end.
+type sending struct {
+	choice  pick.Choice
+	result  pool.Result
+	outcome pick.Outcome
+}
+
+// attempts is the work on one request, from its first attempt to its reply.
+type attempts struct {
+	server   *Server
+	exchange *exchange
+	route    *routes.Route
+	deadline core.Millis
+	account  *Account
+	want     pick.Want
+	ended    chan sending
+	open     int
+	// mayHaveRun is set once an attempt ended without proof that it did not run.
+	mayHaveRun bool
+}
+
 // attempts sends the request to one endpoint after the other until one answers or nothing more may be tried.
 func (s *Server) attempts(ctx context.Context, x *exchange, route *routes.Route, deadline core.Millis, a *Account) *reply {
 	service := route.Choose(rand.Float64())
 	a.Service = service
-	want := pick.Want{Service: service, Regions: route.Regions}
+	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, account: a, ended: make(chan sending, max(1, route.MostAttempts))}
+	t.want = pick.Want{Service: service, Regions: route.Regions, Objective: route.Objective}
 	if route.Affinity && x.object != "" {
-		want.Object = route.Prefix + x.object
+		t.want.Object = route.Prefix + x.object
 	}
 	s.mutex.Lock()
 	s.Picks.NoteRequest(service)
 	s.mutex.Unlock()
-	mayHaveRun := false
-	for {
-		want.Remaining = deadline - s.Now()
-		choice, refusal := s.choose(want)
-		if refusal != nil {
-			return s.giveUp(a, refusal, mayHaveRun)
-		}
-		a.Attempts++
-		a.Endpoint, a.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
-		a.Wait, a.Load, a.Usable = choice.Wait, choice.Load, choice.Usable
-		more := a.Attempts < max(1, route.MostAttempts) && x.request.Rest == nil
-		result, outcome := s.try(ctx, x.request, choice, deadline, more && route.Idempotent)
-		a.Ending = result.Ending.String()
-		if outcome == pick.Good {
-			return &reply{status: result.Answer.Status, answer: result.Answer}
-		}
-		ran := outcome != pick.Shed && outcome != pick.Unreached && outcome != pick.Misled
-		mayHaveRun = mayHaveRun || ran
-		a.Detail = result.Detail
-		if ctx.Err() != nil || !more || mayHaveRun && !route.Idempotent || !s.mayRetry(service, outcome) {
-			return s.fail(ctx, a, result, outcome, mayHaveRun)
-		}
-		want.Tried = append(want.Tried, choice.Endpoint.ID)
+	// The end of the request cancels an attempt that another one has overtaken.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if refusal := t.start(ctx); refusal != nil {
+		return refuse(a, refusal)
 	}
+	return t.follow(ctx)
 }
 
-func (s *Server) choose(want pick.Want) (pick.Choice, *core.Refusal) {
+// start chooses an endpoint and sends the request to it.
+func (t *attempts) start(ctx context.Context) *core.Refusal {
+	s, a := t.server, t.account
+	t.want.Remaining = t.deadline - s.Now()
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.Picks.Choose(s.Now(), want)
-}
-
-// mayRetry takes an extra attempt from the budget; one that reached no endpoint costs nothing.
-func (s *Server) mayRetry(service string, outcome pick.Outcome) bool {
-	if outcome == pick.Unreached {
-		return true
+	choice, refusal := s.Picks.Choose(s.Now(), t.want)
+	s.mutex.Unlock()
+	if refusal != nil {
+		return refusal
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.Picks.MayRetry(service)
+	a.Attempts++
+	a.Endpoint, a.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
+	a.Wait, a.Load, a.Usable = choice.Wait, choice.Load, choice.Usable
+	t.want.Tried = append(t.want.Tried, choice.Endpoint.ID)
+	t.open++
+	go func() { t.ended <- t.send(ctx, choice) }()
+	return nil
 }
 
-// try sends the request to the chosen endpoint and tells the table how it ended.
-func (s *Server) try(ctx context.Context, r *pool.Request, choice pick.Choice, deadline core.Millis, elsewhere bool) (pool.Result, pick.Outcome) {
-	e := choice.Endpoint
+// send sends the request to the chosen endpoint and tells the table how it ended.
+func (t *attempts) send(ctx context.Context, choice pick.Choice) sending {
+	s, e := t.server, choice.Endpoint
 	began := s.Now()
-	left := deadline - began
-	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add(left.Duration())}
-	attempt := ctx
-	if elsewhere {
-		var cancel context.CancelFunc
-		attempt, cancel = context.WithTimeout(ctx, time.Duration(silentPart*float64(left.Duration())))
-		defer cancel()
-	}
-	result := s.Pool.Do(attempt, r, target)
+	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration())}
+	result := s.Pool.Do(ctx, t.exchange.request, target)
 	outcome := s.judge(result)
 	var report *core.Report
 	if result.Answer != nil {
@@ -177,7 +182,82 @@
 	if outcome == pick.Misled {
 		s.Pool.CloseTo(e.Address)
 	}
-	return result, outcome
+	return sending{choice, result, outcome}
+}
+
+// follow waits for the attempts and starts further ones.
+func (t *attempts) follow(ctx context.Context) *reply {
+	hedge := time.NewTimer(t.hedgeAfter().Duration())
+	defer hedge.Stop()
+	for {
+		select {
+		case <-hedge.C:
+			t.hedge(ctx)
+		case end := <-t.ended:
+			t.open--
+			if r := t.take(ctx, end); r != nil {
+				return r
+			}
+		}
+	}
+}
+
+// hedgeAfter returns when an idempotent request that is not answered is sent to a second endpoint beside the first.
+func (t *attempts) hedgeAfter() core.Millis {
+	if !t.mayMore() || !t.route.Idempotent {
+		return core.Hour
+	}
+	t.server.mutex.Lock()
+	usual := t.server.Picks.Usual(t.want.Service)
+	t.server.mutex.Unlock()
+	return max(hedgeUsual*usual, core.Millis(hedgePart*float64(t.want.Remaining)))
+}
+
+func (t *attempts) mayMore() bool {
+	return t.account.Attempts < max(1, t.route.MostAttempts) && t.exchange.request.Rest == nil
+}
+
+// hedge sends the request to an endpoint with a free slot, if there is one, while the first goes on.
+func (t *attempts) hedge(ctx context.Context) {
+	if !t.mayMore() || !t.mayRetry(pick.Lost) {
+		return
+	}
+	t.want.FreeOnly = true
+	refusal := t.start(ctx)
+	t.want.FreeOnly = false
+	if refusal == nil {
+		t.account.Hedged = true
+	}
+}
+
+// take judges the end of an attempt; it returns nil while others may still answer.
+func (t *attempts) take(ctx context.Context, end sending) *reply {
+	t.account.Ending, t.account.Detail = end.result.Ending.String(), end.result.Detail
+	if end.outcome == pick.Good {
+		return &reply{status: end.result.Answer.Status, answer: end.result.Answer}
+	}
+	ran := end.outcome != pick.Shed && end.outcome != pick.Unreached && end.outcome != pick.Misled
+	t.mayHaveRun = t.mayHaveRun || ran
+	if t.open > 0 {
+		return nil
+	}
+	if ctx.Err() != nil || !t.mayMore() || t.mayHaveRun && !t.route.Idempotent || !t.mayRetry(end.outcome) {
+		return t.fail(ctx, end)
+	}
+	if refusal := t.start(ctx); refusal != nil {
+		return t.fail(ctx, end)
+	}
+	return nil
+}
+
+// mayRetry takes an extra attempt from the budget; one that reached no endpoint costs nothing.
+func (t *attempts) mayRetry(outcome pick.Outcome) bool {
+	if outcome == pick.Unreached {
+		return true
+	}
+	t.server.mutex.Lock()
+	defer t.server.mutex.Unlock()
+	return t.server.Picks.MayRetry(t.want.Service)
 }
 
 // judge tells what a result says of the endpoint, and of whether the request has run.
@@ -206,29 +286,19 @@
 	return pick.Good
 }
 
-// giveUp refuses a request for which no endpoint can be chosen.
-func (s *Server) giveUp(a *Account, refusal *core.Refusal, mayHaveRun bool) *reply {
-	if mayHaveRun {
-		refusal = core.Refuse(core.UpstreamFailed, core.RanUnknown, "an attempt failed, and no other endpoint can take the request: %s", refusal.Detail)
-		refusal.RetryAfter = 0
-	}
-	return refuse(a, refusal)
-}
-
 // fail ends a request whose last attempt brought no answer that may be passed on.
-func (s *Server) fail(ctx context.Context, a *Account, result pool.Result, outcome pick.Outcome, mayHaveRun bool) *reply {
-	if outcome == pick.Failed {
+func (t *attempts) fail(ctx context.Context, end sending) *reply {
+	a := t.account
+	switch {
+	case end.outcome == pick.Failed:
 		// The endpoint's own failure is its answer.
-		return &reply{status: result.Answer.Status, answer: result.Answer}
-	}
-	if !mayHaveRun {
-		refusal := core.Refuse(core.Overloaded, core.RanNo, "no endpoint took the request: %s", result.Detail)
-		return refuse(a, refusal)
-	}
-	if ctx.Err() != nil {
-		return refuse(a, core.Refuse(core.DeadlinePassed, core.RanUnknown, "the time was over after %d attempts: %s", a.Attempts, result.Detail))
+		return &reply{status: end.result.Answer.Status, answer: end.result.Answer}
+	case !t.mayHaveRun:
+		return refuse(a, core.Refuse(core.Overloaded, core.RanNo, "no endpoint took the request: %s", end.result.Detail))
+	case ctx.Err() != nil:
+		return refuse(a, core.Refuse(core.DeadlinePassed, core.RanUnknown, "the time was over after %d attempts: %s", a.Attempts, end.result.Detail))
 	}
-	refusal := core.Refuse(core.UpstreamFailed, core.RanUnknown, "the last of %d attempts failed: %s", a.Attempts, result.Detail)
+	refusal := core.Refuse(core.UpstreamFailed, core.RanUnknown, "the last of %d attempts failed: %s", a.Attempts, end.result.Detail)
 	refusal.RetryAfter = 0
 	return refuse(a, refusal)
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -25,7 +25,7 @@
 	// writeGrace lets a sender that was overtaken by its answer note that all has left.
 	writeGrace = 20 * time.Millisecond
 	headBytes  = 1024
-	readBuffer     = 4 << 10
+	readBuffer = 4 << 10
 	// bufferedBody is how much of an answer is read before any of it is passed on.
 	bufferedBody = 256 << 10
 	copyBuffer   = 16 << 10
