Queues are bounded by the objective, objects stay where their data is

Cause: at 1.8 times the cold capacity requests waited until their route's timeout and were cut off at work; objects moved to endpoints without their data, where they took 3.3 times as long. Change: an endpoint that has to fetch an object's data costs 2.5 times the usual work, and a request whose queue and work exceed 1.2 of its objective is refused at once.

--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -18,7 +18,7 @@
 	// farAway is the way to another region and back, with the connection's rounds.
 	farAway = 45 * core.Millisecond
 	// notAtHome is what an object's data costs that the endpoint has to fetch, as part of the usual work.
-	notAtHome = 0.8
+	notAtHome = 2.5
 	// warmElsewhere keeps an object at its home while that has room.
 	warmElsewhere = 0.15
 	coldWork      = 1.0
@@ -27,8 +27,10 @@
 	firstWork     = 150 * core.Millisecond
 	coldWindow    = 1100 * core.Millisecond
 	// coldPart leaves room for requests that other hosts sent late.
-	coldPart  = 0.7
-	coldAgain = 3 * core.Second
+	coldPart = 0.7
+	// objectivePart of a route's objective is the longest that a queue may make its requests take.
+	objectivePart = 1.2
+	coldAgain     = 3 * core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
 )
@@ -168,6 +170,14 @@
 	FreeOnly bool
 }
 
+// most is how long a request may take: a queue that makes answers miss their objective serves nobody better, so that what is above it comes back later instead.
+func (w Want) most() core.Millis {
+	if w.Objective > 0 {
+		return min(w.Remaining, core.Millis(objectivePart*float64(w.Objective)))
+	}
+	return w.Remaining
+}
+
 // Choice is the endpoint for a request, with the inputs that decided it.
 type Choice struct {
 	Endpoint *Endpoint
@@ -206,8 +216,8 @@
 		return best, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
 	}
 	best.Usable = usable
-	if best.Wait+best.Work > w.Remaining {
-		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s, %s remain", w.Service, best.Wait, w.Remaining)
+	if most := w.most(); best.Wait+best.Work > most {
+		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s before %s of work, %s are left", w.Service, best.Wait, best.Work, most)
 		refusal.RetryAfter = t.retryAfter(best.Wait)
 		return best, refusal
 	}
