Work moves between regions under a limit; waits are bounded, not answers

The bound on queue and work together refused requests behind free slots once the learned work grew (model, three times the capacity). Change: core/pick limits how fast the part of a host's requests that leaves its region changes, but for its first second and for 3 s after its region's endpoints changed; the wait is bounded by 0.6 of the objective less the work; the usual work follows short answers. Tests play the loads on virtual time in core/pick without a network.

--- /dev/null
+++ b/core/pick/load_test.go
@@ -0,0 +1,163 @@
+package pick_test
+
+import (
+	"math"
+	"testing"
+
+	"clementinelock/core"
+)
+
+// steady is a rate that is the same everywhere.
+func steady(rate float64) func(int, core.Millis) float64 {
+	return func(int, core.Millis) float64 { return rate }
+}
+
+// wave lets the regions swing against each other by 55%, as the users' days do.
+func wave(rate float64) func(int, core.Millis) float64 {
+	return func(zone int, at core.Millis) float64 {
+		return rate * (1 + 0.55*math.Sin(2*math.Pi*(float64(at)/36000+float64(zone/2)/3)))
+	}
+}
+
+// Capacities are in requests per second of a service with 12 endpoints.
+const (
+	work      = 480.0
+	objective = 400 * core.Millisecond
+	timeout   = 1200 * core.Millisecond
+	coldRate  = 36 / (work / 1000)
+)
+
+// TestColdStartUnderOverload plays callers at 1.8 times what the endpoints could serve if every object had to be fetched: the objects must settle, or the work of fetching them never ends.
+func TestColdStartUnderOverload(t *testing.T) {
+	w := newWorld(1, 3, [3]int{1, 2, 3}, load{"s", work, objective, timeout, steady(1.8 * coldRate / 6)})
+	w.play(5 * core.Second)
+	settling := w.tally
+	w.tally = tally{}
+	w.events = nil
+	start := w.now
+	w.play(start + 20*core.Second)
+	t.Logf("settling: %v; after: %v", settling, w.tally)
+	// With the objects at hand 54% of the slots suffice, so that nearly all are owed an answer in time.
+	if good := float64(w.tally.inAim) / float64(w.tally.asked); good < 0.9 {
+		t.Fatalf("%.3f of the requests are answered within the objective, expected 0.9: %v", good, w.tally)
+	}
+}
+
+// TestRegionWave plays regions that swing against each other with capacity that does not lie where the callers are: the work moves between regions, slowly.
+func TestRegionWave(t *testing.T) {
+	w := newWorld(2, 3, [3]int{1, 2, 3}, load{"s", work, objective, timeout, wave(1.2 * coldRate / 6)})
+	w.play(36 * core.Second)
+	t.Logf("%v, largest shift %.3f", w.tally, w.largestShift(3))
+	if good := float64(w.tally.inAim+w.tally.late) / float64(w.tally.asked); good < 0.97 {
+		t.Fatalf("%.3f of the requests are answered, expected 0.97: %v", good, w.tally)
+	}
+}
+
+// TestShiftStaysUnderItsCap plays the same wave with many callers, a start with no object at hand and a burst in one region: the part of a region's requests that changes its region stays under the cap.
+func TestShiftStaysUnderItsCap(t *testing.T) {
+	const scale = 8
+	rate := wave(1.2 * coldRate / 6 * scale)
+	burst := func(zone int, at core.Millis) float64 {
+		if zone < 2 && at > 20*core.Second && at < 25*core.Second {
+			return 2 * rate(zone, at)
+		}
+		return rate(zone, at)
+	}
+	w := newWorld(7, 3, [3]int{scale, 2 * scale, 3 * scale}, load{"s", work, objective, timeout, burst})
+	w.play(36 * core.Second)
+	const allowed = 0.15
+	if got := w.largestShift(0); got > allowed {
+		t.Fatalf("%.3f of a region's requests changed their region within 2 s, allowed are %.2f", got, allowed)
+	}
+	t.Logf("%v, largest shift %.3f", w.tally, w.largestShift(0))
+	if good := float64(w.tally.inAim+w.tally.late) / float64(w.tally.asked); good < 0.9 {
+		t.Fatalf("%.3f of the requests are answered, expected 0.9: %v", good, w.tally)
+	}
+}
+
+// TestOverloadIsRefusedEarly plays three times what the endpoints can serve with all objects at hand: what can't be served is refused, and what is taken on is answered.
+func TestOverloadIsRefusedEarly(t *testing.T) {
+	w := newWorld(3, 3, [3]int{1, 2, 3}, load{"s", work, objective, timeout, steady(9 * coldRate / 6)})
+	w.play(20 * core.Second)
+	t.Logf("%v", w.tally)
+	if lost := float64(w.tally.failed) / float64(w.tally.asked); lost > 0.02 {
+		t.Fatalf("%.3f of the requests were taken on and not answered, expected at most 0.02: %v", lost, w.tally)
+	}
+	served := w.tally.inAim + w.tally.late
+	possible := 20 * coldRate / modelWarmPart
+	if float64(served) < 0.7*possible {
+		t.Fatalf("%d requests are answered, expected 0.7 of the %.0f that the slots could serve: %v", served, possible, w.tally)
+	}
+	if float64(w.tally.inAim) < 0.5*possible {
+		t.Fatalf("%d requests are answered within the objective, expected half of the %.0f that the slots could serve: %v", w.tally.inAim, possible, w.tally)
+	}
+}
+
+// TestEndpointThatSheds plays one endpoint that turns half of its requests away while it reports free slots: the others take over what it does not do.
+func TestEndpointThatSheds(t *testing.T) {
+	w := newWorld(4, 3, [3]int{2, 2, 2}, load{"s", work, objective, timeout, steady(0.8 * coldRate / 6)})
+	w.places["s-r0-a-0"].sheds = 0.5
+	w.play(20 * core.Second)
+	t.Logf("%v; it ran %d", w.tally, w.places["s-r0-a-0"].runs)
+	if good := float64(w.tally.inAim+w.tally.late) / float64(w.tally.asked); good < 0.98 {
+		t.Fatalf("%.3f of the requests are answered, expected 0.98: %v", good, w.tally)
+	}
+}
+
+// TestColdReturn plays an availability zone whose endpoints come back cold while callers press: their rate stays under the bound, and they get work.
+func TestColdReturn(t *testing.T) {
+	w := newWorld(5, 3, [3]int{2, 2, 2}, load{"s", work, objective, timeout, steady(1.5 * coldRate / 6)})
+	back := 5 * core.Second
+	w.at(back, func() {
+		for _, p := range w.places {
+			if p.Zone == "r0-a" {
+				p.coldUntil = w.now + modelColdFor
+				p.objects = nil
+			}
+		}
+		w.spread()
+	})
+	w.at(back+modelColdFor, w.spread)
+	w.play(15 * core.Second)
+	const bound = modelColdRate*1.5 + 5
+	for id, p := range w.places {
+		if p.Zone != "r0-a" {
+			continue
+		}
+		most := p.mostInASecond(back, back+modelColdFor)
+		t.Logf("%s: most in a second %d", id, most)
+		if float64(most) > bound {
+			t.Fatalf("endpoint %s got %d requests in one second while it was cold, the bound is %.1f", id, most, bound)
+		}
+		if p.mostInASecond(back+modelColdFor, 15*core.Second) == 0 {
+			t.Fatalf("endpoint %s gets nothing after it was cold", id)
+		}
+	}
+}
+
+// TestEvacuatedZone plays the evacuation of an availability zone and its end: nothing goes there, and the return is as slow as that of cold endpoints.
+func TestEvacuatedZone(t *testing.T) {
+	w := newWorld(6, 3, [3]int{2, 2, 2}, load{"s", work, objective, timeout, steady(1.2 * coldRate / 6)})
+	begin, end := 5*core.Second, 10*core.Second
+	w.at(begin, func() { w.view.Evacuated = []string{"r0-a"}; w.spread() })
+	w.at(end, func() { w.view.Evacuated = nil; w.spread() })
+	w.play(18 * core.Second)
+	for id, p := range w.places {
+		if p.Zone != "r0-a" {
+			continue
+		}
+		// A request that was on its way arrives within a millisecond in the zone's region, 20 ms from another.
+		if got := p.mostInASecond(begin+25, end); got != 0 {
+			t.Fatalf("endpoint %s got %d requests while its zone was evacuated", id, got)
+		}
+		if got := p.mostInASecond(end, end+modelColdFor); float64(got) > modelColdRate*1.5+5 {
+			t.Fatalf("endpoint %s got %d requests in one second right after the evacuation", id, got)
+		}
+		if got := p.mostInASecond(end+modelColdFor, 18*core.Second); got == 0 {
+			t.Fatalf("endpoint %s gets nothing after the evacuation", id)
+		}
+	}
+	if good := float64(w.tally.inAim+w.tally.late) / float64(w.tally.asked); good < 0.95 {
+		t.Fatalf("%.3f of the requests are answered, expected 0.95: %v", good, w.tally)
+	}
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -17,19 +18,24 @@
 const (
 	// farAway is the way to another region and back, with the connection's rounds.
 	farAway = 45 * core.Millisecond
+	// farSpread is what an object may prefer one far region to another by, in milliseconds.
+	farSpread = 16
 	// notAtHome is what an object's data costs that the endpoint has to fetch, as part of the usual work.
 	notAtHome = 2.5
 	// warmElsewhere keeps an object at its home while that has room.
 	warmElsewhere = 0.15
 	coldWork      = 1.0
 	failCost      = 3.0
-	workWeight    = 0.05
+	// The usual work follows short answers faster than long ones, so that it is that of requests whose data was at hand.
+	shorterWeight = 0.1
+	longerWeight  = 0.03
 	firstWork     = 150 * core.Millisecond
 	coldWindow    = 1100 * core.Millisecond
 	// coldPart leaves room for requests that other hosts sent late.
 	coldPart = 0.7
-	// objectivePart of a route's objective is the longest that a queue may make its requests take.
-	objectivePart = 1.2
+	// objectivePart of a route's objective is what queue and work may take together; leastWait keeps a short queue behind work that takes the whole objective.
+	objectivePart = 0.6
+	leastWait     = 0.35
 	coldAgain     = 3 * core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
@@ -59,6 +65,8 @@
 	configured  map[string]routes.Service
 	evacuated   map[string]bool
 	coldZone    map[string]core.Millis
+	drift       drift
+	localSlots  map[string]int
 	zoneEntries int
 	allEntries  int
 	// OnGone is called with the address of an endpoint that is not used any more.
@@ -96,6 +104,21 @@
 		}
 	}
 	t.group()
+	t.noteLocalSlots(now)
+}
+
+// noteLocalSlots lifts the limit on moving work when the own region's endpoints have become fewer or more.
+func (t *Table) noteLocalSlots(now core.Millis) {
+	slots := map[string]int{}
+	for _, e := range t.endpoints {
+		if e.Region == t.Region && !e.Draining && !e.evacuated {
+			slots[e.Service] += e.Slots
+		}
+	}
+	if !maps.Equal(slots, t.localSlots) {
+		t.drift.free(now)
+	}
+	t.localSlots = slots
 }
 
 // noteEvacuations takes the evacuated availability zones; the endpoints of one that is taken back count as cold.
@@ -170,12 +193,14 @@
 	FreeOnly bool
 }
 
-// most is how long a request may take: a queue that makes answers miss their objective serves nobody better, so that what is above it comes back later instead.
-func (w Want) most() core.Millis {
-	if w.Objective > 0 {
-		return min(w.Remaining, core.Millis(objectivePart*float64(w.Objective)))
+// mostWait is how long a request may wait for a slot: a queue that makes answers miss their objective serves nobody better, so that what is above it comes back later instead. Behind a free slot nothing is refused that can still be done in its time.
+func (w Want) mostWait(work core.Millis) core.Millis {
+	left := w.Remaining - work
+	if w.Objective == 0 || left < 0 {
+		return left
 	}
-	return w.Remaining
+	worth := core.Millis(objectivePart*float64(w.Objective)) - work
+	return min(left, max(worth, core.Millis(leastWait*float64(work))))
 }
 
 // Choice is the endpoint for a request, with the inputs that decided it.
@@ -190,11 +215,31 @@
 	Usable int
 }
 
-// Choose returns the endpoint where the request is expected to be answered first, and counts it there until Done; it refuses what can't be answered in time.
+// Choose returns the endpoint where the request is expected to be answered first, as far as work may move between regions, and counts it there until Done; it refuses what can't be answered in time.
 func (t *Table) Choose(now core.Millis, w Want) (Choice, *core.Refusal) {
 	s := t.service(w.Service)
-	best, bestCost := Choice{}, 0.0
-	usable := 0
+	here, away := t.best(now, s, w)
+	best := t.moderate(now, w, here, away)
+	if best.Endpoint == nil {
+		return best.Choice, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
+	}
+	if most := w.mostWait(best.Work); best.Wait > most {
+		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s before %s of work, the longest that is worth it is %s", w.Service, best.Wait, best.Work, most)
+		refusal.RetryAfter = t.retryAfter(best.Wait)
+		return best.Choice, refusal
+	}
+	t.begin(now, w, best.Choice)
+	return best.Choice, nil
+}
+
+// candidate is a choice with its cost, in milliseconds.
+type candidate struct {
+	Choice
+	cost float64
+}
+
+// best returns the best endpoint in the own region and the best in another one.
+func (t *Table) best(now core.Millis, s *service, w Want) (here, away candidate) {
 	for _, e := range s.endpoints {
 		if !e.usable(now) || !allowed(w.Regions, e.Region) || slices.Contains(w.Tried, e.ID) {
 			continue
@@ -202,33 +247,62 @@
 		if e.isCold(now) && !t.coldRoom(now, e) {
 			continue
 		}
-		usable++
 		cost, wait := t.cost(now, s, e, w.Object)
 		if w.FreeOnly && wait > 0 {
 			continue
 		}
-		if best.Endpoint == nil || cost < bestCost {
-			bestCost = cost
-			best = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now)}
+		side := &here
+		if e.Region != t.Region {
+			side = &away
+		}
+		side.Usable++
+		if side.Endpoint == nil || cost < side.cost {
+			side.cost = cost
+			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable}
 		}
 	}
-	if best.Endpoint == nil {
-		return best, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
+	return here, away
+}
+
+// moderate chooses between the regions, so that work moves no faster than the limit.
+func (t *Table) moderate(now core.Millis, w Want, here, away candidate) candidate {
+	if here.Endpoint == nil {
+		return away
 	}
-	best.Usable = usable
-	if most := w.most(); best.Wait+best.Work > most {
-		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s before %s of work, %s are left", w.Service, best.Wait, best.Work, most)
-		refusal.RetryAfter = t.retryAfter(best.Wait)
-		return best, refusal
+	if away.Endpoint == nil || len(w.Tried) > 0 {
+		return cheaper(here, away)
+	}
+	leaves := away.cost < here.cost
+	t.drift.note(now, leaves)
+	switch {
+	case leaves && !t.drift.mayLeave(now):
+		leaves = false
+	case !leaves && t.drift.mustLeave(now) && away.Wait <= w.mostWait(away.Work):
+		leaves = true
+	}
+	if !leaves {
+		return here
 	}
-	e := best.Endpoint
+	t.drift.left()
+	return away
+}
+
+func cheaper(here, away candidate) candidate {
+	if away.Endpoint != nil && away.cost < here.cost {
+		return away
+	}
+	return here
+}
+
+// begin counts a request at its endpoint.
+func (t *Table) begin(now core.Millis, w Want, c Choice) {
+	e := c.Endpoint
 	e.inFlight++
 	e.usedAt = now
-	if best.Cold {
+	if c.Cold {
 		e.coldAt = append(e.coldAt, now)
 	}
 	e.noteObject(now, w.Object)
-	return best, nil
 }
 
 // retryAfter spreads callers over the time in which the queue is expected to shrink.
@@ -248,7 +322,8 @@
 		cost += coldWork * s.work
 	}
 	if e.Region != t.Region {
-		cost += float64(farAway)
+		// Objects that leave the region divide themselves among the others.
+		cost += float64(farAway) + float64(rendezvous(object, e.Region)%farSpread)
 	}
 	if object == "" {
 		// Requests without an object go to the least loaded endpoint.
@@ -363,7 +438,11 @@
 		return
 	}
 	s := t.service(e.Service)
-	s.work += workWeight * (float64(took) - s.work)
+	weight := shorterWeight
+	if float64(took) > s.work {
+		weight = longerWeight
+	}
+	s.work += weight * (float64(took) - s.work)
 }
 
 // Usual returns the usual work of a service.
