--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -34,7 +34,7 @@
 	// coldPart leaves room for requests that other hosts sent late.
 	coldPart = 0.7
 	// objectivePart of a route's objective is what queue and work may take together; leastWait keeps a short queue behind work that takes the whole objective.
-	objectivePart = 0.6
+	objectivePart = 0.8
 	leastWait     = 0.35
 	coldAgain     = 3 * core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
