The queue's part of the objective follows the answers; the limit on moving work holds from the start

Cause: a fixed part either refuses too much or makes all late (model at three times the capacity); the first list lifted the limit on moving work, and a second without a limit at the start made its second window differ by 0.168. Change: late answers lower the part, answers in time raise it; the first list does not lift the limit, and a host settles within 300 ms.

--- a/core/pick/drift.go
+++ b/core/pick/drift.go
@@ -9,9 +9,9 @@
 // Constants of the limit on how fast work may move between regions.
 const (
 	// driftPerSecond is how much of a host's requests may change their region in a second; the deployments bound it by 0.15 in 2 s.
-	driftPerSecond = 0.045
+	driftPerSecond = 0.04
 	// settleFor is how long a host that has just begun to serve finds its share without a limit.
-	settleFor = 1200 * core.Millisecond
+	settleFor = 300 * core.Millisecond
 	// idleFor without a request makes a host begin anew.
 	idleFor = 5 * core.Second
 	// freeFor is how long the limit is lifted after the own region has lost or regained endpoints, since work then has to move.
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -211,7 +211,7 @@
 	w.at(w.now+way, func() {
 		w.reach(e.ID, &job{object, w.now, began + l.timeout, func(outcome pick.Outcome, report *core.Report) {
 			w.at(w.now+way, func() {
-				t.Done(w.now, e, outcome, w.now-began, report)
+				t.Done(w.now, choice, outcome, w.now-began, report)
 				w.end(zone, l, object, first, again, outcome)
 			})
 		}}, l)
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -33,10 +33,13 @@
 	coldWindow    = 1100 * core.Millisecond
 	// coldPart leaves room for requests that other hosts sent late.
 	coldPart = 0.7
-	// objectivePart of a route's objective is what queue and work may take together; leastWait keeps a short queue behind work that takes the whole objective.
-	objectivePart = 0.8
-	leastWait     = 0.35
-	coldAgain     = 3 * core.Second
+	// Queue and work may take a part of a route's objective. The part follows what answers show: each late one takes away several times what one in time gives back. leastWait keeps a short queue behind work that takes the whole objective.
+	leastPart = 0.5
+	mostPart  = 1.0
+	lateStep  = 0.02
+	goodStep  = 0.004
+	leastWait = 0.35
+	coldAgain = 3 * core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
 )
@@ -77,7 +80,9 @@
 type service struct {
 	endpoints []*Endpoint
 	work      float64
-	budget    retry.Budget
+	// part of the objective is what queue and work may take.
+	part   float64
+	budget retry.Budget
 }
 
 // Update brings a new view into force.
@@ -115,7 +120,7 @@
 			slots[e.Service] += e.Slots
 		}
 	}
-	if !maps.Equal(slots, t.localSlots) {
+	if t.localSlots != nil && !maps.Equal(slots, t.localSlots) {
 		t.drift.free(now)
 	}
 	t.localSlots = slots
@@ -170,7 +175,7 @@
 func (t *Table) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{work: float64(firstWork)}
+		s = &service{work: float64(firstWork), part: mostPart}
 		t.services[name] = s
 	}
 	return s
@@ -194,12 +199,12 @@
 }
 
 // mostWait is how long a request may wait for a slot: a queue that makes answers miss their objective serves nobody better, so that what is above it comes back later instead. Behind a free slot nothing is refused that can still be done in its time.
-func (w Want) mostWait(work core.Millis) core.Millis {
+func (w Want) mostWait(part float64, work core.Millis) core.Millis {
 	left := w.Remaining - work
 	if w.Objective == 0 || left < 0 {
 		return left
 	}
-	worth := core.Millis(objectivePart*float64(w.Objective)) - work
+	worth := core.Millis(part*float64(w.Objective)) - work
 	return min(left, max(worth, core.Millis(leastWait*float64(work))))
 }
 
@@ -213,17 +218,19 @@
 	// Load is the endpoint's estimated number of requests, Usable how many endpoints could be chosen.
 	Load   float64
 	Usable int
+	// Objective is that of the request.
+	Objective core.Millis
 }
 
 // Choose returns the endpoint where the request is expected to be answered first, as far as work may move between regions, and counts it there until Done; it refuses what can't be answered in time.
 func (t *Table) Choose(now core.Millis, w Want) (Choice, *core.Refusal) {
 	s := t.service(w.Service)
 	here, away := t.best(now, s, w)
-	best := t.moderate(now, w, here, away)
+	best := t.moderate(now, s, w, here, away)
 	if best.Endpoint == nil {
 		return best.Choice, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", w.Service, len(s.endpoints))
 	}
-	if most := w.mostWait(best.Work); best.Wait > most {
+	if most := w.mostWait(s.part, best.Work); best.Wait > most {
 		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s before %s of work, the longest that is worth it is %s", w.Service, best.Wait, best.Work, most)
 		refusal.RetryAfter = t.retryAfter(best.Wait)
 		return best.Choice, refusal
@@ -258,14 +265,14 @@
 		side.Usable++
 		if side.Endpoint == nil || cost < side.cost {
 			side.cost = cost
-			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable}
+			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective}
 		}
 	}
 	return here, away
 }
 
 // moderate chooses between the regions, so that work moves no faster than the limit.
-func (t *Table) moderate(now core.Millis, w Want, here, away candidate) candidate {
+func (t *Table) moderate(now core.Millis, s *service, w Want, here, away candidate) candidate {
 	if here.Endpoint == nil {
 		return away
 	}
@@ -277,7 +284,7 @@
 	switch {
 	case leaves && !t.drift.mayLeave(now):
 		leaves = false
-	case !leaves && t.drift.mustLeave(now) && away.Wait <= w.mostWait(away.Work):
+	case !leaves && t.drift.mustLeave(now) && away.Wait <= w.mostWait(s.part, away.Work):
 		leaves = true
 	}
 	if !leaves {
@@ -410,13 +417,15 @@
 )
 
 // Done takes the end of a sending; took is its length, report the endpoint's account of its load, or nil.
-func (t *Table) Done(now core.Millis, e *Endpoint, outcome Outcome, took core.Millis, report *core.Report) {
+func (t *Table) Done(now core.Millis, c Choice, outcome Outcome, took core.Millis, report *core.Report) {
+	e := c.Endpoint
 	e.inFlight--
 	switch outcome {
 	case Good:
 		e.noteGood()
 		e.noteReport(now, report)
 		t.noteWork(e, took, report)
+		t.notePart(c, took)
 	case Failed:
 		e.noteReport(now, report)
 		e.noteFailure(now, false)
@@ -445,6 +454,19 @@
 	s.work += weight * (float64(took) - s.work)
 }
 
+// notePart learns from the requests that were expected to wait how long a queue may be.
+func (t *Table) notePart(c Choice, took core.Millis) {
+	if c.Objective == 0 || c.Wait == 0 {
+		return
+	}
+	s := t.service(c.Endpoint.Service)
+	if took > c.Objective {
+		s.part = max(leastPart, s.part-lateStep)
+		return
+	}
+	s.part = min(mostPart, s.part+goodStep)
+}
+
 // Usual returns the usual work of a service.
 func (t *Table) Usual(name string) core.Millis {
 	return core.Millis(t.service(name).work)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -177,7 +177,7 @@
 		report = proto.ParseReport(result.Answer.Header.Get(s.Dialect.Load))
 	}
 	s.mutex.Lock()
-	s.Picks.Done(s.Now(), e, outcome, s.Now()-began, report)
+	s.Picks.Done(s.Now(), choice, outcome, s.Now()-began, report)
 	s.mutex.Unlock()
 	if outcome == pick.Misled {
 		s.Pool.CloseTo(e.Address)
