Cold endpoints keep their limit a second longer and are shared by all hosts of the zone; a busy object's second home

Change: the limit holds 1.2 s longer; parts below one request a second become one request in a longer time. An object has a second home that is used when the first is busy for twice the usual work; homes are found in one pass instead of one per endpoint. The list's reader tells the others twice a second that it lives, so that fewer read it too.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -15,7 +15,9 @@
 	// ControlTick is how often the driver calls Tick.
 	ControlTick = 50 * core.Millisecond
 	shareEvery  = core.Second
-	listEvery   = 800 * core.Millisecond
+	// listShareEvery tells the other control hosts that the reader lives before they read the list themselves.
+	listShareEvery = 500 * core.Millisecond
+	listEvery      = 800 * core.Millisecond
 	// listStale is the age at which a list of another reader no longer spares the own reading.
 	listStale    = 1700 * core.Millisecond
 	entryGone    = 2500 * core.Millisecond
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -79,6 +79,9 @@
 // share tells the other control hosts of this one's entry hosts and list.
 func (c *Control) share(now core.Millis, out *core.Effects) {
 	c.shareAt = now + shareEvery
+	if c.reading && c.quorum.IsLeader() {
+		c.shareAt = now + listShareEvery
+	}
 	names := map[string]bool{}
 	for _, name := range c.Seeds {
 		names[name] = true
--- /dev/null
+++ b/core/pick/homes.go
@@ -0,0 +1,85 @@
+package pick
+
+import (
+	"clementinelock/core"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// home is one region's two endpoints that keep an object's data, the more preferred one first.
+type home struct {
+	region        string
+	first, second *Endpoint
+	firstHash     uint64
+	secondHash    uint64
+}
+
+// homes are an object's homes in all regions. Two of them let a busy endpoint share its objects with others that have their data too.
+type homes []home
+
+// homes finds an object's homes by rendezvous hashing; endpoints that are cold or out of use have none.
+func (t *Table) homes(now core.Millis, s *service, object string) homes {
+	if object == "" {
+		return nil
+	}
+	found := make(homes, 0, mostRegions)
+	for _, e := range s.endpoints {
+		if !e.usable(now) || e.isCold(now) {
+			continue
+		}
+		found = found.offer(e, rendezvous(object, e.ID))
+	}
+	return found
+}
+
+// mostRegions is how many regions are expected; more only cost memory.
+const mostRegions = 4
+
+func (h homes) offer(e *Endpoint, hash uint64) homes {
+	for i := range h {
+		if h[i].region == e.Region {
+			h[i].offer(e, hash)
+			return h
+		}
+	}
+	return append(h, home{region: e.Region, first: e, firstHash: hash})
+}
+
+func (h *home) offer(e *Endpoint, hash uint64) {
+	switch {
+	case hash > h.firstHash:
+		h.second, h.secondHash = h.first, h.firstHash
+		h.first, h.firstHash = e, hash
+	case h.second == nil || hash > h.secondHash:
+		h.second, h.secondHash = e, hash
+	}
+}
+
+func (h homes) isFirst(e *Endpoint) bool {
+	for i := range h {
+		if h[i].first == e {
+			return true
+		}
+	}
+	return false
+}
+
+func (h homes) isSecond(e *Endpoint) bool {
+	for i := range h {
+		if h[i].second == e {
+			return true
+		}
+	}
+	return false
+}
+
+// rendezvous ranks an endpoint for an object.
+func rendezvous(object, id string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	// A digest takes every write.
+	_, _ = digest.WriteString(object)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(id)
+	return digest.Sum64()
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -10,8 +10,6 @@
 	"clementinelock/core/retry"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Weights of the choice; a request's usual work is the unit of waiting.
@@ -24,8 +22,10 @@
 	notAtHome = 2.5
 	// warmElsewhere keeps an object at its home while that has room.
 	warmElsewhere = 0.15
-	coldWork      = 1.0
-	failCost      = 3.0
+	// secondHome keeps an object at its first home while that has a free slot.
+	secondHome = 2.0
+	coldWork   = 1.0
+	failCost   = 3.0
 	// The usual work follows short answers faster than long ones, so that it is that of requests whose data was at hand.
 	shorterWeight = 0.1
 	longerWeight  = 0.03
@@ -33,6 +33,10 @@
 	coldWindow    = 1100 * core.Millisecond
 	// coldPart leaves room for requests that other hosts sent late.
 	coldPart = 0.7
+	// coldHosts is up to which part of the rate each host of the zone may send one request at any moment.
+	coldHosts = 0.9
+	// coldTail keeps the limit for one more second, since the bound holds for every second in which an endpoint was cold.
+	coldTail = 1200 * core.Millisecond
 	// Queue and work may take a part of a route's objective. The part follows what answers show: each late one takes away several times what one in time gives back. leastWait keeps a short queue behind work that takes the whole objective.
 	leastPart = 0.5
 	mostPart  = 1.0
@@ -134,7 +138,7 @@
 	}
 	for zone := range t.evacuated {
 		if !next[zone] {
-			t.coldZone[zone] = now + coldAgain
+			t.coldZone[zone] = now + coldAgain + coldTail
 		}
 	}
 	t.evacuated = next
@@ -147,7 +151,7 @@
 		t.endpoints[entry.ID] = e
 	}
 	if entry.ColdFor > 0 && entry != e.Entry {
-		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor))
+		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor)+coldTail)
 	}
 	e.Entry, e.Region = entry, t.Regions[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
@@ -247,6 +251,7 @@
 
 // best returns the best endpoint in the own region and the best in another one.
 func (t *Table) best(now core.Millis, s *service, w Want) (here, away candidate) {
+	places := t.homes(now, s, w.Object)
 	for _, e := range s.endpoints {
 		if !e.usable(now) || !allowed(w.Regions, e.Region) || slices.Contains(w.Tried, e.ID) {
 			continue
@@ -254,7 +259,7 @@
 		if e.isCold(now) && !t.coldRoom(now, e) {
 			continue
 		}
-		cost, wait := t.cost(now, s, e, w.Object)
+		cost, wait := t.cost(now, s, e, w.Object, places)
 		if w.FreeOnly && wait > 0 {
 			continue
 		}
@@ -322,7 +327,7 @@
 }
 
 // cost is what a request would wait for at the endpoint, in milliseconds; wait is the part that is the queue.
-func (t *Table) cost(now core.Millis, s *service, e *Endpoint, object string) (cost, wait float64) {
+func (t *Table) cost(now core.Millis, s *service, e *Endpoint, object string, places homes) (cost, wait float64) {
 	wait = e.wait(now) * s.work
 	cost = wait + e.failing*failCost*s.work
 	if e.isCold(now) {
@@ -337,7 +342,9 @@
 		return cost + e.load(now)*s.work*warmElsewhere, wait
 	}
 	switch {
-	case t.isHome(now, s, e, object):
+	case places.isFirst(e):
+	case places.isSecond(e):
+		cost += secondHome * s.work
 	case e.isWarmFor(now, object):
 		cost += warmElsewhere * s.work
 	default:
@@ -346,40 +353,25 @@
 	return cost, wait
 }
 
-// isHome tells whether the endpoint is the object's home in its region.
-func (t *Table) isHome(now core.Millis, s *service, e *Endpoint, object string) bool {
-	mine := rendezvous(object, e.ID)
-	for _, other := range s.endpoints {
-		if other != e && other.Region == e.Region && other.usable(now) && !other.isCold(now) && rendezvous(object, other.ID) > mine {
-			return false
-		}
-	}
-	return true
-}
-
-func rendezvous(object, id string) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(object)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(id)
-	return digest.Sum64()
-}
-
 // coldRoom tells whether this host may send a cold endpoint one more request. Only hosts of its availability zone may, each its part of the endpoint's rate.
 func (t *Table) coldRoom(now core.Millis, e *Endpoint) bool {
 	if e.Zone != t.Zone {
 		return false
 	}
-	kept := e.coldAt[:0]
-	for _, at := range e.coldAt {
-		if now-at < coldWindow {
-			kept = append(kept, at)
+	rate := t.configured[e.Service].ColdPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
+	hosts := float64(max(1, t.zoneEntries))
+	part := coldPart * rate / hosts
+	window := coldWindow
+	if part < 1 {
+		if hosts > coldHosts*rate {
+			return false
 		}
+		// Each host sends one request in a longer time; even all of them in one second stay within the rate.
+		window = core.Millis(float64(window) / part)
+		part = 1
 	}
-	e.coldAt = kept
-	rate := t.configured[e.Service].ColdPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
-	return len(kept) < int(coldPart*rate/float64(max(1, t.zoneEntries)))
+	e.coldAt = slices.DeleteFunc(e.coldAt, func(at core.Millis) bool { return now-at >= window })
+	return len(e.coldAt) < int(part)
 }
 
 // MayRetry takes one extra attempt of the service from this host's part of the budget.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -36,6 +36,7 @@
 	Wait      core.Millis
 	Load      float64
 	Usable    int
+	Cold      bool
 	Took      core.Millis
 	Patience  core.Millis
 }
@@ -158,7 +159,7 @@
 	}
 	a.Attempts++
 	a.Endpoint, a.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
-	a.Wait, a.Load, a.Usable = choice.Wait, choice.Load, choice.Usable
+	a.Wait, a.Load, a.Usable, a.Cold = choice.Wait, choice.Load, choice.Usable, choice.Cold
 	t.want.Tried = append(t.want.Tried, choice.Endpoint.ID)
 	t.open++
 	go func() { t.ended <- t.send(ctx, choice) }()
