A wiped control host is taken in again whoever leads; lost documents are sent again

Ruled out: fencing, and a cut that lasted. Change: a newcomer says hello to every control host it knows; the times of the document and of the list are kept apart and set only when they are sent.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -60,10 +60,12 @@
 // entryState is an entry host that reports here.
 type entryState struct {
 	Report
-	heard       core.Millis
-	sentVersion uint64
-	sentNumber  uint64
-	sentAt      core.Millis
+	heard core.Millis
+	// What was sent last, and when; it is sent again when it is not confirmed in time.
+	sentVersion   uint64
+	versionSentAt core.Millis
+	sentNumber    uint64
+	numberSentAt  core.Millis
 }
 
 // controlState is another control host.
@@ -90,7 +92,8 @@
 	c.book = edits.NewBook()
 	c.quorum = &quorum.Replica{
 		Self: c.Name, Rand: c.Rand, Machine: c.book, Initial: c.Seeds, OnRead: c.onRead,
-		Pace: quorum.Pace{Heartbeat: heartbeat, ElectionLow: electionLow, ElectionHigh: electionHigh},
+		Others: func() []string { return sortedNames(c.controls) },
+		Pace:   quorum.Pace{Heartbeat: heartbeat, ElectionLow: electionLow, ElectionHigh: electionHigh},
 	}
 	err := c.quorum.Start(now, stored, out)
 	return *out, err
--- /dev/null
+++ b/core/fleet/random_test.go
@@ -0,0 +1,128 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/roster"
+	"clementinelock/core/routes"
+)
+
+// faults is the table of what may happen in a random run; a disk is lost only where no other is missing.
+var faults = []struct {
+	name  string
+	cause func(s *site)
+}{
+	{"kill", func(s *site) { s.restartAfter(s.any("control", 6), false, 500) }},
+	{"kill an entry host", func(s *site) { s.restartAfter(s.any("entry", 9), false, 500) }},
+	{"power loss", func(s *site) { s.restartAfter(s.any("control", 6), true, 3000) }},
+	{"power loss of all", func(s *site) {
+		for i := range 6 {
+			s.restartAfter(fmt.Sprintf("control-%d", i), true, 900)
+		}
+	}},
+	{"freeze", func(s *site) {
+		name := s.any("control", 6)
+		s.Freeze(name, true)
+		s.At(s.Now+core.Millis(s.Rand.IntN(6000)), func() { s.Freeze(name, false) })
+	}},
+	{"cut one off", func(s *site) {
+		name := s.any("control", 6)
+		s.Isolate(name, s.others(name), true)
+		s.At(s.Now+core.Millis(s.Rand.IntN(6000)), s.Heal)
+	}},
+	{"cut in halves", func(s *site) {
+		for _, a := range []string{"control-0", "control-1", "control-3"} {
+			for _, b := range []string{"control-2", "control-4", "control-5"} {
+				s.Cut(a, b, true)
+				s.Cut(b, a, true)
+			}
+		}
+		s.At(s.Now+core.Millis(s.Rand.IntN(6000)), s.Heal)
+	}},
+	{"cut one way", func(s *site) {
+		name := s.any("control", 6)
+		for _, other := range s.others(name) {
+			s.Cut(name, other, true)
+		}
+		s.At(s.Now+core.Millis(s.Rand.IntN(4000)), s.Heal)
+	}},
+	{"lost messages", func(s *site) { s.Loss = 0.05 }},
+	{"no lost messages", func(s *site) { s.Loss = 0 }},
+	{"list changes", func(s *site) {
+		s.list = append(s.list[max(0, len(s.list)-5):], roster.Entry{ID: fmt.Sprintf("i-%d", s.Now), Service: "s", Zone: "r0-a", Address: "a", Slots: 3, Draining: s.Rand.IntN(2) == 0})
+	}},
+	{"evacuate", func(s *site) { s.evacuate("r1-b", true) }},
+	{"take back", func(s *site) { s.evacuate("r1-b", false) }},
+}
+
+// any returns one of the hosts of a kind.
+func (s *site) any(kind string, count int) string {
+	return fmt.Sprintf("%s-%d", kind, s.Rand.IntN(count))
+}
+
+func (s *site) others(name string) []string {
+	var others []string
+	for i := range 6 {
+		if other := fmt.Sprintf("control-%d", i); other != name {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+func (s *site) restartAfter(name string, power bool, most int) {
+	if !s.Up(name) {
+		return
+	}
+	s.crash(name, power)
+	s.At(s.Now+core.Millis(100+s.Rand.IntN(most)), func() { s.begin(name) })
+}
+
+// run plays one seed: rounds of random faults with orders and reads among them, each ended by a calm in which all that was confirmed must hold.
+func run(t *testing.T, seed uint64) {
+	s := newSite(t, seed)
+	// Traffic starts 8 s after the hosts; the first version has to be accepted before.
+	s.For(500)
+	s.publish()
+	s.For(7500)
+	if s.acked == 0 {
+		t.Fatal("the first version was not accepted within 8 s")
+	}
+	for range 3 {
+		for range 12 {
+			fault := faults[s.Rand.IntN(len(faults))]
+			fault.cause(s)
+			s.publish()
+			s.For(core.Millis(s.Rand.IntN(1500)))
+			s.read(1, func(routes.Document) {})
+		}
+		s.settle()
+		if s.Rand.IntN(2) == 0 {
+			// One disk may be lost right after an acknowledgement, when all others are there.
+			s.wipe(s.any("control", 6))
+			s.For(core.Second)
+			s.settle()
+			s.For(5 * core.Second)
+		}
+	}
+}
+
+// TestRandomFaults plays seeds of random faults; FLEET_SEEDS sets how many, FLEET_SEED the first.
+func TestRandomFaults(t *testing.T) {
+	first, count := number("FLEET_SEED", 1), number("FLEET_SEEDS", 25)
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+func number(name string, otherwise uint64) uint64 {
+	value, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return otherwise
+	}
+	return value
+}
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -18,7 +18,7 @@
 		out.Logf("entries", "Host %s reports here.", from)
 	}
 	changed := e.EntryHost != m.EntryHost
-	if e.Process != m.Process || now-e.sentAt > resendAfter {
+	if e.Process != m.Process {
 		e.sentVersion, e.sentNumber = 0, 0
 	}
 	e.Report, e.heard = *m, now
@@ -36,17 +36,8 @@
 		Process: c.Process, LeaderHeard: c.leaderHeard(now), Index: published.Index, Version: published.Document.Version,
 		Evacuated: published.Evacuated, Controls: c.controlHosts(),
 	}
-	if published.Document.Version > max(e.Version, e.sentVersion) {
-		u.Document = &published.Document
-	}
-	e.sentVersion = published.Document.Version
-	process, number := e.ListProcess, e.ListNumber
-	if e.sentNumber > 0 {
-		process, number = c.list.Process, e.sentNumber
-	}
-	u.Endpoints = c.list.Since(now, process, number)
-	e.sentNumber = c.list.Number()
-	e.sentAt = now
+	c.addDocument(now, e, u)
+	c.addList(now, e, u)
 	for _, each := range c.readyEntries(now) {
 		u.AllEntries++
 		if each.Zone == e.Zone {
@@ -56,13 +47,35 @@
 	out.Send(e.Name, u)
 }
 
+// addDocument adds the document to an update unless the entry host has it or is just getting it.
+func (c *Control) addDocument(now core.Millis, e *entryState, u *Update) {
+	document := c.book.Published().Document
+	underWay := e.sentVersion == document.Version && now-e.versionSentAt < resendAfter
+	if document.Version <= e.Version || underWay {
+		return
+	}
+	u.Document = &document
+	e.sentVersion, e.versionSentAt = document.Version, now
+}
+
+// addList adds what the entry host lacks of the list and is not just getting.
+func (c *Control) addList(now core.Millis, e *entryState, u *Update) {
+	process, number := e.ListProcess, e.ListNumber
+	if e.sentNumber > 0 && now-e.numberSentAt < resendAfter {
+		process, number = c.list.Process, e.sentNumber
+	}
+	u.Endpoints = c.list.Since(now, process, number)
+	if process != c.list.Process || number != c.list.Number() {
+		e.sentNumber, e.numberSentAt = c.list.Number(), now
+	}
+}
+
 // resend repeats an update that an entry host has not confirmed.
 func (c *Control) resend(now core.Millis, out *core.Effects) {
 	published := c.book.Published()
 	for _, name := range sortedNames(c.entries) {
 		e := c.entries[name]
-		if e.Index < published.Index && now-e.sentAt > 2*resendAfter {
-			e.sentVersion = 0
+		if e.Version < published.Document.Version && now-e.versionSentAt > resendAfter {
 			c.update(now, e, out)
 		}
 	}
--- /dev/null
+++ b/core/fleet/world_test.go
@@ -0,0 +1,301 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/fake"
+	"clementinelock/core/fleet"
+	"clementinelock/core/roster"
+	"clementinelock/core/routes"
+)
+
+// site is a deployment of three regions with two availability zones each on virtual time.
+type site struct {
+	*fake.World
+	t        testing.TB
+	seeds    []string
+	zones    map[string]string
+	disks    map[string]*fake.Disk
+	controls map[string]*fleet.Control
+	entries  map[string]*entryHost
+	process  uint64
+	ticket   uint64
+	replies  map[uint64]func(core.Reply)
+	list     []roster.Entry
+	// acked is the highest version that an operator was told is in force, settled that of the calm before.
+	acked     uint64
+	published uint64
+	evacuated map[string]bool
+	unclear   map[string]bool
+}
+
+// entryHost checks that nothing ever goes back in one process.
+type entryHost struct {
+	*fleet.Entry
+	t       testing.TB
+	version uint64
+	index   uint64
+}
+
+func (e *entryHost) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	_, effects := e.Entry.Receive(now, from, message)
+	view := e.View(now)
+	if view.Document.Version < e.version || view.Index < e.index {
+		e.t.Fatalf("entry host %s went from version %d at index %d to version %d at index %d", e.Name, e.version, e.index, view.Document.Version, view.Index)
+	}
+	e.version, e.index = view.Document.Version, view.Index
+	return effects
+}
+
+func region(zone string) string { return zone[:2] }
+
+func newSite(t testing.TB, seed uint64) *site {
+	s := &site{
+		World: fake.NewWorld(seed), t: t, zones: map[string]string{}, disks: map[string]*fake.Disk{}, controls: map[string]*fleet.Control{},
+		entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unclear: map[string]bool{},
+	}
+	s.TickEvery = fleet.ControlTick
+	s.Delay = func(from, to string) core.Millis {
+		if region(s.zones[from]) != region(s.zones[to]) {
+			return 20
+		}
+		return 1
+	}
+	s.Carry = s.carry
+	var names []string
+	for i, zone := range []string{"r0-a", "r1-a", "r2-a", "r0-b", "r1-b", "r2-b"} {
+		name := fmt.Sprintf("control-%d", i)
+		s.zones[name] = zone
+		names = append(names, name)
+	}
+	s.seeds = names[:3]
+	for i, name := range names {
+		incarnation := uint64(1)
+		if i >= 3 {
+			incarnation = uint64(100 + i)
+		}
+		s.disks[name] = fake.NewDisk(incarnation)
+		s.At(s.Now+core.Millis(s.Rand.IntN(300)), func() { s.startControl(name) })
+	}
+	for i, zone := range []string{"r0-a", "r0-a", "r1-a", "r1-a", "r2-a", "r2-a", "r0-b", "r1-b", "r2-b"} {
+		name := fmt.Sprintf("entry-%d", i)
+		s.zones[name] = zone
+		s.At(s.Now+core.Millis(s.Rand.IntN(300)), func() { s.startEntry(name) })
+	}
+	s.list = []roster.Entry{{ID: "i-1", Service: "s", Zone: "r0-a", Address: "a", Slots: 3}}
+	return s
+}
+
+func (s *site) startControl(name string) {
+	s.process++
+	c := &fleet.Control{
+		ControlHost: fleet.ControlHost{Name: name, Region: region(s.zones[name]), Zone: s.zones[name]},
+		Process:     s.process, Rand: rand.New(rand.NewPCG(s.Rand.Uint64(), 1)), Seeds: s.seeds, ListCallsPerSecond: 40,
+	}
+	s.controls[name] = c
+	effects, err := c.Start(s.Now, s.disks[name].Stored)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.Do(name, effects)
+	s.Start(name, c)
+}
+
+func (s *site) startEntry(name string) {
+	s.process++
+	e := &entryHost{t: s.t, Entry: &fleet.Entry{
+		EntryHost: fleet.EntryHost{Name: name, Region: region(s.zones[name]), Zone: s.zones[name], Address: name, Process: s.process, Ready: true},
+		Rand:      rand.New(rand.NewPCG(s.Rand.Uint64(), 1)), Seeds: s.seeds,
+	}}
+	e.Entry.Start(s.Now)
+	s.entries[name] = e
+	s.Start(name, e)
+}
+
+// carry syncs writes after a while, reads the list where it is asked for and hands out replies.
+func (s *site) carry(host string, e core.Effects) {
+	c := s.controls[host]
+	if len(e.Writes) > 0 {
+		disk, last := s.disks[host], e.Writes[len(e.Writes)-1].Seq
+		disk.Queue(e.Writes...)
+		s.At(s.Now+1+core.Millis(s.Rand.IntN(20)), func() {
+			if s.controls[host] == c && s.Up(host) && s.disks[host] == disk {
+				disk.Sync(last)
+				s.Do(host, c.Synced(s.Now, last))
+			}
+		})
+	}
+	if c != nil && s.Up(host) && c.WantsList(s.Now) {
+		asked, entries := s.Now, slices.Clone(s.list)
+		s.At(s.Now+5, func() {
+			if s.controls[host] == c && s.Up(host) {
+				s.Do(host, c.TakeList(s.Now, asked, entries, 1))
+			}
+		})
+	}
+	for _, r := range e.Replies {
+		if reply := s.replies[r.Ticket]; reply != nil {
+			delete(s.replies, r.Ticket)
+			reply(r)
+		}
+	}
+}
+
+// crash ends a host's process; power tells whether unsynced writes are lost too.
+func (s *site) crash(name string, power bool) {
+	s.Crash(name)
+	if disk := s.disks[name]; disk != nil {
+		reached := 1 << 20
+		if power {
+			reached = s.Rand.IntN(3)
+		}
+		disk.Crash(reached)
+	}
+}
+
+// begin starts a host that is down.
+func (s *site) begin(name string) {
+	switch {
+	case s.Up(name):
+	case s.disks[name] != nil:
+		s.startControl(name)
+	default:
+		s.startEntry(name)
+	}
+}
+
+// wipe takes a control host's disk.
+func (s *site) wipe(name string) {
+	s.crash(name, true)
+	s.disks[name] = fake.NewDisk(s.Rand.Uint64N(1<<62) + 2)
+}
+
+func (s *site) upControls() []string {
+	var names []string
+	for i := range 6 {
+		if name := fmt.Sprintf("control-%d", i); s.Up(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ask puts an operator's order to a host and sends it to another until it is confirmed or the tries are used up.
+func (s *site) ask(tries int, order func(c *fleet.Control, ticket uint64) core.Effects, done func(core.Reply)) {
+	up := s.upControls()
+	if tries == 0 || len(up) == 0 {
+		return
+	}
+	name := up[s.Rand.IntN(len(up))]
+	s.ticket++
+	answered := false
+	again := func() {
+		if !answered {
+			answered = true
+			s.ask(tries-1, order, done)
+		}
+	}
+	s.replies[s.ticket] = func(r core.Reply) {
+		if answered {
+			return
+		}
+		if r.Refusal != nil {
+			again()
+			return
+		}
+		answered = true
+		done(r)
+	}
+	s.At(s.Now+core.Second, again)
+	s.Do(name, order(s.controls[name], s.ticket))
+}
+
+// publish sends the next version.
+func (s *site) publish() {
+	s.published += 1 + s.Rand.Uint64N(3)
+	version := s.published
+	document := routes.Document{Version: version, Text: fmt.Appendf(nil, "version %d", version)}
+	s.ask(6, func(c *fleet.Control, ticket uint64) core.Effects { return c.Publish(s.Now, ticket, document) }, func(core.Reply) {
+		s.acked = max(s.acked, version)
+	})
+}
+
+// evacuate begins or ends an evacuation; until it is confirmed it is not clear which holds.
+func (s *site) evacuate(zone string, active bool) {
+	if s.unclear[zone] {
+		return
+	}
+	s.unclear[zone] = true
+	s.ask(6, func(c *fleet.Control, ticket uint64) core.Effects {
+		return c.Evacuate(s.Now, ticket, edits.Evacuation{Zone: zone, Active: active})
+	}, func(core.Reply) {
+		s.evacuated[zone], s.unclear[zone] = active, false
+	})
+}
+
+// read asks one host after the other for the newest document and checks that it is no older than what was confirmed before.
+func (s *site) read(tries int, check func(routes.Document)) {
+	floor := s.acked
+	s.ask(tries, func(c *fleet.Control, ticket uint64) core.Effects { return c.Read(s.Now, ticket) }, func(r core.Reply) {
+		document := r.Body.(*fleet.OrderDone).Document
+		if document.Version < floor {
+			s.t.Fatalf("a read gives version %d after version %d was confirmed", document.Version, floor)
+		}
+		if document.Version > 0 && string(document.Text) != fmt.Sprintf("version %d", document.Version) {
+			s.t.Fatalf("version %d reads %q", document.Version, document.Text)
+		}
+		check(document)
+	})
+}
+
+// settle heals everything and checks that all that was confirmed is in force at every host.
+func (s *site) settle() {
+	s.Heal()
+	s.Loss, s.Repeat = 0, 0
+	for name := range s.zones {
+		s.Freeze(name, false)
+		s.begin(name)
+	}
+	// A window of contact, and the time in which a configuration has to be in force.
+	s.For(3*core.Second + 2500)
+	got := uint64(0)
+	// An operator that reads at the end of a day asks again for at least the window of contact.
+	s.read(3, func(d routes.Document) { got = d.Version })
+	s.For(3 * core.Second)
+	if got < s.acked || got == 0 && s.acked > 0 {
+		s.t.Fatalf("a read after the calm gives version %d, version %d was confirmed", got, s.acked)
+	}
+	for name, e := range s.entries {
+		view := e.View(s.Now)
+		if view.Document.Version < s.acked {
+			s.t.Fatalf("entry host %s has version %d, version %d was confirmed", name, view.Document.Version, s.acked)
+		}
+		s.checkEvacuations(name, view.Evacuated)
+		if !view.ListKnown || view.ListAge > 3*core.Second {
+			s.t.Fatalf("entry host %s has a list of age %s", name, view.ListAge)
+		}
+		if view.AllEntries != len(s.entries) {
+			s.t.Fatalf("entry host %s knows of %d entry hosts, expected %d", name, view.AllEntries, len(s.entries))
+		}
+	}
+	for name, c := range s.controls {
+		for _, zone := range []string{"r0-a", "r1-b"} {
+			if got := c.Directory(s.Now, region(zone), zone); len(got) < 2 {
+				s.t.Fatalf("control host %s names %v for zone %s", name, got, zone)
+			}
+		}
+	}
+}
+
+func (s *site) checkEvacuations(name string, got []string) {
+	for zone, active := range s.evacuated {
+		if !s.unclear[zone] && slices.Contains(got, zone) != active {
+			s.t.Fatalf("entry host %s has %v evacuated, %s was confirmed as %t", name, got, zone, active)
+		}
+	}
+}
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -18,17 +18,28 @@
 		return
 	}
 	r.helloAt = now + helloEvery
-	for _, member := range r.members {
-		if member.Name == r.Self {
-			continue
-		}
+	for _, name := range r.known() {
 		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.startIndex, LastTerm: r.startTerm}
-		message.Header = r.header(member.Name)
+		message.Header = r.header(name)
 		message.ToIncarnation = 0
-		r.sendSynced(member.Name, message, out)
+		r.sendSynced(name, message, out)
 	}
 }
 
+// known names the members and the other hosts that may lead, less this one.
+func (r *Replica) known() []string {
+	var names []string
+	for _, member := range r.members {
+		names = append(names, member.Name)
+	}
+	if r.Others != nil {
+		names = append(names, r.Others()...)
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == r.Self })
+}
+
 func (r *Replica) onHello(now core.Millis, from string, m *Hello, out *core.Effects) {
 	_, member := r.members.has(from, m.Incarnation)
 	mark := r.boots[from]
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -80,6 +80,8 @@
 	Machine Machine
 	// Initial lists the first voters by name; all have incarnation 1.
 	Initial []string
+	// Others lists further hosts that a newcomer announces itself to, since none of Initial may lead; it may be nil.
+	Others func() []string
 	// Pace is that of the constants above when it is left zero.
 	Pace Pace
 	// OnRead is called when the read with the ticket may be answered; confirmed is false when the leader was deposed first.
