Idle time counts from the last answer; extra attempts at a host's start; a host begins with the share elsewhere that its region lacks

Cause: tests of io/entry: a caller's connection was closed 1.0 s after its last request was read though the answer came 0.4 s ago, and the first requests of a host had no extra attempt. Change: the idle time runs from the last answer; a budget begins with half of what it may save up; a host begins with 0.7 of what its region's slots lack for its callers.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -41,7 +41,7 @@
 	document  routes.Document
 	evacuated []string
 	list      roster.Copy
-	counts    [2]int
+	counts    EntryCounts
 }
 
 // Start begins to look for a control host.
@@ -205,7 +205,7 @@
 	if len(u.Controls) > 0 && u.LeaderHeard {
 		e.controls = u.Controls
 	}
-	e.counts = [2]int{u.ZoneEntries, u.AllEntries}
+	e.counts = u.Entries
 	if u.Endpoints == nil {
 		return changed
 	}
@@ -227,17 +227,17 @@
 	Evacuated []string
 	Endpoints []roster.Entry
 	// ListKnown is false before the first list.
-	ListKnown   bool
-	ListAge     core.Millis
-	ZoneEntries int
-	AllEntries  int
+	ListKnown bool
+	ListAge   core.Millis
+	Entries   EntryCounts
 }
 
 // View returns what is in force here.
 func (e *Entry) View(now core.Millis) View {
 	return View{
 		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
-		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now), ZoneEntries: max(1, e.counts[0]), AllEntries: max(1, e.counts[1]),
+		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
+		Entries: EntryCounts{Zone: max(1, e.counts.Zone), Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
 	}
 }
 
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -41,9 +41,14 @@
 	Evacuated []string
 	Endpoints *roster.Delta
 	Controls  []ControlHost
-	// ZoneEntries counts the ready entry hosts of the receiver's availability zone, AllEntries those of the deployment.
-	ZoneEntries int
-	AllEntries  int
+	Entries   EntryCounts
+}
+
+// EntryCounts counts the ready entry hosts of the receiver's availability zone, of its region and of the deployment.
+type EntryCounts struct {
+	Zone   int
+	Region int
+	All    int
 }
 
 // ControlHost is a control host with its place.
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -39,9 +39,12 @@
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
 	for _, each := range c.readyEntries(now) {
-		u.AllEntries++
+		u.Entries.All++
+		if each.Region == e.Region {
+			u.Entries.Region++
+		}
 		if each.Zone == e.Zone {
-			u.ZoneEntries++
+			u.Entries.Zone++
 		}
 	}
 	out.Send(e.Name, u)
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -279,8 +279,8 @@
 		if !view.ListKnown || view.ListAge > 3*core.Second {
 			s.t.Fatalf("entry host %s has a list of age %s", name, view.ListAge)
 		}
-		if view.AllEntries != len(s.entries) {
-			s.t.Fatalf("entry host %s knows of %d entry hosts, expected %d", name, view.AllEntries, len(s.entries))
+		if view.Entries.All != len(s.entries) {
+			s.t.Fatalf("entry host %s knows of %d entry hosts, expected %d", name, view.Entries.All, len(s.entries))
 		}
 	}
 	for name, c := range s.controls {
--- a/core/pick/drift.go
+++ b/core/pick/drift.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"clementinelock/core"
+	"clementinelock/core/fleet"
 )
 
 // Constants of the limit on how fast work may move between regions.
@@ -12,6 +13,8 @@
 	driftPerSecond = 0.04
 	// settleFor is how long a host that has just begun to serve finds its share without a limit.
 	settleFor = 300 * core.Millisecond
+	// expectedPart of the slots that a region lacks for its callers is what its hosts begin with elsewhere; at low load all stay.
+	expectedPart = 0.7
 	// idleFor without a request makes a host begin anew.
 	idleFor = 5 * core.Second
 	// freeFor is how long the limit is lifted after the own region has lost or regained endpoints, since work then has to move.
@@ -31,6 +34,18 @@
 	begunAt  core.Millis
 	freeTill core.Millis
 	begun    bool
+	// expected is the share that a host begins with.
+	expected float64
+}
+
+// expect takes the slots here and everywhere, and the entry hosts as a sign of where callers are: a host whose region has fewer slots than callers begins with a part of its work elsewhere.
+func (d *drift) expect(here, all int, entries fleet.EntryCounts) {
+	if all == 0 || entries.All == 0 {
+		return
+	}
+	slots := float64(here) / float64(all)
+	callers := float64(entries.Region) / float64(entries.All)
+	d.expected = expectedPart * math.Max(0, 1-slots/callers)
 }
 
 // note takes one request and whether its best endpoint is in another region.
@@ -40,7 +55,7 @@
 		wish = 1
 	}
 	if !d.begun || now-d.at > idleFor {
-		*d = drift{begun: true, begunAt: now, at: now, share: wish, wished: wish, freeTill: d.freeTill}
+		*d = drift{begun: true, begunAt: now, at: now, share: d.expected, wished: d.expected, freeTill: d.freeTill, expected: d.expected}
 	}
 	weight := wishWeight
 	if d.isFree(now) {
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -161,7 +161,7 @@
 
 // spread tells all entry hosts what is in force.
 func (w *world) spread() {
-	w.view = fleet.View{ListKnown: true, AllEntries: w.hosts(), Evacuated: w.view.Evacuated}
+	w.view = fleet.View{ListKnown: true, Entries: fleet.EntryCounts{Region: w.hosts() / 3, All: w.hosts()}, Evacuated: w.view.Evacuated}
 	ids := make([]string, 0, len(w.places))
 	for id := range w.places {
 		ids = append(ids, id)
@@ -173,7 +173,7 @@
 		w.view.Endpoints = append(w.view.Endpoints, p.Entry)
 	}
 	for _, zone := range w.zones {
-		w.view.ZoneEntries = len(w.tables[zone])
+		w.view.Entries.Zone = len(w.tables[zone])
 		for _, t := range w.tables[zone] {
 			t.Update(w.now, w.view, w.table)
 		}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -46,6 +46,8 @@
 	coldAgain = 3 * core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
+	// beginPart of what may be saved up is there at a host's start.
+	beginPart = 0.5
 )
 
 // Bounds are the limits of the deployment that choices keep.
@@ -67,15 +69,14 @@
 	Bounds  Bounds
 	Rand    *rand.Rand
 
-	endpoints   map[string]*Endpoint
-	services    map[string]*service
-	configured  map[string]routes.Service
-	evacuated   map[string]bool
-	coldZone    map[string]core.Millis
-	drift       drift
-	localSlots  map[string]int
-	zoneEntries int
-	allEntries  int
+	endpoints  map[string]*Endpoint
+	services   map[string]*service
+	configured map[string]routes.Service
+	evacuated  map[string]bool
+	coldZone   map[string]core.Millis
+	drift      drift
+	localSlots map[string]int
+	entries    fleet.EntryCounts
 	// OnGone is called with the address of an endpoint that is not used any more.
 	OnGone func(address string)
 }
@@ -98,7 +99,7 @@
 	if table != nil {
 		t.configured = table.Services
 	}
-	t.zoneEntries, t.allEntries = view.ZoneEntries, view.AllEntries
+	t.entries = view.Entries
 	t.noteEvacuations(now, view.Evacuated)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
@@ -119,11 +120,18 @@
 // noteLocalSlots lifts the limit on moving work when the own region's endpoints have become fewer or more.
 func (t *Table) noteLocalSlots(now core.Millis) {
 	slots := map[string]int{}
+	here, all := 0, 0
 	for _, e := range t.endpoints {
-		if e.Region == t.Region && !e.Draining && !e.evacuated {
+		if e.Draining || e.evacuated {
+			continue
+		}
+		all += e.Slots
+		if e.Region == t.Region {
+			here += e.Slots
 			slots[e.Service] += e.Slots
 		}
 	}
+	t.drift.expect(here, all, t.entries)
 	if t.localSlots != nil && !maps.Equal(slots, t.localSlots) {
 		t.drift.free(now)
 	}
@@ -359,7 +367,7 @@
 		return false
 	}
 	rate := t.configured[e.Service].ColdPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
-	hosts := float64(max(1, t.zoneEntries))
+	hosts := float64(max(1, t.entries.Zone))
 	part := coldPart * rate / hosts
 	window := coldWindow
 	if part < 1 {
@@ -383,7 +391,8 @@
 func (t *Table) NoteRequest(name string) {
 	s := t.service(name)
 	s.budget.Ratio = retryPart * t.Bounds.RetryRatio
-	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(max(1, t.allEntries)))
+	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(max(1, t.entries.All)))
+	s.budget.Begin(beginPart * s.budget.Most)
 	s.budget.First()
 }
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -31,6 +31,13 @@
 	return true
 }
 
+// Begin lets a budget that has earned nothing yet begin with a number of extra attempts.
+func (b *Budget) Begin(saved float64) {
+	if b.first == 0 {
+		b.saved = saved
+	}
+}
+
 // Counts returns the first attempts and the extra ones.
 func (b *Budget) Counts() (first, extra uint64) {
 	return b.first, b.spent
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -26,7 +26,9 @@
 	queue  chan *exchange
 	// open counts the requests that were read and not answered yet.
 	open atomic.Int64
-	// written is closed, and made anew, with each answer, for requests that wait for those before them.
+	// answered is when the last answer was written, in Unix nanoseconds.
+	answered atomic.Int64
+	// ended is closed once nothing more is written.
 	ended chan struct{}
 }
 
@@ -35,7 +37,7 @@
 	request *pool.Request
 	path    string
 	arrived core.Millis
-	// deadline is the caller's; 0 means that it named none.
+	// patience is how long the caller waits; 0 means that it did not say.
 	patience core.Millis
 	object   string
 	closes   bool
@@ -113,6 +115,7 @@
 }
 
 func (c *conn) done() {
+	c.answered.Store(time.Now().UnixNano())
 	c.open.Add(-1)
 	c.server.active.Add(-1)
 }
@@ -121,12 +124,7 @@
 func (c *conn) read() (x, refused *exchange) {
 	limits := c.server.limits()
 	c.limit.N = int64(limits.HeaderBytes) + readBuffer
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout.Duration()))
-	if _, err := c.reader.Peek(1); err != nil {
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && c.open.Load() > 0 {
-			return c.read()
-		}
+	if !c.awaitByte(limits.IdleTimeout.Duration()) {
 		return nil, nil
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
@@ -139,6 +137,30 @@
 	return c.accept(request, limits.BodyBytes)
 }
 
+// awaitByte waits for the next request's first byte; it returns false when the caller has gone or was idle for too long since its last answer.
+func (c *conn) awaitByte(idle time.Duration) bool {
+	until := time.Now().Add(idle)
+	for {
+		_ = c.conn.SetReadDeadline(until)
+		_, err := c.reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		var network net.Error
+		if !errors.As(err, &network) || !network.Timeout() {
+			return false
+		}
+		now := time.Now()
+		until = time.Unix(0, c.answered.Load()).Add(idle)
+		if c.open.Load() > 0 {
+			until = now.Add(idle)
+		}
+		if !until.After(now) {
+			return false
+		}
+	}
+}
+
 func (c *conn) unreadable(err error) *exchange {
 	var network net.Error
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && c.limit.N > 0 {
