Zones that return from an evacuation are cold only until the list tells otherwise; places of objects in the log

Ruled out: the frozen leader (a new one led after 1.3 s) and the cold limit itself. Change: endpoints of a returned zone count as cold until a list that was read a second later; the log tells the object and what the chosen endpoint is to it.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 .PHONY: build demo test lint pure unit bench soak fuzz docs tools clean
 
 build:
+	mkdir -p bin
 	go build -o bin ./cmd/...
 
 demo: build
@@ -22,7 +23,7 @@
 	GOBIN=$(TOOLS) go install $(REVIVE)
 
 lint:
-	@test -z "$$($(TOOLS)/gofumpt -l core io cmd)" || { $(TOOLS)/gofumpt -d core io cmd; exit 1; }
+	@test -z "$$($(TOOLS)/gofumpt -l core io cmd platform)" || { $(TOOLS)/gofumpt -d core io cmd platform; exit 1; }
 	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
 	go vet ./...
 
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -20,6 +20,7 @@
 	avoidFor      = 3 * core.Second
 	betterEvery   = 3 * core.Second
 	unledAtMost   = 300 * core.Millisecond
+	returningFor  = 5 * core.Second
 )
 
 // Entry is an entry host's knowledge of what is in force. Set the exported fields before Start; calls must not overlap.
@@ -40,8 +41,10 @@
 	index     uint64
 	document  routes.Document
 	evacuated []string
-	list      roster.Copy
-	counts    EntryCounts
+	// returnedAt is when an evacuation ended last.
+	returnedAt core.Millis
+	list       roster.Copy
+	counts     EntryCounts
 }
 
 // Start begins to look for a control host.
@@ -197,6 +200,9 @@
 		e.document = *u.Document
 		changed = true
 	}
+	if len(u.Evacuated) < len(e.evacuated) {
+		e.returnedAt = now
+	}
 	if u.Index > e.index && u.Version <= e.document.Version {
 		e.index, e.evacuated = u.Index, u.Evacuated
 		changed = true
@@ -217,7 +223,8 @@
 	if changed {
 		e.reportAt = now
 	}
-	return changed
+	// While a zone returns from its evacuation, the age of the list decides too.
+	return changed || now-e.returnedAt < returningFor
 }
 
 // View is what an entry host's requests are decided by.
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -36,9 +36,11 @@
 	stopUntil core.Millis
 	stopFor   core.Millis
 	coldUntil core.Millis
-	coldAt    []core.Millis
-	objects   map[string]core.Millis
-	usedAt    core.Millis
+	// zoneCold is until when the endpoint counts as cold since its zone was evacuated.
+	zoneCold core.Millis
+	coldAt   []core.Millis
+	objects  map[string]core.Millis
+	usedAt   core.Millis
 }
 
 // load estimates how many requests the endpoint has.
@@ -53,7 +55,7 @@
 }
 
 func (e *Endpoint) isCold(now core.Millis) bool {
-	return now < e.coldUntil
+	return now < e.coldUntil || now < e.zoneCold
 }
 
 // usable tells whether new requests may go to the endpoint at all.
--- a/core/pick/homes.go
+++ b/core/pick/homes.go
@@ -55,22 +55,36 @@
 	}
 }
 
-func (h homes) isFirst(e *Endpoint) bool {
-	for i := range h {
-		if h[i].first == e {
-			return true
-		}
-	}
-	return false
-}
+// Place tells what an endpoint is to an object.
+type Place string
 
-func (h homes) isSecond(e *Endpoint) bool {
+// The places of an object; None is that of requests without one.
+const (
+	None   Place = "None"
+	First  Place = "First"
+	Second Place = "Second"
+	// Known endpoints are no homes, but this host has sent them the object lately.
+	Known Place = "Known"
+	Other Place = "Other"
+)
+
+// placeOf tells what the endpoint is to the object whose homes these are.
+func (h homes) placeOf(now core.Millis, e *Endpoint, object string) Place {
+	if object == "" {
+		return None
+	}
 	for i := range h {
-		if h[i].second == e {
-			return true
+		switch e {
+		case h[i].first:
+			return First
+		case h[i].second:
+			return Second
 		}
 	}
-	return false
+	if e.isWarmFor(now, object) {
+		return Known
+	}
+	return Other
 }
 
 // rendezvous ranks an endpoint for an object.
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -43,7 +43,10 @@
 	lateStep  = 0.02
 	goodStep  = 0.004
 	leastWait = 0.35
-	coldAgain = 3 * core.Second
+	// coldAgain is how long the endpoints of a zone that is taken back count as cold while no later list tells otherwise.
+	coldAgain = 4 * core.Second
+	// listLag is by how much the platform's list may lag, with a reading's own length.
+	listLag = core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
 	// beginPart of what may be saved up is there at a host's start.
@@ -73,7 +76,7 @@
 	services   map[string]*service
 	configured map[string]routes.Service
 	evacuated  map[string]bool
-	coldZone   map[string]core.Millis
+	returned   map[string]core.Millis
 	drift      drift
 	localSlots map[string]int
 	entries    fleet.EntryCounts
@@ -94,13 +97,13 @@
 func (t *Table) Update(now core.Millis, view fleet.View, table *routes.Table) {
 	if t.endpoints == nil {
 		t.endpoints, t.services = map[string]*Endpoint{}, map[string]*service{}
-		t.evacuated, t.coldZone = map[string]bool{}, map[string]core.Millis{}
+		t.evacuated, t.returned = map[string]bool{}, map[string]core.Millis{}
 	}
 	if table != nil {
 		t.configured = table.Services
 	}
 	t.entries = view.Entries
-	t.noteEvacuations(now, view.Evacuated)
+	t.noteEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
 		listed[entry.ID] = true
@@ -138,18 +141,23 @@
 	t.localSlots = slots
 }
 
-// noteEvacuations takes the evacuated availability zones; the endpoints of one that is taken back count as cold.
-func (t *Table) noteEvacuations(now core.Millis, zones []string) {
+// noteEvacuations takes the evacuated availability zones. The endpoints of one that is taken back count as cold until a list tells that was read well after.
+func (t *Table) noteEvacuations(now core.Millis, view fleet.View) {
 	next := map[string]bool{}
-	for _, zone := range zones {
+	for _, zone := range view.Evacuated {
 		next[zone] = true
 	}
 	for zone := range t.evacuated {
 		if !next[zone] {
-			t.coldZone[zone] = now + coldAgain + coldTail
+			t.returned[zone] = now
 		}
 	}
 	t.evacuated = next
+	for zone, at := range t.returned {
+		if now-view.ListAge > at+listLag || now-at > coldAgain {
+			delete(t.returned, zone)
+		}
+	}
 }
 
 func (t *Table) take(now, age core.Millis, entry roster.Entry) {
@@ -163,8 +171,9 @@
 	}
 	e.Entry, e.Region = entry, t.Regions[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
-	if until := t.coldZone[entry.Zone]; !e.evacuated && now < until {
-		e.coldUntil = max(e.coldUntil, until)
+	e.zoneCold = 0
+	if at, back := t.returned[entry.Zone]; back {
+		e.zoneCold = at + coldAgain
 	}
 }
 
@@ -232,6 +241,8 @@
 	Usable int
 	// Objective is that of the request.
 	Objective core.Millis
+	// Place is what the endpoint is to the request's object.
+	Place Place
 }
 
 // Choose returns the endpoint where the request is expected to be answered first, as far as work may move between regions, and counts it there until Done; it refuses what can't be answered in time.
@@ -278,7 +289,7 @@
 		side.Usable++
 		if side.Endpoint == nil || cost < side.cost {
 			side.cost = cost
-			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective}
+			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective, Place: places.placeOf(now, e, w.Object)}
 		}
 	}
 	return here, away
@@ -349,18 +360,12 @@
 		// Requests without an object go to the least loaded endpoint.
 		return cost + e.load(now)*s.work*warmElsewhere, wait
 	}
-	switch {
-	case places.isFirst(e):
-	case places.isSecond(e):
-		cost += secondHome * s.work
-	case e.isWarmFor(now, object):
-		cost += warmElsewhere * s.work
-	default:
-		cost += notAtHome * s.work
-	}
-	return cost, wait
+	return cost + fetchCost[places.placeOf(now, e, object)]*s.work, wait
 }
 
+// fetchCost is what an object's data costs at an endpoint, as part of the usual work.
+var fetchCost = map[Place]float64{First: 0, Second: secondHome, Known: warmElsewhere, Other: notAtHome}
+
 // coldRoom tells whether this host may send a cold endpoint one more request. Only hosts of its availability zone may, each its part of the endpoint's rate.
 func (t *Table) coldRoom(now core.Millis, e *Endpoint) bool {
 	if e.Zone != t.Zone {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -37,6 +37,8 @@
 	Load      float64
 	Usable    int
 	Cold      bool
+	Object    string
+	Place     pick.Place
 	Took      core.Millis
 	Patience  core.Millis
 }
@@ -135,6 +137,7 @@
 	if route.Affinity && x.object != "" {
 		t.want.Object = route.Prefix + x.object
 	}
+	a.Object = x.object
 	s.mutex.Lock()
 	s.Picks.NoteRequest(service)
 	s.mutex.Unlock()
@@ -159,7 +162,7 @@
 	}
 	a.Attempts++
 	a.Endpoint, a.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
-	a.Wait, a.Load, a.Usable, a.Cold = choice.Wait, choice.Load, choice.Usable, choice.Cold
+	a.Wait, a.Load, a.Usable, a.Cold, a.Place = choice.Wait, choice.Load, choice.Usable, choice.Cold, choice.Place
 	t.want.Tried = append(t.want.Tried, choice.Endpoint.ID)
 	t.open++
 	go func() { t.ended <- t.send(ctx, choice) }()
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -161,6 +161,6 @@
 	e.Log.Line("request", "Answers.", logs.Fields{
 		"RequestID": a.RequestID, "Route": a.Route, "Service": a.Service, "Version": a.Version, "Attempts": a.Attempts, "Hedged": a.Hedged,
 		"Endpoint": a.Endpoint, "Zone": a.Zone, "Ending": a.Ending, "Status": a.Status, "Kind": a.Kind, "Detail": a.Detail,
-		"Wait": int64(a.Wait), "Load": a.Load, "Usable": a.Usable, "Cold": a.Cold, "Took": int64(a.Took), "Patience": int64(a.Patience),
+		"Wait": int64(a.Wait), "Load": a.Load, "Usable": a.Usable, "Cold": a.Cold, "Object": a.Object, "Place": a.Place, "Took": int64(a.Took), "Patience": int64(a.Patience),
 	})
 }
