--- /dev/null
+++ b/core/fleet/dump.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"clementinelock/core"
+	"clementinelock/core/quorum"
+)
+
+// ControlDump is a control host's state for operators.
+type ControlDump struct {
+	ControlHost
+	Process     uint64
+	Quorum      quorum.Status
+	LeaderHeard bool
+	// Version, Index and Evacuated are what is applied here.
+	Version   uint64
+	Index     uint64
+	Evacuated []string
+	Entries   []EntryHost
+	Controls  []ControlHost
+	// ReadsList tells that this host reads the platform's list itself.
+	ReadsList  bool
+	ListNumber uint64
+	ListAge    core.Millis
+	Endpoints  int
+	// Orders counts the operators' orders that wait for the leader.
+	Orders int
+}
+
+// Dump returns the host's state.
+func (c *Control) Dump(now core.Millis) ControlDump {
+	published := c.book.Published()
+	return ControlDump{
+		ControlHost: c.ControlHost, Process: c.Process, Quorum: c.quorum.Report(now), LeaderHeard: c.leaderHeard(now),
+		Version: published.Document.Version, Index: published.Index, Evacuated: published.Evacuated,
+		Entries: c.readyEntries(now), Controls: c.controlHosts(), ReadsList: c.reading, ListNumber: c.list.Number(),
+		ListAge: c.list.Age(now), Endpoints: len(c.list.Entries()), Orders: len(c.orders.pending),
+	}
+}
+
+// EntryDump is what an entry host knows of what is in force.
+type EntryDump struct {
+	EntryHost
+	// Control is the control host that this one reports to, heard HeardAgo ago.
+	Control   string
+	HeardAgo  core.Millis
+	Version   uint64
+	Index     uint64
+	Evacuated []string
+	Endpoints int
+	ListAge   core.Millis
+	Counts    EntryCounts
+}
+
+// Dump returns the host's state.
+func (e *Entry) Dump(now core.Millis) EntryDump {
+	return EntryDump{
+		EntryHost: e.EntryHost, Control: e.current, HeardAgo: now - e.heard, Version: e.document.Version, Index: e.index,
+		Evacuated: e.evacuated, Endpoints: len(e.list.Entries()), ListAge: e.list.Age(now), Counts: e.counts,
+	}
+}
--- /dev/null
+++ b/core/pick/dump.go
@@ -0,0 +1,43 @@
+package pick
+
+import "clementinelock/core"
+
+// EndpointDump is what this host thinks of one endpoint.
+type EndpointDump struct {
+	ID       string
+	Service  string
+	Zone     string
+	Usable   bool
+	Cold     bool
+	InFlight int
+	Load     float64
+	// Failing is the weighted part of sendings that failed lately.
+	Failing float64
+	Objects int
+}
+
+// Dump is a table's state for operators.
+type Dump struct {
+	// Elsewhere is the part of the requests that may go to other regions, Wished what their best endpoints ask for.
+	Elsewhere float64
+	Wished    float64
+	// Work is the usual work of each service, Part what queue and work may take of its objectives.
+	Work      map[string]core.Millis
+	Part      map[string]float64
+	Endpoints []EndpointDump
+}
+
+// Dump returns the table's state.
+func (t *Table) Dump(now core.Millis) Dump {
+	d := Dump{Elsewhere: t.drift.share, Wished: t.drift.wished, Work: map[string]core.Millis{}, Part: map[string]float64{}}
+	for name, s := range t.services {
+		d.Work[name], d.Part[name] = core.Millis(s.work), s.part
+		for _, e := range s.endpoints {
+			d.Endpoints = append(d.Endpoints, EndpointDump{
+				ID: e.ID, Service: e.Service, Zone: e.Zone, Usable: e.usable(now), Cold: e.isCold(now), InFlight: e.inFlight,
+				Load: e.load(now), Failing: e.failing, Objects: len(e.objects),
+			})
+		}
+	}
+	return d
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -166,7 +166,7 @@
 		e = &Endpoint{}
 		t.endpoints[entry.ID] = e
 	}
-	if entry.ColdFor > 0 && entry != e.Entry {
+	if entry.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor)+coldTail)
 	}
 	e.Entry, e.Region = entry, t.Regions[entry.Zone]
--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -22,11 +22,24 @@
 	forgot   uint64
 }
 
+// numbered is an entry with the number of its last change; ColdFor is replaced by the time when the endpoint is warm.
 type numbered struct {
 	Entry
+	warmAt core.Millis
 	number uint64
 }
 
+// coldSlack is by how much two readings may differ on when an endpoint is warm.
+const coldSlack = 400 * core.Millisecond
+
+// saysSame tells whether a later reading says nothing new but that a cold time runs down.
+func (n numbered) saysSame(later numbered) bool {
+	if n.Entry != later.Entry || (n.warmAt == 0) != (later.warmAt == 0) {
+		return false
+	}
+	return max(n.warmAt-later.warmAt, later.warmAt-n.warmAt) <= coldSlack
+}
+
 type removal struct {
 	id     string
 	number uint64
@@ -59,10 +72,15 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
-		if old, held := j.entries[e.ID]; held && old.saysSame(e) {
+		n := numbered{Entry: e, number: next}
+		if e.ColdFor > 0 {
+			n.warmAt = readAt + e.ColdFor
+		}
+		n.ColdFor = 0
+		if old, held := j.entries[e.ID]; held && old.saysSame(n) {
 			continue
 		}
-		j.entries[e.ID] = numbered{e, next}
+		j.entries[e.ID] = n
 		changed = true
 	}
 	for id := range j.entries {
@@ -97,7 +115,7 @@
 	d := &Delta{Process: j.Process, From: number, Number: j.number, Age: j.Age(now)}
 	for _, e := range j.entries {
 		if e.number > number {
-			d.Entries = append(d.Entries, e.Entry)
+			d.Entries = append(d.Entries, j.plain(e))
 		}
 	}
 	slices.SortFunc(d.Entries, func(a, b Entry) int { return compareText(a.ID, b.ID) })
@@ -119,11 +137,18 @@
 	return 0
 }
 
+// plain returns an entry with its cold time after the newest reading.
+func (j *Journal) plain(n numbered) Entry {
+	e := n.Entry
+	e.ColdFor = max(0, n.warmAt-j.readAt)
+	return e
+}
+
 // Entries lists the endpoints by id.
 func (j *Journal) Entries() []Entry {
 	out := make([]Entry, 0, len(j.entries))
 	for _, e := range j.entries {
-		out = append(out, e.Entry)
+		out = append(out, j.plain(e))
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return compareText(a.ID, b.ID) })
 	return out
@@ -134,7 +159,7 @@
 	process uint64
 	number  uint64
 	readAt  core.Millis
-	entries map[string]Entry
+	entries map[string]numbered
 }
 
 // Process returns the process whose journal the copy follows, 0 at first.
@@ -159,11 +184,16 @@
 		return false
 	}
 	if d.From == 0 {
-		c.entries = make(map[string]Entry, len(d.Entries))
+		c.entries = make(map[string]numbered, len(d.Entries))
 	}
 	c.process, c.number, c.readAt = d.Process, d.Number, now-d.Age
 	for _, e := range d.Entries {
-		c.entries[e.ID] = e
+		n := numbered{Entry: e}
+		if e.ColdFor > 0 {
+			n.warmAt = c.readAt + e.ColdFor
+		}
+		n.ColdFor = 0
+		c.entries[e.ID] = n
 	}
 	for _, id := range d.Removed {
 		delete(c.entries, id)
@@ -171,10 +201,12 @@
 	return true
 }
 
-// Entries lists the endpoints by id.
+// Entries lists the endpoints by id, with their cold time after the newest reading.
 func (c *Copy) Entries() []Entry {
 	out := make([]Entry, 0, len(c.entries))
-	for _, e := range c.entries {
+	for _, n := range c.entries {
+		e := n.Entry
+		e.ColdFor = max(0, n.warmAt-c.readAt)
 		out = append(out, e)
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return compareText(a.ID, b.ID) })
--- /dev/null
+++ b/core/roster/journal_test.go
@@ -0,0 +1,89 @@
+package roster_test
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"strconv"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/roster"
+)
+
+// TestCopiesFollow lets copies follow a journal whose deltas get lost, come again and come from another process.
+func TestCopiesFollow(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	journal := &roster.Journal{Process: 1}
+	copies := make([]roster.Copy, 4)
+	now := core.Hour
+	var list []roster.Entry
+	for step := range 3000 {
+		now += 10
+		switch random.IntN(4) {
+		case 0:
+			list = append(list, roster.Entry{ID: strconv.Itoa(step), Service: "s", Slots: 3, ColdFor: core.Millis(random.IntN(2) * 3000)})
+		case 1:
+			if len(list) > 0 {
+				i := random.IntN(len(list))
+				list = append(append([]roster.Entry(nil), list[:i]...), list[i+1:]...)
+			}
+		case 2:
+			if len(list) > 0 {
+				list = append([]roster.Entry(nil), list...)
+				list[random.IntN(len(list))].Draining = true
+			}
+		}
+		if random.IntN(500) == 0 {
+			journal = &roster.Journal{Process: journal.Process + 1}
+		}
+		journal.Set(now, list)
+		for i := range copies {
+			if random.IntN(3) == 0 {
+				continue
+			}
+			copies[i].Apply(now, journal.Since(now, copies[i].Process(), copies[i].Number()))
+			if got := copies[i].Entries(); len(got) != len(list) || copies[i].Number() != journal.Number() {
+				t.Fatalf("step %d: a copy has %d entries at number %d, the journal %d at %d", step, len(got), copies[i].Number(), len(list), journal.Number())
+			}
+			if !reflect.DeepEqual(copies[i].Entries(), journal.Entries()) {
+				t.Fatalf("step %d: a copy differs from its journal", step)
+			}
+		}
+	}
+}
+
+// TestColdTimeThatRunsDown checks that a list on which only cold times run down is no change.
+func TestColdTimeThatRunsDown(t *testing.T) {
+	journal := &roster.Journal{Process: 1}
+	entry := roster.Entry{ID: "i", ColdFor: 3000}
+	if !journal.Set(0, []roster.Entry{entry}) {
+		t.Fatal("the first list is no change")
+	}
+	entry.ColdFor = 2000
+	if journal.Set(1000, []roster.Entry{entry}) {
+		t.Fatal("a cold time that runs down is a change")
+	}
+	entry.ColdFor = 3000
+	if !journal.Set(2000, []roster.Entry{entry}) {
+		t.Fatal("an endpoint that is cold again is no change")
+	}
+	entry.ColdFor = 0
+	if !journal.Set(3000, []roster.Entry{entry}) {
+		t.Fatal("an endpoint that is warm is no change")
+	}
+}
+
+// TestDeltaThatDoesNotFollow checks that a copy takes no delta with a gap before it.
+func TestDeltaThatDoesNotFollow(t *testing.T) {
+	journal := &roster.Journal{Process: 1}
+	var c roster.Copy
+	for i := range 3 {
+		journal.Set(core.Millis(i), []roster.Entry{{ID: strconv.Itoa(i)}})
+	}
+	if c.Apply(0, journal.Since(0, 1, 2)) {
+		t.Fatal("an empty copy took a delta from number 2 on")
+	}
+	if !c.Apply(0, journal.Since(0, c.Process(), c.Number())) || len(c.Entries()) != 1 {
+		t.Fatalf("the copy has %v", c.Entries())
+	}
+}
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -92,7 +92,14 @@
 		}
 	}
 	c.Log.Info("host", fmt.Sprintf("Starts as control host %s in availability zone %s with %d records on disk.", s.Name, s.Zone, len(stored.Records)))
-	return c.listenMetrics(newMetrics(prometheus.NewRegistry(), &c.host).handler())
+	return c.listenStatus(newMetrics(prometheus.NewRegistry(), &c.host), c.dump)
+}
+
+// dump returns the host's state.
+func (c *Control) dump() any {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.machine.Dump(c.clock.Now())
 }
 
 // openFolder opens the data folder; a seed of a deployment's first start founds the group.
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -90,7 +90,24 @@
 		return err
 	}
 	e.Log.Info("host", fmt.Sprintf("Starts as entry host %s in availability zone %s.", s.Name, s.Zone))
-	return e.listenMetrics(e.metrics.handler())
+	return e.listenStatus(e.metrics, e.dump)
+}
+
+// entryDump is an entry host's state.
+type entryDump struct {
+	Known    fleet.EntryDump
+	Choices  pick.Dump
+	Requests int
+	Stopping bool
+}
+
+func (e *Entry) dump() any {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.clock.Now()
+	d := entryDump{Known: e.machine.Dump(now), Requests: e.server.Active(), Stopping: e.server.Stopping()}
+	e.server.Update(nil, func(p *pick.Table) { d.Choices = p.Dump(now) })
+	return d
 }
 
 func (e *Entry) step(input func(now core.Millis) core.Effects) {
--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -17,6 +17,9 @@
 	"clementinelock/io/clock"
 	"clementinelock/io/link"
 	"clementinelock/io/logs"
+	"clementinelock/io/proto"
+
+	"github.com/gorilla/mux"
 )
 
 // Lengths of time between hosts. Silence is found by the regular messages, so that keeping alive costs little.
@@ -79,12 +82,15 @@
 	return nil
 }
 
-// listenMetrics serves the metrics where the settings ask for it.
-func (h *host) listenMetrics(handler http.Handler) error {
+// listenStatus serves the metrics and the state where the settings ask for it.
+func (h *host) listenStatus(m *metrics, dump func() any) error {
 	if h.Settings.MetricsPort == 0 {
 		return nil
 	}
-	return h.listen(net.JoinHostPort(h.Settings.Host, strconv.Itoa(h.Settings.MetricsPort)), handler)
+	router := mux.NewRouter()
+	router.Handle("/metrics", m.handler())
+	router.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) { proto.WriteJSON(w, http.StatusOK, dump()) })
+	return h.listen(net.JoinHostPort(h.Settings.Host, strconv.Itoa(h.Settings.MetricsPort)), router)
 }
 
 func (h *host) closeServers() {
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -18,24 +18,37 @@
 	latency  *prometheus.HistogramVec
 }
 
+// names is the table of the metrics; docs/METRICS.md is made from it.
+var names = [][2]string{
+	{"clementinelock_entry_requests_total", "Answered requests by service, status and error kind."},
+	{"clementinelock_entry_attempts_total", "Sendings to endpoints by service."},
+	{"clementinelock_entry_request_seconds", "Time from a request's arrival to its answer, by service."},
+	{"clementinelock_log_dropped_total", "Log lines that were dropped because the output was slow."},
+	{"clementinelock_peer_bytes_sent_total", "Bytes to other hosts."},
+}
+
+// MetricNames lists the metrics with their meaning, for the docs.
+func MetricNames() [][2]string {
+	return names
+}
+
+// opts are the name and the help of the metric at a place of the table.
+func opts(place int) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Name: names[place][0], Help: names[place][1]}
+}
+
 func newMetrics(registry *prometheus.Registry, h *host) *metrics {
 	m := &metrics{
 		registry: registry,
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementinelock_entry_requests_total", Help: "Answered requests by service, status and error kind."}, []string{"service", "status", "kind"}),
-		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "clementinelock_entry_attempts_total", Help: "Sendings to endpoints by service."}, []string{"service"}),
+		requests: prometheus.NewCounterVec(opts(0), []string{"service", "status", "kind"}),
+		attempts: prometheus.NewCounterVec(opts(1), []string{"service"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "clementinelock_entry_request_seconds", Help: "Time from a request's arrival to its answer, by service.",
-			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+			Name: names[2][0], Help: names[2][1], Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"service"}),
 	}
-	logged := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "clementinelock_log_dropped_total", Help: "Log lines that were dropped because the output was slow."}, func() float64 { return float64(h.Log.Dropped()) })
-	sent := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "clementinelock_peer_bytes_sent_total", Help: "Bytes to other hosts."}, func() float64 {
-		if h.network == nil {
-			return 0
-		}
-		return float64(h.network.Stats.Read().SentBytes)
-	})
-	registry.MustRegister(m.requests, m.attempts, m.latency, logged, sent)
+	dropped := prometheus.NewCounterFunc(opts(3), func() float64 { return float64(h.Log.Dropped()) })
+	sent := prometheus.NewCounterFunc(opts(4), func() float64 { return float64(h.network.Stats.Read().SentBytes) })
+	registry.MustRegister(m.requests, m.attempts, m.latency, dropped, sent)
 	return m
 }
 
--- a/io/trial/docs.go
+++ b/io/trial/docs.go
@@ -13,6 +13,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/tree"
+	"clementinelock/io/fleet"
 	"clementinelock/io/metric"
 	"clementinelock/io/shell"
 
@@ -100,6 +101,19 @@
 	for _, row := range metric.Names() {
 		fmt.Fprintf(w, "| %s | %s |\n", row[0], row[1])
 	}
+	fmt.Fprint(w, `
+Hosts that find each other (clementinelockd entry and control) serve these on the
+MetricsPort of their settings, and their state at /dump. A pager needs
+clementinelock_entry_requests_total of the kinds Overloaded, NoUpstream,
+UpstreamFailed and DeadlinePassed, and clementinelock_log_dropped_total;
+OPERATIONS.md leads from them to a cause.
+
+| metric | meaning |
+| --- | --- |
+`)
+	for _, row := range fleet.MetricNames() {
+		fmt.Fprintf(w, "| %s | %s |\n", row[0], row[1])
+	}
 }
 
 func settingsPage(w io.Writer) {
