--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -55,6 +55,8 @@
 	shareAt  core.Millis
 	sent     uint64
 	orders   orderBook
+	// contacts are the seeds of the settings, as they are now.
+	contacts []string
 }
 
 // entryState is an entry host that reports here.
@@ -87,6 +89,7 @@
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
 	c.number = 1
+	c.contacts = c.Seeds
 	c.list.Process = c.Process
 	c.orders = orderBook{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}}
 	c.book = edits.NewBook()
@@ -165,6 +168,14 @@
 	return c.step(now, func(out *core.Effects) { c.quorum.Synced(now, seq, out) })
 }
 
+// AddSeeds takes further control hosts, which changed settings name.
+func (c *Control) AddSeeds(now core.Millis, names []string) core.Effects {
+	return c.step(now, func(out *core.Effects) {
+		c.contacts = append(slices.Clone(c.contacts), names...)
+		out.Logf("host", "Reloads its settings: seeds %v.", names)
+	})
+}
+
 // Stop hands leadership over before a planned stop.
 func (c *Control) Stop(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -248,6 +248,18 @@
 	}
 }
 
+// AddSeeds takes further control hosts, which changed settings name.
+func (e *Entry) AddSeeds(_ core.Millis, names []string) core.Effects {
+	out := &core.Effects{}
+	for _, name := range names {
+		if !slices.ContainsFunc(e.controls, func(c ControlHost) bool { return c.Name == name }) {
+			e.controls = append(slices.Clone(e.controls), ControlHost{Name: name})
+		}
+	}
+	out.Logf("host", "Reloads its settings: seeds %v.", names)
+	return *out
+}
+
 // SetReady tells the control hosts at once whether this host serves.
 func (e *Entry) SetReady(now core.Millis, ready bool) core.Effects {
 	out := &core.Effects{}
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -99,7 +99,7 @@
 		c.shareAt = now + listShareEvery
 	}
 	names := map[string]bool{}
-	for _, name := range c.Seeds {
+	for _, name := range c.contacts {
 		names[name] = true
 	}
 	for _, member := range c.quorum.Members() {
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -102,15 +102,16 @@
 	e.failing *= 1 - failWeight
 }
 
-// noteFailure stops using an endpoint that fails again and again, each time for longer.
-func (e *Endpoint) noteFailure(now core.Millis, atOnce bool) {
+// noteFailure stops using an endpoint that fails again and again, each time for longer; it returns whether it does so now.
+func (e *Endpoint) noteFailure(now core.Millis, atOnce bool) bool {
 	e.failing += failWeight * (1 - e.failing)
 	e.failures++
 	if e.failures < failuresToStop && !atOnce {
-		return
+		return false
 	}
 	e.stopFor = min(stopMost, max(stopFirst, 2*e.stopFor))
 	e.stopUntil = now + e.stopFor
+	return true
 }
 
 // noteShed takes an endpoint as full that has turned a request away.
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -82,6 +83,8 @@
 	entries    fleet.EntryCounts
 	// OnGone is called with the address of an endpoint that is not used any more.
 	OnGone func(address string)
+	// Log is told what this host newly believes of an endpoint; it may be nil.
+	Log func(part, text string)
 }
 
 // service is what this host knows of one service.
@@ -243,6 +246,8 @@
 	Objective core.Millis
 	// Place is what the endpoint is to the request's object.
 	Place Place
+	// LoadAge is how old the endpoint's own report is, which Load rests on.
+	LoadAge core.Millis
 }
 
 // Choose returns the endpoint where the request is expected to be answered first, as far as work may move between regions, and counts it there until Done; it refuses what can't be answered in time.
@@ -289,7 +294,7 @@
 		side.Usable++
 		if side.Endpoint == nil || cost < side.cost {
 			side.cost = cost
-			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective, Place: places.placeOf(now, e, w.Object)}
+			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective, Place: places.placeOf(now, e, w.Object), LoadAge: now - e.othersAt}
 		}
 	}
 	return here, away
@@ -422,6 +427,13 @@
 	GivenUp
 )
 
+var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Lost", "Misled", "GivenUp"}
+
+// String writes the outcome's name.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
 // Done takes the end of a sending; took is its length, report the endpoint's account of its load, or nil.
 func (t *Table) Done(now core.Millis, c Choice, outcome Outcome, took core.Millis, report *core.Report) {
 	e := c.Endpoint
@@ -434,19 +446,31 @@
 		t.notePart(c, took)
 	case Failed:
 		e.noteReport(now, report)
-		e.noteFailure(now, false)
+		t.noteFailure(now, e, outcome)
 	case Shed:
 		e.noteShed(now)
-	case Unreached:
-		e.noteFailure(now, true)
-	case Lost:
-		e.noteFailure(now, false)
+	case Unreached, Lost:
+		t.noteFailure(now, e, outcome)
 	case Misled:
 		e.gone = true
+		t.log("Endpoint %s of %s at %s is another one now; it is not used any more.", e.ID, e.Service, e.Address)
 	case GivenUp:
 	}
 }
 
+// noteFailure counts a failure and tells when the endpoint is left alone for it.
+func (t *Table) noteFailure(now core.Millis, e *Endpoint, outcome Outcome) {
+	if e.noteFailure(now, outcome == Unreached) {
+		t.log("Endpoint %s of %s in %s is left alone for %s after %d failures, the last %s.", e.ID, e.Service, e.Zone, e.stopFor, e.failures, outcome)
+	}
+}
+
+func (t *Table) log(format string, args ...any) {
+	if t.Log != nil {
+		t.Log("endpoints", fmt.Sprintf(format, args...))
+	}
+}
+
 // noteWork learns the service's usual work from answers that waited for nothing.
 func (t *Table) noteWork(e *Endpoint, took core.Millis, report *core.Report) {
 	if report != nil && report.Queue > 0 || e.inFlight >= e.Slots {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -35,6 +35,7 @@
 	Detail    string
 	Wait      core.Millis
 	Load      float64
+	LoadAge   core.Millis
 	Usable    int
 	Cold      bool
 	Object    string
@@ -163,6 +164,7 @@
 	a.Attempts++
 	a.Endpoint, a.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
 	a.Wait, a.Load, a.Usable, a.Cold, a.Place = choice.Wait, choice.Load, choice.Usable, choice.Cold, choice.Place
+	a.LoadAge = choice.LoadAge
 	t.want.Tried = append(t.want.Tried, choice.Endpoint.ID)
 	t.open++
 	go func() { t.ended <- t.send(ctx, choice) }()
--- a/io/fleet/commands.go
+++ b/io/fleet/commands.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -20,19 +21,22 @@
 // verb is one row of the verbs of hosts that find each other.
 type verb struct {
 	name, help string
-	run        func(stop context.Context, s Settings, p Platform, log *logs.Logger) error
+	// make returns the host's process; a verb without one only checks the settings.
+	make func(s Settings, p Platform, log *logs.Logger) process
+}
+
+// process is a host's process.
+type process interface {
+	// Run serves until the stop context ends and the planned stop is done.
+	Run(stop context.Context) error
+	// Reload takes what may change in the settings of a running host.
+	Reload(s Settings)
 }
 
 var verbTable = []verb{
-	{"entry", "run an entry host of a deployment whose hosts find each other", func(stop context.Context, s Settings, p Platform, log *logs.Logger) error {
-		return NewEntry(s, p, log).Run(stop)
-	}},
-	{"control", "run a control host of a deployment whose hosts find each other", func(stop context.Context, s Settings, p Platform, log *logs.Logger) error {
-		return NewControl(s, p, log).Run(stop)
-	}},
-	{"check-fleet", "check the settings of such a host and do nothing else", func(context.Context, Settings, Platform, *logs.Logger) error {
-		return nil
-	}},
+	{"entry", "run an entry host of a deployment whose hosts find each other", func(s Settings, p Platform, log *logs.Logger) process { return NewEntry(s, p, log) }},
+	{"control", "run a control host of a deployment whose hosts find each other", func(s Settings, p Platform, log *logs.Logger) process { return NewControl(s, p, log) }},
+	{"check-fleet", "check the settings of such a host and do nothing else", nil},
 }
 
 // Commands returns the verbs for a platform.
@@ -56,18 +60,43 @@
 	return commands
 }
 
-// runVerb runs a host until it is told to stop by SIGTERM or SIGINT.
+// runVerb runs a host until it is told to stop by SIGTERM or SIGINT; SIGHUP lets it read its settings again.
 func runVerb(ctx context.Context, v verb, path string, p Platform, stdout io.Writer) error {
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	// The settings are read at a start only; a change of theirs concerns the next one.
-	signal.Ignore(syscall.SIGHUP)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, err := ReadSettings(path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", v.name, err)
 	}
-	if err := v.run(stop, s, p, logs.NewStructured(stdout, s.Name)); err != nil {
+	if v.make == nil {
+		_, err := fmt.Fprintf(stdout, "settings of host %q are valid\n", s.Name)
+		return err
+	}
+	log := logs.NewStructured(stdout, s.Name)
+	defer log.Close()
+	host := v.make(s, p, log)
+	go reloadOn(stop, reload, path, host, log)
+	if err := host.Run(stop); err != nil {
 		return fmt.Errorf("%s: %w", v.name, err)
 	}
 	return nil
 }
+
+// reloadOn reads the settings again at each signal; settings that can't be read change nothing.
+func reloadOn(stop context.Context, signals <-chan os.Signal, path string, host process, log *logs.Logger) {
+	for {
+		select {
+		case <-stop.Done():
+			return
+		case <-signals:
+		}
+		s, err := ReadSettings(path)
+		if err != nil {
+			log.Error("host", fmt.Errorf("settings are not reloaded: %w", err))
+			continue
+		}
+		host.Reload(s)
+	}
+}
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -37,7 +37,7 @@
 
 // NewControl returns a control host with the settings.
 func NewControl(s Settings, p Platform, log *logs.Logger) *Control {
-	return &Control{host: host{Settings: s, Platform: p, Log: log}, wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{}}
+	return &Control{host: newHost(s, p, log), wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{}}
 }
 
 // Run serves until the stop context ends and the planned stop is done; it errs when the host can't go on.
@@ -95,6 +95,17 @@
 	return c.listenStatus(newMetrics(prometheus.NewRegistry(), &c.host), c.dump)
 }
 
+// Reload takes the seeds of changed settings.
+func (c *Control) Reload(s Settings) {
+	c.step(func(now core.Millis) core.Effects {
+		if c.machine == nil {
+			// The host is starting and takes up its settings by itself.
+			return core.Effects{}
+		}
+		return c.machine.AddSeeds(now, s.seedHosts())
+	})
+}
+
 // dump returns the host's state.
 func (c *Control) dump() any {
 	c.mutex.Lock()
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -37,7 +37,7 @@
 
 // NewEntry returns an entry host with the settings.
 func NewEntry(s Settings, p Platform, log *logs.Logger) *Entry {
-	return &Entry{host: host{Settings: s, Platform: p, Log: log}}
+	return &Entry{host: newHost(s, p, log)}
 }
 
 // Run serves until the stop context ends and the planned stop is done; it errs when the host can't go on.
@@ -63,7 +63,7 @@
 	defer e.mutex.Unlock()
 	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect()}
-	picks := &pick.Table{Region: s.Region, Zone: s.Zone, Regions: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnGone: e.pool.CloseTo}
+	picks := &pick.Table{Region: s.Region, Zone: s.Zone, Regions: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnGone: e.pool.CloseTo, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.account}
 	if err := e.open(ctx, e.receive); err != nil {
 		return err
@@ -160,6 +160,17 @@
 	return e.ready && !e.server.Stopping()
 }
 
+// Reload takes the seeds of changed settings.
+func (e *Entry) Reload(s Settings) {
+	e.step(func(now core.Millis) core.Effects {
+		if e.machine == nil {
+			// The host is starting and takes up its settings by itself.
+			return core.Effects{}
+		}
+		return e.machine.AddSeeds(now, s.seedHosts())
+	})
+}
+
 // stop leads callers elsewhere, answers what is under way and returns.
 func (e *Entry) stop() {
 	within := e.Settings.stopWithin().Duration()
@@ -178,6 +189,6 @@
 	e.Log.Line("request", "Answers.", logs.Fields{
 		"RequestID": a.RequestID, "Route": a.Route, "Service": a.Service, "Version": a.Version, "Attempts": a.Attempts, "Hedged": a.Hedged,
 		"Endpoint": a.Endpoint, "Zone": a.Zone, "Ending": a.Ending, "Status": a.Status, "Kind": a.Kind, "Detail": a.Detail,
-		"Wait": int64(a.Wait), "Load": a.Load, "Usable": a.Usable, "Cold": a.Cold, "Object": a.Object, "Place": a.Place, "Took": int64(a.Took), "Patience": int64(a.Patience),
+		"Wait": int64(a.Wait), "Load": a.Load, "LoadAge": int64(a.LoadAge), "Usable": a.Usable, "Cold": a.Cold, "Object": a.Object, "Place": a.Place, "Took": int64(a.Took), "Patience": int64(a.Patience),
 	})
 }
--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -44,7 +44,6 @@
 
 // open makes the network between hosts.
 func (h *host) open(ctx context.Context, receive func(from string, message core.Message)) error {
-	h.clock = clock.New()
 	h.failure = make(chan error, 8)
 	keys, err := certs.MakeUnverified(h.Settings.Host)
 	if err != nil {
@@ -116,6 +115,11 @@
 	}
 }
 
+// newHost returns what hosts have in common.
+func newHost(s Settings, p Platform, log *logs.Logger) host {
+	return host{Settings: s, Platform: p, Log: log, clock: clock.New()}
+}
+
 // every calls the function again and again until the context ends.
 func every(ctx context.Context, period core.Millis, call func()) {
 	ticker := time.NewTicker(period.Duration())
--- /dev/null
+++ b/io/logs/logs_test.go
@@ -0,0 +1,62 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"clementinelock/io/logs"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	gate  sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	b.gate.Lock()
+	defer b.gate.Unlock()
+	return b.bytes.Write(p)
+}
+
+// TestStructuredLines checks that lines are JSON objects with their fields, and that none is lost at the end.
+func TestStructuredLines(t *testing.T) {
+	var out bytes.Buffer
+	log := logs.NewStructured(&out, "host-1")
+	for range 100 {
+		log.Line("request", "Answers.", logs.Fields{"Status": 200})
+	}
+	log.Close()
+	decoder := json.NewDecoder(&out)
+	for i := range 100 {
+		var line struct {
+			Part, Text string
+			Status     int
+		}
+		if err := decoder.Decode(&line); err != nil {
+			t.Fatalf("line %d: %v", i, err)
+		}
+		if line.Part != "request" || line.Text != "Answers." || line.Status != 200 {
+			t.Fatalf("line %d is %+v", i, line)
+		}
+	}
+}
+
+// TestSlowOutput checks that an output that takes nothing holds nobody up, and that what is dropped is counted.
+func TestSlowOutput(t *testing.T) {
+	out := &blocked{}
+	out.gate.Lock()
+	log := logs.NewStructured(out, "host-1")
+	const lines = 20000
+	for range lines {
+		log.Info("part", "text")
+	}
+	out.gate.Unlock()
+	log.Close()
+	written := bytes.Count(out.bytes.Bytes(), []byte("\n"))
+	if dropped := int(log.Dropped()); dropped == 0 || written+dropped != lines {
+		t.Fatalf("%d lines were written and %d counted as dropped, expected %d together", written, dropped, lines)
+	}
+}
--- a/io/logs/request.go
+++ b/io/logs/request.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -11,12 +12,18 @@
 const (
 	queuedLines = 4096
 	batchBytes  = 32 << 10
+	// closeWithin keeps an output that takes nothing from holding up a stop.
+	closeWithin = 200 * time.Millisecond
 )
 
 // queue writes lines without ever holding up those who log.
 type queue struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	// closing ends the queue, written tells that its last line is out.
+	closing chan struct{}
+	written chan struct{}
+	batch   []byte
 }
 
 // Write queues a line; when the queue is full the line is dropped and counted.
@@ -31,18 +38,43 @@
 
 // run writes the lines, several at once when they wait; an output that fails loses them.
 func (q *queue) run(w io.Writer) {
-	var batch []byte
-	for line := range q.lines {
-		batch = append(batch[:0], line...)
-		for len(q.lines) > 0 && len(batch) < batchBytes {
-			batch = append(batch, <-q.lines...)
-		}
-		if _, err := w.Write(batch); err != nil {
-			q.dropped.Add(1)
+	defer close(q.written)
+	for {
+		select {
+		case line := <-q.lines:
+			q.writeBatch(w, line)
+		case <-q.closing:
+			for len(q.lines) > 0 {
+				q.writeBatch(w, <-q.lines)
+			}
+			return
 		}
 	}
 }
 
+func (q *queue) writeBatch(w io.Writer, line []byte) {
+	batch := append(q.batch[:0], line...)
+	for len(q.lines) > 0 && len(batch) < batchBytes {
+		batch = append(batch, <-q.lines...)
+	}
+	if _, err := w.Write(batch); err != nil {
+		q.dropped.Add(1)
+	}
+	q.batch = batch
+}
+
+// Close writes what still waits, as far as the output takes it within a moment.
+func (l *Logger) Close() {
+	if l.queue == nil {
+		return
+	}
+	close(l.queue.closing)
+	select {
+	case <-l.queue.written:
+	case <-time.After(closeWithin):
+	}
+}
+
 // Fields are the typed fields of a line.
 type Fields = logrus.Fields
 
