--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,8 +51,8 @@
 		return err
 	}
 	h.network = &link.Network{
-		Self: h.Settings.Host, Address: h.Settings.peerAddress(h.Settings.Host), Keys: keys, Receive: receive,
-		AddressOf: h.Settings.peerAddress, SilentAfter: peerSilentAfter, KeepAliveEvery: peerKeepAlive,
+		Self: h.Settings.Host, Address: cmp.Or(h.Settings.PeerListen, h.Settings.peerAddress(h.Settings.Host)), Keys: keys, Receive: receive,
+		AddressOf: h.Settings.peerAddress, FromOwnAddress: true, SilentAfter: peerSilentAfter, KeepAliveEvery: peerKeepAlive,
 		OnError: func(peer string, err error) { h.Log.Debug("link", fmt.Sprintf("Host %s: %v.", peer, err)) },
 	}
 	if err := h.network.Listen(ctx); err != nil {
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -19,11 +19,13 @@
 	Region string
 	Zone   string
 	// PeerPort is the same on all hosts.
-	PeerPort  int
-	Callers   string
-	Readiness string
-	Operators string
-	Directory string
+	PeerPort int
+	// PeerListen is where the host takes its peers' messages when that is not at its own address, such as behind a relay.
+	PeerListen string
+	Callers    string
+	Readiness  string
+	Operators  string
+	Directory  string
 	// MetricsPort serves metrics and the dump; 0 serves none.
 	MetricsPort int
 	// Seeds are addresses of control hosts; their ports do not matter.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -47,6 +47,8 @@
 	Keys    Credentials
 	// AddressOf finds hosts that no address was set for; it may be nil.
 	AddressOf func(name string) string
+	// FromOwnAddress lets connections to others come from the address's IP, by which relays and filters on the way know the host.
+	FromOwnAddress bool
 	// SilentAfter and KeepAliveEvery are those of the constants above when they are left zero.
 	SilentAfter    time.Duration
 	KeepAliveEvery time.Duration
@@ -234,8 +236,10 @@
 	queue      chan []byte
 	connection *quic.Conn
 	stream     *quic.SendStream
-	wait       time.Duration
-	notBefore  time.Time
+	// socket is the connection's own when it comes from the host's address.
+	socket    *net.UDPConn
+	wait      time.Duration
+	notBefore time.Time
 }
 
 func (p *peer) run(ctx context.Context) {
@@ -295,11 +299,12 @@
 	within, cancel := context.WithTimeout(ctx, dialWithin)
 	defer cancel()
 	p.network.Stats.add(func(s *Stats) { s.Dials++ })
-	connection, err := quic.DialAddr(within, address, p.network.Keys.Config([]string{protocol}, certs.Hosts), p.network.config())
+	connection, err := p.connect(within, address)
 	if err == nil {
 		err = p.open(connection)
 	}
 	if err != nil {
+		p.closeSocket()
 		p.wait = min(max(2*p.wait, redialAfter), redialMost)
 		p.notBefore = time.Now().Add(p.wait)
 		p.network.OnError(p.name, err)
@@ -309,6 +314,35 @@
 	return true
 }
 
+// connect opens a connection, from a port of its own.
+func (p *peer) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	tlsConfig := p.network.Keys.Config([]string{protocol}, certs.Hosts)
+	if !p.network.FromOwnAddress {
+		return quic.DialAddr(ctx, address, tlsConfig, p.network.config())
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	own, err := net.ResolveUDPAddr("udp", p.network.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.socket, err = net.ListenUDP("udp", &net.UDPAddr{IP: own.IP})
+	if err != nil {
+		return nil, err
+	}
+	return quic.Dial(ctx, p.socket, to, tlsConfig, p.network.config())
+}
+
+func (p *peer) closeSocket() {
+	if p.socket != nil {
+		// The connection on it has ended.
+		_ = p.socket.Close()
+		p.socket = nil
+	}
+}
+
 func (p *peer) open(connection *quic.Conn) error {
 	name := certs.PeerName(connection.ConnectionState().TLS)
 	if name != p.name {
@@ -328,4 +362,5 @@
 		_ = p.connection.CloseWithError(0, "")
 	}
 	p.connection, p.stream = nil, nil
+	p.closeSocket()
 }
