Earlier second attempts; connections within 250 ms; one reader of the list spares the others

Change: a second attempt after 2.5 times the usual work and 0.3 of the time; an overtaken attempt counts against its endpoint; a connection has to open within 250 ms; each reading is shared, and a host that misses readings waits for up to 0.72 s more.

--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -186,9 +186,15 @@
 	return true
 }
 
+// A host that misses the leader's readings waits for up to nine steps more before it reads the list itself; even the last one is within the 3 s in which a leaving endpoint has to be known.
+const (
+	staggerSteps = 10
+	staggerStep  = 80
+)
+
 // stagger keeps hosts that miss the same reader from all reading at once.
 func (c *Control) stagger() core.Millis {
-	return core.Millis(c.Process % 7 * 50)
+	return core.Millis(c.Process % staggerSteps * staggerStep)
 }
 
 // TakeList takes the platform's list, which was asked for at the time in that many calls.
@@ -205,7 +211,8 @@
 		} else {
 			c.readMost = 0
 		}
-		if c.list.Set(askedAt, entries) {
+		// Those that miss the leader's readings too are spared their own by this one.
+		if c.list.Set(askedAt, entries) || !c.quorum.IsLeader() {
 			c.share(now, out)
 		}
 	})
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -15,8 +16,8 @@
 
 // A second attempt beside the first waits until an answer is overdue by several times the usual work, and by a part of the remaining time.
 const (
-	hedgeUsual = 4
-	hedgePart  = 0.4
+	hedgeUsual = 2.5
+	hedgePart  = 0.3
 )
 
 // Account tells how one request was decided, for the log and the metrics.
@@ -127,6 +128,8 @@
 	open     int
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
+	// overdue is how long an answer may take before a second attempt starts; one that is overtaken after it counts as lost.
+	overdue core.Millis
 }
 
 // attempts sends the request to one endpoint after the other until one answers or nothing more may be tried.
@@ -143,14 +146,18 @@
 	s.Picks.NoteRequest(service)
 	s.mutex.Unlock()
 	// The end of the request cancels an attempt that another one has overtaken.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errOvertaken)
+	t.overdue = t.hedgeAfter()
 	if refusal := t.start(ctx); refusal != nil {
 		return refuse(a, refusal)
 	}
 	return t.follow(ctx)
 }
 
+// errOvertaken ends an attempt whose request was answered by another one.
+var errOvertaken = errors.New("another attempt was answered first")
+
 // start chooses an endpoint and sends the request to it.
 func (t *attempts) start(ctx context.Context) *core.Refusal {
 	s, a := t.server, t.account
@@ -178,6 +185,9 @@
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration())}
 	result := s.Pool.Do(ctx, t.exchange.request, target)
 	outcome := s.judge(result)
+	if outcome == pick.GivenUp && errors.Is(context.Cause(ctx), errOvertaken) && s.Now()-began >= t.overdue {
+		outcome = pick.Lost
+	}
 	var report *core.Report
 	if result.Answer != nil {
 		report = proto.ParseReport(result.Answer.Header.Get(s.Dialect.Load))
@@ -193,7 +203,7 @@
 
 // follow waits for the attempts and starts further ones.
 func (t *attempts) follow(ctx context.Context) *reply {
-	hedge := time.NewTimer(t.hedgeAfter().Duration())
+	hedge := time.NewTimer(t.overdue.Duration())
 	defer hedge.Stop()
 	for {
 		select {
@@ -210,13 +220,13 @@
 
 // hedgeAfter returns when an idempotent request that is not answered is sent to a second endpoint beside the first.
 func (t *attempts) hedgeAfter() core.Millis {
-	if !t.mayMore() || !t.route.Idempotent {
+	if max(1, t.route.MostAttempts) < 2 || t.exchange.request.Rest != nil || !t.route.Idempotent {
 		return core.Hour
 	}
 	t.server.mutex.Lock()
 	usual := t.server.Picks.Usual(t.want.Service)
 	t.server.mutex.Unlock()
-	return max(hedgeUsual*usual, core.Millis(hedgePart*float64(t.want.Remaining)))
+	return core.Millis(max(hedgeUsual*float64(usual), hedgePart*float64(t.deadline-t.server.Now())))
 }
 
 func (t *attempts) mayMore() bool {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -14,13 +14,14 @@
 
 // Lengths of time and sizes of connections to endpoints.
 const (
-	dialWithin = 600 * time.Millisecond
+	// dialWithin is several times the way to the farthest region and back; a lost first packet would be sent again only after a second.
+	dialWithin = 250 * time.Millisecond
 	// userTimeout ends a connection whose peer acknowledges nothing any more.
 	userTimeout = 3 * time.Second
 	// idleMost is below the 10 s after which endpoints close idle connections.
 	idleMost = 8 * time.Second
-	// unsafeIdleMost keeps requests that must not be sent twice off connections that may be closing.
-	unsafeIdleMost = 4 * time.Second
+	// unsafeIdleMost keeps requests that must not be sent twice off connections that the endpoint may be closing or has forgotten.
+	unsafeIdleMost = time.Second
 	sweepEvery     = time.Second
 	// writeGrace lets a sender that was overtaken by its answer note that all has left.
 	writeGrace = 20 * time.Millisecond
