--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -58,6 +58,9 @@
 	generation uint64
 	markTurn   int64
 	state      core.Stored
+	// unsynced are the frames that are not on disk yet, snapshotDue that a snapshot is not.
+	unsynced    []byte
+	snapshotDue bool
 }
 
 // Initialise makes a data folder for a first member of a new group; it errs when the folder already belongs to a replica.
--- a/io/disk/folder_test.go
+++ b/io/disk/folder_test.go
@@ -156,3 +156,45 @@
 		t.Fatalf("a reset folder has incarnation %d, error %v", stored.Vote.Incarnation, err)
 	}
 }
+
+// TestRefusedWrite checks that a folder that refuses a write takes it later, and that nothing of it is lost or doubled.
+func TestRefusedWrite(t *testing.T) {
+	path := filled(t)
+	f, stored, err := open(t, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A folder in the place of the file that is to become the log refuses it.
+	blocker := filepath.Join(path, "Log.new")
+	if err := os.MkdirAll(filepath.Join(blocker, "full"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	snapshot := core.Snapshot{Index: 2, Term: 1, Data: []byte("state")}
+	writes := []core.Write{{Seq: 1, Snapshot: &snapshot}, {Seq: 2, Records: []core.Record{record(4, "record 4")}}}
+	if err := f.Apply(writes...); err == nil {
+		t.Fatal("a write was taken that could not be written")
+	}
+	if err := f.Sync(); err == nil {
+		t.Fatal("a write was taken that could not be written")
+	}
+	if err := os.RemoveAll(blocker); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Apply(core.Write{Seq: 3, Records: []core.Record{record(5, "record 5")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, again, err := open(t, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := append(stored.Records[2:], record(4, "record 4"), record(5, "record 5"))
+	if again.Snapshot.Index != 2 || !reflect.DeepEqual(again.Records, want) {
+		t.Fatalf("the folder holds snapshot %d and %v, expected %v", again.Snapshot.Index, again.Records, want)
+	}
+}
--- a/io/disk/write.go
+++ b/io/disk/write.go
@@ -13,28 +13,43 @@
 	"clementinelock/core/codec"
 )
 
-// Apply carries out writes in their order and returns once all are synced.
+// Apply carries out writes in their order and returns once all are synced. After an error the folder goes on with Sync.
 func (f *Folder) Apply(writes ...core.Write) error {
-	var data []byte
-	rewrite := false
 	for _, w := range writes {
 		next := frame{Vote: w.Vote, TruncateFrom: w.TruncateFrom, Records: w.Records}
 		if w.Snapshot != nil {
-			if err := f.writeSnapshot(*w.Snapshot); err != nil {
-				return err
-			}
 			f.moveTo(*w.Snapshot)
-			rewrite = true
+			f.snapshotDue = true
 		}
 		if err := f.take(next); err != nil {
 			return fmt.Errorf("write %d: %w", w.Seq, err)
 		}
-		data = appendFrame(data, f.size+int64(len(data)), next)
+		f.unsynced = appendFrame(f.unsynced, f.size+int64(len(f.unsynced)), next)
 	}
-	if rewrite {
-		return f.rewrite()
+	return f.Sync()
+}
+
+// Sync writes what is not on disk yet. It may be called again after an error: everything is written anew, so that nothing rests on a sync that failed.
+func (f *Folder) Sync() error {
+	if f.snapshotDue {
+		if err := f.writeSnapshot(f.state.Snapshot); err != nil {
+			return err
+		}
+		if err := f.rewrite(); err != nil {
+			return err
+		}
+		f.snapshotDue = false
+		f.unsynced = nil
+		return nil
+	}
+	if len(f.unsynced) == 0 {
+		return nil
+	}
+	if err := f.append(f.unsynced); err != nil {
+		return err
 	}
-	return f.append(data)
+	f.unsynced = nil
+	return nil
 }
 
 func (f *Folder) append(data []byte) error {
@@ -44,8 +59,11 @@
 	if err := f.log.Sync(); err != nil {
 		return err
 	}
+	if err := f.writeMark(f.size + int64(len(data))); err != nil {
+		return err
+	}
 	f.size += int64(len(data))
-	return f.writeMark()
+	return nil
 }
 
 // moveTo drops the records that a snapshot covers.
@@ -81,15 +99,16 @@
 }
 
 func (f *Folder) reopenLog(size int64) error {
-	if err := f.log.Close(); err != nil {
-		return err
-	}
 	log, err := os.OpenFile(filepath.Join(f.Path, logName), os.O_RDWR, fileMode)
 	if err != nil {
 		return err
 	}
+	former := f.log
 	f.log, f.size = log, size
-	return f.writeMark()
+	if err := former.Close(); err != nil {
+		return err
+	}
+	return f.writeMark(size)
 }
 
 func (f *Folder) dropSnapshots() error {
@@ -110,10 +129,10 @@
 }
 
 // writeMark notes how far the log is synced, in two places in turn, so that one is always whole.
-func (f *Folder) writeMark() error {
+func (f *Folder) writeMark(size int64) error {
 	var slot [markSlot]byte
 	binary.LittleEndian.PutUint64(slot[0:], f.generation)
-	binary.LittleEndian.PutUint64(slot[8:], uint64(f.size))
+	binary.LittleEndian.PutUint64(slot[8:], uint64(size))
 	binary.LittleEndian.PutUint32(slot[16:], crc32.Checksum(slot[:16], checksums))
 	f.markTurn = 1 - f.markTurn
 	if _, err := f.mark.WriteAt(slot[:], f.markTurn*markSlot); err != nil {
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -220,8 +220,7 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if err := c.folder.Apply(batch...); err != nil {
-			c.failure <- fmt.Errorf("data folder: %w", err)
+		if !c.apply(ctx, batch) {
 			return
 		}
 		last := batch[len(batch)-1].Seq
@@ -229,6 +228,25 @@
 	}
 }
 
+// apply syncs a batch; a disk that refuses it is tried again until it takes it, while the host goes on without acknowledging anything.
+func (c *Control) apply(ctx context.Context, batch []core.Write) bool {
+	err := c.folder.Apply(batch...)
+	if err == nil {
+		return true
+	}
+	c.Log.Error("disk", fmt.Errorf("data folder refuses a write, which is tried again every %s: %w", diskRetry, err))
+	for err != nil {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(diskRetry):
+		}
+		err = c.folder.Sync()
+	}
+	c.Log.Info("disk", "The data folder takes writes again.")
+	return true
+}
+
 // ask puts an operator's question and waits for its reply.
 func (c *Control) ask(ctx context.Context, question func(now core.Millis, ticket uint64) core.Effects) core.Reply {
 	reply := make(chan core.Reply, 1)
