--- /dev/null
+++ b/core/pick/done.go
@@ -0,0 +1,117 @@
+package pick
+
+import (
+	"fmt"
+
+	"clementinelock/core"
+)
+
+// MayRetry takes one extra attempt of the service from this host's part of the budget.
+func (t *Table) MayRetry(name string) bool {
+	return t.service(name).budget.Spend()
+}
+
+// NoteRequest counts a caller's request towards the service's budget of extra attempts.
+func (t *Table) NoteRequest(name string) {
+	s := t.service(name)
+	s.budget.Ratio = retryPart * t.Bounds.RetryRatio
+	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(max(1, t.entries.All)))
+	s.budget.Begin(beginPart * s.budget.Most)
+	s.budget.First()
+}
+
+// Outcome tells how a sending ended.
+type Outcome int
+
+// The outcomes of a sending.
+const (
+	// Good is a whole answer of the endpoint, whatever its status.
+	Good Outcome = iota
+	// Failed is an answer that tells of the endpoint's own failure.
+	Failed
+	// Shed means that the endpoint turned the request away.
+	Shed
+	// Unreached means that no connection could be had.
+	Unreached
+	// Lost means that the answer broke off, was spoiled or did not come.
+	Lost
+	// Misled means that another endpoint has the address now.
+	Misled
+	// GivenUp means that the sender ended it, which says nothing of the endpoint.
+	GivenUp
+)
+
+var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Lost", "Misled", "GivenUp"}
+
+// String writes the outcome's name.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Done takes the end of a sending; took is its length, report the endpoint's account of its load, or nil.
+func (t *Table) Done(now core.Millis, c Choice, outcome Outcome, took core.Millis, report *core.Report) {
+	e := c.Endpoint
+	e.inFlight--
+	switch outcome {
+	case Good:
+		e.noteGood()
+		e.noteReport(now, report)
+		t.noteWork(e, took, report)
+		t.notePart(c, took)
+	case Failed:
+		e.noteReport(now, report)
+		t.noteFailure(now, e, outcome)
+	case Shed:
+		e.noteShed(now)
+	case Unreached, Lost:
+		t.noteFailure(now, e, outcome)
+	case Misled:
+		e.gone = true
+		t.log("Endpoint %s of %s at %s is another one now; it is not used any more.", e.ID, e.Service, e.Address)
+	case GivenUp:
+	}
+}
+
+// noteFailure counts a failure and tells when the endpoint is left alone for it.
+func (t *Table) noteFailure(now core.Millis, e *Endpoint, outcome Outcome) {
+	if e.noteFailure(now, outcome == Unreached) {
+		t.log("Endpoint %s of %s in %s is left alone for %s after %d failures, the last %s.", e.ID, e.Service, e.Zone, e.stopFor, e.failures, outcome)
+	}
+}
+
+func (t *Table) log(format string, args ...any) {
+	if t.Log != nil {
+		t.Log("endpoints", fmt.Sprintf(format, args...))
+	}
+}
+
+// noteWork learns the service's usual work from answers that waited for nothing.
+func (t *Table) noteWork(e *Endpoint, took core.Millis, report *core.Report) {
+	if report != nil && report.Queue > 0 || e.inFlight >= e.Slots {
+		return
+	}
+	s := t.service(e.Service)
+	weight := shorterWeight
+	if float64(took) > s.work {
+		weight = longerWeight
+	}
+	s.work += weight * (float64(took) - s.work)
+}
+
+// notePart learns from the requests that were expected to wait how long a queue may be.
+func (t *Table) notePart(c Choice, took core.Millis) {
+	if c.Objective == 0 || c.Wait == 0 {
+		return
+	}
+	s := t.service(c.Endpoint.Service)
+	if took > c.Objective {
+		s.part = max(leastPart, s.part-lateStep)
+		return
+	}
+	s.part = min(mostPart, s.part+goodStep)
+}
+
+// Usual returns the usual work of a service.
+func (t *Table) Usual(name string) core.Millis {
+	return core.Millis(t.service(name).work)
+}
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -188,3 +188,26 @@
 		t.Fatalf("%.3f of the requests are answered, expected 0.95: %v", good, w.tally)
 	}
 }
+
+// TestShiftBetweenFarRegions plays a region that has too few endpoints for its callers while one of the two far regions turns slow: the work that was there moves to the other one no faster than the cap allows.
+func TestShiftBetweenFarRegions(t *testing.T) {
+	const scale = 8
+	w := newWorld(9, 3, [3]int{scale / 2, 3 * scale, 3 * scale}, load{"s", work, objective, timeout, steady(1.8 * coldRate / 6 * scale)})
+	w.at(10*core.Second, func() {
+		for _, p := range w.places {
+			if p.Zone[:2] == "r2" {
+				p.slow = 4
+			}
+		}
+	})
+	w.play(20 * core.Second)
+	t.Logf("%v, largest shift %.3f", w.tally, w.largestShift(2))
+	const allowed = 0.15
+	for from, windows := range w.moves {
+		for i := 1; from != "r2" && i+2 < len(windows); i++ {
+			if got := difference(windows[i], windows[i+1]); got > allowed {
+				t.Fatalf("%.3f of the requests of %s changed their region within 2 s at %d s, allowed are %.2f: %v %v", got, from, 2*i, allowed, windows[i], windows[i+1])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/fleet/settings_test.go
@@ -0,0 +1,44 @@
+package fleet_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"clementinelock/io/fleet"
+)
+
+const valid = `Host = "10.1.0.13"
+Name = "front-a-1"
+Region = "r"
+Zone = "a"
+PeerPort = 7620
+Seeds = ["10.1.0.15:8649"]
+StopMillis = 6000
+[Regions]
+a = "r"
+`
+
+// TestSettings checks that settings that lack something are refused by name.
+func TestSettings(t *testing.T) {
+	cases := []struct{ name, text, expect string }{
+		{"valid", valid, ""},
+		{"no host", strings.Replace(valid, `"10.1.0.13"`, `"front"`, 1), "Host"},
+		{"no zone", strings.Replace(valid, `Zone = "a"`, ``, 1), "Zone"},
+		{"no port", strings.Replace(valid, `PeerPort = 7620`, ``, 1), "PeerPort"},
+		{"no seeds", strings.Replace(valid, `Seeds = ["10.1.0.15:8649"]`, ``, 1), "Seeds"},
+		{"no stop time", strings.Replace(valid, `StopMillis = 6000`, ``, 1), "StopMillis"},
+		{"no TOML", "Host: x", "settings"},
+	}
+	for _, c := range cases {
+		path := filepath.Join(t.TempDir(), "settings.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := fleet.ReadSettings(path)
+		if c.expect == "" && err != nil || c.expect != "" && (err == nil || !strings.Contains(err.Error(), c.expect)) {
+			t.Errorf("%s: error %v, expected one that names %q", c.name, err, c.expect)
+		}
+	}
+}
