--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -47,7 +47,7 @@
 	Objective core.Millis
 	// Place is what the endpoint is to the request's object.
 	Place Place
-	// LoadAge is how old the endpoint's own report is, which Load rests on.
+	// LoadAge is how old the endpoint's own report is, which Load rests on; -1 without one.
 	LoadAge core.Millis
 }
 
@@ -95,7 +95,7 @@
 		side.Usable++
 		if side.Endpoint == nil || cost < side.cost {
 			side.cost = cost
-			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective, Place: places.placeOf(now, e, w.Object), LoadAge: now - e.othersAt}
+			side.Choice = Choice{Endpoint: e, Wait: core.Millis(wait), Work: core.Millis(s.work), Cold: e.isCold(now), Load: e.load(now), Usable: side.Usable, Objective: w.Objective, Place: places.placeOf(now, e, w.Object), LoadAge: e.reportAge(now)}
 		}
 	}
 	return here, away
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -48,6 +48,14 @@
 	return float64(e.inFlight) + e.others*math.Exp2(-float64(now-e.othersAt)/float64(loadHalf))
 }
 
+// reportAge returns how old the endpoint's own report of its load is, -1 when it has told none.
+func (e *Endpoint) reportAge(now core.Millis) core.Millis {
+	if e.othersAt == 0 {
+		return -1
+	}
+	return now - e.othersAt
+}
+
 // wait estimates how long a request would wait for a slot, in units of one request's work.
 func (e *Endpoint) wait(now core.Millis) float64 {
 	slots := float64(max(1, e.Slots))
