Long lists are sent once; probes bring nothing; entries travel without their fields' names

A whole list was sent anew at every report and share until the receiver confirmed it, which a link of 2 Mbit/s can't in 0.4 s; entry hosts that probed a nearer control host got the whole list from it too. Ruled out: the entry hosts (6% of their processor, 12 MB). Change: what may still be on its way is not sent again, for 0.4 s and the time that the smallest link takes for it; a probe is answered by a sign of life; endpoints are encoded as arrays.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -66,11 +66,11 @@
 type entryState struct {
 	Report
 	heard core.Millis
-	// What was sent last, and when; it is sent again when it is not confirmed in time.
+	// What was sent last, and when or until when it may be on its way; it is sent again when it is not confirmed in time.
 	sentVersion   uint64
 	versionSentAt core.Millis
 	sentNumber    uint64
-	numberSentAt  core.Millis
+	numberDueAt   core.Millis
 }
 
 // controlState is another control host.
@@ -81,9 +81,11 @@
 	number  uint64
 	entries []EntryHost
 	// have is what the other one holds of this host's entry hosts.
-	have     uint64
-	list     roster.Copy
-	theyList [2]uint64
+	have uint64
+	list roster.Copy
+	// theyList is what the other one holds of this host's list, listDueAt until when a part of it may be on its way.
+	theyList  [2]uint64
+	listDueAt core.Millis
 }
 
 // Start brings the host up with what its disk holds; it errs when that can't be read.
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -111,7 +111,7 @@
 		out.Logf("control", "Host %s hears no leader; reports to %s.", failed, e.current)
 	}
 	if now >= e.reportAt {
-		e.report(now, e.current, out)
+		e.report(now, e.current, false, out)
 	}
 	if now >= e.betterAt {
 		e.tryBetter(now, out)
@@ -120,7 +120,7 @@
 }
 
 // report tells a control host what this host is and holds.
-func (e *Entry) report(now core.Millis, to string, out *core.Effects) {
+func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	e.reportAt = now + reportEvery
 	if e.document.Version == 0 {
 		e.reportAt = now + eagerEvery
@@ -130,7 +130,7 @@
 	}
 	out.Send(to, &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
-		ListProcess: e.list.Process(), ListNumber: e.list.Number(),
+		ListProcess: e.list.Process(), ListNumber: e.list.Number(), Probe: probe,
 	})
 }
 
@@ -149,7 +149,7 @@
 		}
 	}
 	if best.Name != e.current {
-		e.report(now, best.Name, out)
+		e.report(now, best.Name, true, out)
 	}
 }
 
@@ -167,6 +167,9 @@
 		e.heard = now
 		e.noteLeader(now, u)
 	}
+	if u.Bare {
+		return false, *out
+	}
 	return e.take(now, from, u, out), *out
 }
 
@@ -184,6 +187,7 @@
 	if u.LeaderHeard && e.rank(theirs) < e.rank(mine) {
 		out.Logf("control", "Reports to %s, which is nearer than %s.", from, e.current)
 		e.current, e.unledAt = from, 0
+		e.reportAt = now
 	}
 }
 
@@ -268,7 +272,7 @@
 	out := &core.Effects{}
 	if e.Ready != ready {
 		e.Ready = ready
-		e.report(now, e.current, out)
+		e.report(now, e.current, false, out)
 	}
 	return *out
 }
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -25,12 +25,16 @@
 	Version     uint64
 	ListProcess uint64
 	ListNumber  uint64
+	// Probe asks only whether the control host hears the leader; the answer brings nothing else.
+	Probe bool
 }
 
 // Update goes from a control host to an entry host.
 type Update struct {
 	// Process tells apart the processes of the control host.
 	Process uint64
+	// Bare marks the answer to a probe, which tells nothing of what is in force.
+	Bare bool
 	// LeaderHeard tells that the control host follows a leader now; one that does not may have missed changes.
 	LeaderHeard bool
 	// Index and Version are those of what is in force; an entry host takes the index once it holds the version.
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -8,6 +8,10 @@
 )
 
 func (c *Control) onReport(now core.Millis, from string, m *Report, out *core.Effects) {
+	if m.Probe {
+		out.Send(from, &Update{Process: c.Process, Bare: true, LeaderHeard: c.leaderHeard(now), Controls: c.controlHosts()})
+		return
+	}
 	e := c.entries[from]
 	if e != nil && e.Process > m.Process {
 		return
@@ -53,7 +57,7 @@
 // addDocument adds the document to an update unless the entry host has it or is just getting it.
 func (c *Control) addDocument(now core.Millis, e *entryState, u *Update) {
 	document := c.book.Published().Document
-	underWay := e.sentVersion == document.Version && now-e.versionSentAt < resendAfter
+	underWay := e.sentVersion == document.Version && now-e.versionSentAt < transferFor(len(document.Text))
 	if document.Version <= e.Version || underWay {
 		return
 	}
@@ -64,21 +68,34 @@
 // addList adds what the entry host lacks of the list and is not just getting.
 func (c *Control) addList(now core.Millis, e *entryState, u *Update) {
 	process, number := e.ListProcess, e.ListNumber
-	if e.sentNumber > 0 && now-e.numberSentAt < resendAfter {
+	if e.sentNumber > 0 && now < e.numberDueAt {
 		process, number = c.list.Process, e.sentNumber
 	}
 	u.Endpoints = c.list.Since(now, process, number)
-	if process != c.list.Process || number != c.list.Number() {
-		e.sentNumber, e.numberSentAt = c.list.Number(), now
+	if u.Endpoints != nil && u.Endpoints.From != u.Endpoints.Number {
+		e.sentNumber = c.list.Number()
+		e.numberDueAt = max(e.numberDueAt, now+transferFor(entryBytes*len(u.Endpoints.Entries)))
 	}
 }
 
+const (
+	// slowestWay is what the smallest host's link of 2 Mbit/s carries beside its requests, in bytes per millisecond.
+	slowestWay = 100
+	// entryBytes is about what one endpoint takes in a delta.
+	entryBytes = 60
+)
+
+// transferFor returns how long a message of that many bytes may be on its way before it counts as lost; sending it again sooner would choke a small link for good.
+func transferFor(size int) core.Millis {
+	return resendAfter + core.Millis(size/slowestWay)
+}
+
 // resend repeats an update that an entry host has not confirmed.
 func (c *Control) resend(now core.Millis, out *core.Effects) {
 	published := c.book.Published()
 	for _, name := range sortedNames(c.entries) {
 		e := c.entries[name]
-		if e.Version < published.Document.Version && now-e.versionSentAt > resendAfter {
+		if e.Version < published.Document.Version && now-e.versionSentAt > transferFor(len(published.Document.Text)) {
 			c.update(now, e, out)
 		}
 	}
@@ -122,7 +139,10 @@
 		s.Whole = other.have != c.number
 		if c.reading {
 			s.Endpoints = c.list.Since(now, other.theyList[0], other.theyList[1])
-			// A lost message is noticed by the number that the next share brings back.
+			if s.Endpoints != nil && s.Endpoints.From != s.Endpoints.Number {
+				other.listDueAt = max(other.listDueAt, now+transferFor(entryBytes*len(s.Endpoints.Entries)))
+			}
+			// A lost message is noticed by the number that a share brings back once it is overdue.
 			other.theyList = [2]uint64{c.Process, c.list.Number()}
 		}
 	} else {
@@ -159,7 +179,9 @@
 	if m.HaveOf == c.Process {
 		other.have = m.Have
 	}
-	other.theyList = [2]uint64{m.ListProcess, m.ListNumber}
+	if now >= other.listDueAt {
+		other.theyList = [2]uint64{m.ListProcess, m.ListNumber}
+	}
 	if m.Endpoints != nil && other.list.Apply(now, m.Endpoints) {
 		c.takeList(now, other)
 	}
--- /dev/null
+++ b/core/fleet/spread_test.go
@@ -0,0 +1,62 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/core/roster"
+)
+
+// TestLongListIsSentOnce lets an entry host behind a small link report again and again while a long list is on its way to it: a list that is sent anew at each report chokes the link for good.
+func TestLongListIsSentOnce(t *testing.T) {
+	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	now := core.Hour
+	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	const endpoints = 3000
+	var entries []roster.Entry
+	for i := range endpoints {
+		entries = append(entries, roster.Entry{ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: "z", Address: fmt.Sprintf("10.0.0.1:%d", i), Slots: 3})
+	}
+	c.TakeList(now, now, entries, 60)
+	report := &fleet.Report{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}}
+	sent := func(effects core.Effects) (n int) {
+		for _, s := range effects.Sends {
+			if u, ok := s.Message.(*fleet.Update); ok && u.Endpoints != nil {
+				n += len(u.Endpoints.Entries)
+			}
+		}
+		return n
+	}
+	total := 0
+	// A link of 250 KB a second takes about 0.8 s for the list; five reports come meanwhile.
+	for range 5 {
+		now += 200
+		total += sent(c.Receive(now, "e", report))
+	}
+	if total != endpoints {
+		t.Fatalf("%d entries were sent within a second, expected the %d of the list once", total, endpoints)
+	}
+	// One that was lost is sent again in the end.
+	now += 5 * core.Second
+	if again := sent(c.Receive(now, "e", report)); again != endpoints {
+		t.Fatalf("%d entries were sent after the list was lost, expected %d", again, endpoints)
+	}
+}
+
+// TestProbeBringsNothing checks that a probe is answered without the list or what is in force, and that the answer changes nothing.
+func TestProbeBringsNothing(t *testing.T) {
+	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	e.Start(core.Hour)
+	counts := fleet.EntryCounts{Zone: 3, Region: 5, All: 9}
+	e.Receive(core.Hour, "c", &fleet.Update{Process: 1, LeaderHeard: true, Index: 4, Evacuated: []string{"z"}, Entries: counts})
+	changed, _ := e.Receive(core.Hour, "d", &fleet.Update{Process: 2, Bare: true})
+	view := e.View(core.Hour)
+	if changed || view.Entries != counts || view.Index != 4 || len(view.Evacuated) != 1 {
+		t.Fatalf("the answer to a probe changed the view to %+v", view)
+	}
+}
--- a/core/roster/entry.go
+++ b/core/roster/entry.go
@@ -4,6 +4,9 @@
 
 // Entry is one endpoint as the platform lists it.
 type Entry struct {
+	// The fields travel without their names, since lists are long.
+	_ struct{} `cbor:",toarray"`
+
 	ID      string
 	Service string
 	Address string
