Budgets of extra attempts hold after a start of all hosts; a host without a list turns to its nearest control host first

Ruled out: attempts that reach no endpoint, which are not counted. Change: the budget is divided among the most hosts that were seen and at least two for each availability zone.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -66,6 +66,8 @@
 type entryState struct {
 	Report
 	heard core.Millis
+	// firstAt is when the entry host's process reported here first.
+	firstAt core.Millis
 	// What was sent last, and when or until when it may be on its way; it is sent again when it is not confirmed in time.
 	sentVersion   uint64
 	versionSentAt core.Millis
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -218,6 +218,10 @@
 	if len(u.Controls) > 0 && u.LeaderHeard {
 		e.controls = u.Controls
 	}
+	if e.list.Process() == 0 && u.Endpoints == nil {
+		// The list comes from a nearer control host.
+		e.betterAt = min(e.betterAt, now+eagerEvery)
+	}
 	e.counts = u.Entries
 	if u.Endpoints == nil {
 		return changed
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -17,13 +17,14 @@
 		return
 	}
 	if e == nil {
-		e = &entryState{}
+		e = &entryState{firstAt: now}
 		c.entries[from] = e
 		out.Logf("entries", "Host %s reports here.", from)
 	}
 	changed := e.EntryHost != m.EntryHost
 	if e.Process != m.Process {
 		e.sentVersion, e.sentNumber = 0, 0
+		e.firstAt = now
 	}
 	e.Report, e.heard = *m, now
 	if changed {
@@ -67,6 +68,9 @@
 
 // addList adds what the entry host lacks of the list and is not just getting.
 func (c *Control) addList(now core.Millis, e *entryState, u *Update) {
+	if e.ListProcess == 0 && now-e.firstAt < moveWithin && c.knowsNearer(now, e) {
+		return
+	}
 	process, number := e.ListProcess, e.ListNumber
 	if e.sentNumber > 0 && now < e.numberDueAt {
 		process, number = c.list.Process, e.sentNumber
@@ -78,7 +82,22 @@
 	}
 }
 
+// knowsNearer tells whether a control host in the entry host's availability zone was heard, from which the entry host will take the list.
+func (c *Control) knowsNearer(now core.Millis, e *entryState) bool {
+	if c.Zone == e.Zone {
+		return false
+	}
+	for _, other := range c.controls {
+		if other.Zone == e.Zone && now-other.heard < moveWithin {
+			return true
+		}
+	}
+	return false
+}
+
 const (
+	// moveWithin is how long a host without a list is left the time to turn to a nearer control host; all hosts know only three of them at their start.
+	moveWithin = 2 * core.Second
 	// slowestWay is what the smallest host's link of 2 Mbit/s carries beside its requests, in bytes per millisecond.
 	slowestWay = 100
 	// entryBytes is about what one endpoint takes in a delta.
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -15,11 +15,16 @@
 func (t *Table) NoteRequest(name string) {
 	s := t.service(name)
 	s.budget.Ratio = retryPart * t.Bounds.RetryRatio
-	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(max(1, t.entries.All)))
+	s.budget.Most = max(1, retryPart*t.Bounds.RetrySlack/float64(t.hosts()))
 	s.budget.Begin(beginPart * s.budget.Most)
 	s.budget.First()
 }
 
+// hosts returns among how many hosts a budget of the deployment is divided: the most that were seen, and no fewer than are usual in so many availability zones, since after a start of all hosts each knows of few at first.
+func (t *Table) hosts() int {
+	return max(t.mostHosts, hostsPerZone*len(t.Regions))
+}
+
 // Outcome tells how a sending ended.
 type Outcome int
 
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/core/pick"
 )
 
 // steady is a rate that is the same everywhere.
@@ -211,3 +213,26 @@
 		}
 	}
 }
+
+// TestBudgetAfterAStartOfAllHosts lets nine hosts start at once while each knows only of itself: together they must not make more extra attempts than the deployment's slack allows.
+func TestBudgetAfterAStartOfAllHosts(t *testing.T) {
+	w := newWorld(10, 3, [3]int{1, 2, 3}, load{"s", work, objective, timeout, steady(1)})
+	extra := 0
+	for _, zone := range w.zones {
+		for _, like := range w.tables[zone] {
+			fresh := &pick.Table{Region: like.Region, Zone: zone, Regions: like.Regions, Rand: w.rand, OnGone: func(string) {}, Bounds: like.Bounds}
+			view := w.view
+			view.Entries = fleet.EntryCounts{Zone: 1, Region: 1, All: 1}
+			fresh.Update(w.now, view, w.table)
+			fresh.NoteRequest("s")
+			for fresh.MayRetry("s") {
+				extra++
+			}
+		}
+	}
+	const slack = 58
+	// The hosts that ran before may have spent the other half.
+	if extra > slack/2 {
+		t.Fatalf("%d extra attempts are made after a start of all hosts, expected at most half of the slack of %d", extra, slack)
+	}
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -53,6 +53,8 @@
 	listLag = core.Second
 	// retryPart of the deployment's budget of extra attempts is spent, since hosts that start anew forget what they spent.
 	retryPart = 0.8
+	// hostsPerZone is how many entry hosts an availability zone has where nothing else is known yet.
+	hostsPerZone = 2
 	// beginPart of what may be saved up is there at a host's start.
 	beginPart = 0.5
 )
@@ -84,6 +86,7 @@
 	drift      drift
 	localSlots map[string]int
 	entries    fleet.EntryCounts
+	mostHosts  int
 	// OnGone is called with the address of an endpoint that is not used any more.
 	OnGone func(address string)
 	// Log is told what this host newly believes of an endpoint; it may be nil.
@@ -109,6 +112,7 @@
 		t.configured = table.Services
 	}
 	t.entries = view.Entries
+	t.mostHosts = max(t.mostHosts, view.Entries.All)
 	t.noteEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
