--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -215,7 +215,7 @@
 	c.list.Set(now-other.list.Age(now), other.list.Entries())
 }
 
-// WantsList tells whether the platform's list is to be read now; the driver hands it in by TakeList or FailList.
+// WantsList tells whether the platform's list is to be read now; the driver hands it in by TakeList.
 func (c *Control) WantsList(now core.Millis) bool {
 	if now < c.listAt {
 		return false
@@ -227,6 +227,9 @@
 	return true
 }
 
+// rateMargin leaves a third of the list's rate to hosts that nobody here knows of.
+const rateMargin = 1.5
+
 // A host that misses the leader's readings waits for up to nine steps more before it reads the list itself; even the last one is within the 3 s in which a leaving endpoint has to be known.
 const (
 	staggerSteps = 10
@@ -248,7 +251,7 @@
 		// All control hosts may be reading; the list's rate is divided among them.
 		if c.ListCallsPerSecond > 0 && !c.quorum.IsLeader() {
 			readers := float64(len(c.controls) + 1)
-			c.readMost = core.Millis(readers * float64(calls) / c.ListCallsPerSecond * 1500)
+			c.readMost = core.Millis(rateMargin * readers * float64(calls) / c.ListCallsPerSecond * float64(core.Second))
 		} else {
 			c.readMost = 0
 		}
--- a/core/pick/drift.go
+++ b/core/pick/drift.go
@@ -18,7 +18,8 @@
 	// idleFor without a request makes a host begin anew.
 	idleFor = 5 * core.Second
 	// freeFor is how long the limit is lifted after the own region has lost or regained endpoints, since work then has to move.
-	freeFor    = 3 * core.Second
+	freeFor = 3 * core.Second
+	// wishWeight is that of the newest request in what a host's requests ask for, about the last second of an entry host's.
 	wishWeight = 0.04
 	// ahead and behind are by how many requests the limit may be missed for a moment.
 	ahead  = 1.0
