A crowd of entry hosts no longer wears out the control hosts at a start

Cause: at 290 entry hosts the three seeds could not get through the work of the first seconds, so that no leader was elected: each entry host went to another control host every 0.3 s as long as none heard a leader, each turn with two new connections (one for each direction, 1.35 ms of a core for either end), reported every 0.2 s, and each new report made its control host share the whole list of its entry hosts with all others at once. Ruled out: memory as the cause (without processor time charged the same start serves, 188 MB at its peak); the platform's rate of calls (no call was refused); the post-quantum key exchange (X25519 alone saves about a sixth of a connection). Change: answers go on the connection that came in (io/link, Reuse); hosts that hear of no leader wait twice as long with each turn; new entry hosts are shared with the other control hosts together; the list of control hosts is sent once and numbered; messages carry numbers in place of fields' names; a count of ready hosts and the order of endpoints are kept until they change; a report every 0.8 s. Tests that failed first: crowd of 290 on virtual time (seeds 980 ms of work and 15 MB in the first second, 46 KB/s in steady state; now within 480 ms, and under 12 ms and 30 KB/s), connections of io/link.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -15,12 +15,14 @@
 	// ControlTick is how often the driver calls Tick.
 	ControlTick = 50 * core.Millisecond
 	shareEvery  = core.Second
+	// shareSoon gathers the entry hosts that begin to report at about the same time into one message.
+	shareSoon = 250 * core.Millisecond
 	// listShareEvery tells the other control hosts that the reader lives before they read the list themselves.
 	listShareEvery = 500 * core.Millisecond
 	listEvery      = 800 * core.Millisecond
 	// listStale is the age at which a list of another reader no longer spares the own reading.
 	listStale = 1700 * core.Millisecond
-	// entryGone is five reports; look-ups must not name a host for longer than 6 s after its end.
+	// entryGone is three reports; look-ups must not name a host for longer than 6 s after its end.
 	entryGone   = 2500 * core.Millisecond
 	controlGone = 4 * core.Second
 	// leaderSilent is some heartbeats; entry hosts then turn to another control host.
@@ -52,6 +54,13 @@
 	entries  map[string]*entryState
 	controls map[string]*controlState
 	number   uint64
+	// ready lists the entry hosts that serve, as long as readyKnown tells that nothing has changed.
+	ready      []EntryHost
+	readyKnown bool
+	// controlsNumber is that of the list of control hosts, which starts anew with each process.
+	controlsNumber uint64
+	// ledSince is when this host last began to hear a leader, 0 while it hears none.
+	ledSince core.Millis
 	list     roster.Journal
 	listAt   core.Millis
 	reading  bool
@@ -66,7 +75,7 @@
 type entryState struct {
 	Report
 	heard core.Millis
-	// firstAt is when the entry host's process reported here first.
+	// firstAt is when the entry host's process reported here first while there was a leader.
 	firstAt core.Millis
 	// What was sent last, and when or until when it may be on its way; it is sent again when it is not confirmed in time.
 	sentVersion   uint64
@@ -95,7 +104,7 @@
 	out := &core.Effects{}
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
-	c.number = 1
+	c.number, c.controlsNumber = 1, 1
 	c.contacts = c.Seeds
 	c.list.Process = c.Process
 	c.orders = orderBook{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}}
@@ -113,6 +122,7 @@
 func (c *Control) Tick(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
 		c.quorum.Tick(now, out)
+		c.noteLeader(now)
 		c.dropGone(now, out)
 		c.tickOrders(now, out)
 		c.retireMember(now, out)
@@ -236,6 +246,16 @@
 	return c.quorum.LeaderHeard(now) < leaderSilent
 }
 
+// noteLeader keeps since when this host hears a leader.
+func (c *Control) noteLeader(now core.Millis) {
+	switch {
+	case !c.leaderHeard(now):
+		c.ledSince = 0
+	case c.ledSince == 0:
+		c.ledSince = now
+	}
+}
+
 // Ready tells whether the host has a configuration to pass on.
 func (c *Control) Ready() bool {
 	return c.book.Published().Document.Version > 0
--- /dev/null
+++ b/core/fleet/crowd_test.go
@@ -0,0 +1,161 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/host"
+	"clementinelock/core/roster"
+)
+
+// What the work between hosts takes, as processor time of a whole core: measured with io/link on 100 connections, both directions.
+const (
+	connectionWork = 1350 // microseconds, for each of the two ends
+	messageWork    = 57   // microseconds
+	kilobyteWork   = 10   // microseconds
+	// connectionKept is after how long without a message io/fleet lets a connection be closed.
+	connectionKept = 3 * core.Second
+)
+
+// Targets of the users for hosts in a deployment of this size.
+const (
+	// controlShare is the part of a core that a control host has on the users' machines.
+	controlShare = 480_000 // microseconds a second
+	// controlWork and controlBytes are the targets for a host in steady state: 1.2% of a core, and 30 KB a second.
+	controlWork  = 12_000 // microseconds a second
+	controlBytes = 30_000
+)
+
+// work counts what a host did in each second.
+type work struct {
+	micros, bytes, messages, connections map[core.Millis]int
+}
+
+// crowd is a deployment of 290 entry hosts that accounts for the work of its hosts.
+type crowd struct {
+	*site
+	work map[string]*work
+	last map[[2]string]core.Millis
+}
+
+func newCrowd(t *testing.T, seed uint64) *crowd {
+	controls := []string{"r0-a", "r1-a", "r2-a", "r0-b", "r1-b", "r2-b", "r0-c", "r1-c", "r2-c"}
+	var entries []string
+	for i := range 290 {
+		entries = append(entries, controls[i%len(controls)])
+	}
+	c := &crowd{site: newSiteIn(t, seed, controls, entries), work: map[string]*work{}, last: map[[2]string]core.Millis{}}
+	c.OnSend = c.account
+	return c
+}
+
+func (c *crowd) of(name string) *work {
+	w := c.work[name]
+	if w == nil {
+		w = &work{map[core.Millis]int{}, map[core.Millis]int{}, map[core.Millis]int{}, map[core.Millis]int{}}
+		c.work[name] = w
+	}
+	return w
+}
+
+func (c *crowd) account(from, to string, message core.Message) {
+	second := c.Now / core.Second
+	size := len(host.Encode(message))
+	pair := [2]string{min(from, to), max(from, to)}
+	last, known := c.last[pair]
+	c.last[pair] = c.Now
+	for _, name := range []string{from, to} {
+		w := c.of(name)
+		w.messages[second]++
+		w.bytes[second] += size
+		w.micros[second] += messageWork + size*kilobyteWork/1000
+		if !known || c.Now-last > connectionKept {
+			w.connections[second]++
+			w.micros[second] += connectionWork
+		}
+	}
+}
+
+// longList is the list of a deployment with ten endpoints for each host.
+func longList() []roster.Entry {
+	var entries []roster.Entry
+	for i := range 2988 {
+		entries = append(entries, roster.Entry{
+			ID: fmt.Sprintf("i-%010x", i), Service: fmt.Sprintf("service-%d", i%4), Zone: "r0-a", Address: fmt.Sprintf("10.0.%d.%d:8508", i/250, i%250), Slots: 3,
+		})
+	}
+	return entries
+}
+
+// checkWork checks that no control host had to do more in a second than its processor does, or more than the bytes.
+func (c *crowd) checkWork(from, until core.Millis, micros, bytes int) {
+	c.t.Helper()
+	for name := range c.disks {
+		w := c.of(name)
+		for second := from / core.Second; second < until/core.Second; second++ {
+			if w.micros[second] > micros || w.bytes[second] > bytes {
+				c.t.Errorf("control host %s has %d ms of work, %d KB, %d messages and %d connections in second %d, more than %d ms or %d KB",
+					name, w.micros[second]/1000, w.bytes[second]/1000, w.messages[second], w.connections[second], second-core.Hour/core.Second, micros/1000, bytes/1000)
+			}
+		}
+	}
+}
+
+// TestCrowdStarts starts 290 entry hosts that all know the same three control hosts: these must get through the work while they elect a leader.
+func TestCrowdStarts(t *testing.T) {
+	c := newCrowd(t, 1)
+	c.list = nil
+	c.At(c.Now+3*core.Second, func() { c.list = longList() })
+	c.For(500)
+	c.publish()
+	c.For(7500)
+	c.checkWork(core.Hour, c.Now, controlShare, math.MaxInt)
+	for name, e := range c.entries {
+		if view := e.View(c.Now); view.Document.Version == 0 || len(view.Endpoints) != len(longList()) {
+			t.Fatalf("entry host %s has version %d and %d endpoints after 8 s", name, view.Document.Version, len(view.Endpoints))
+		}
+	}
+}
+
+// TestCrowdInSteadyState checks the work of control hosts while nothing happens against the targets of the users.
+func TestCrowdInSteadyState(t *testing.T) {
+	c := newCrowd(t, 2)
+	c.list = longList()
+	c.For(500)
+	c.publish()
+	c.For(15 * core.Second)
+	steady := c.Now
+	c.For(5 * core.Second)
+	c.checkWork(steady+core.Second, c.Now, controlWork, controlBytes)
+}
+
+// TestCrowdWithoutLeader takes away the majority of the control hosts: entry hosts look for one that hears a leader without wearing out those that are left.
+func TestCrowdWithoutLeader(t *testing.T) {
+	c := newCrowd(t, 3)
+	c.list = longList()
+	c.For(500)
+	c.publish()
+	c.For(12 * core.Second)
+	for i := range 5 {
+		c.crash(fmt.Sprintf("control-%d", i), false)
+	}
+	lost := c.Now
+	c.For(10 * core.Second)
+	c.checkWork(lost, c.Now, controlShare, math.MaxInt)
+	for i := range 5 {
+		c.begin(fmt.Sprintf("control-%d", i))
+	}
+	back := c.Now
+	// A window of contact, and the time in which a configuration has to be in force.
+	c.For(4 * core.Second)
+	c.publish()
+	c.For(2500)
+	c.checkWork(back, c.Now, controlShare, math.MaxInt)
+	for name, e := range c.entries {
+		if view := e.View(c.Now); view.Document.Version != c.published {
+			t.Errorf("entry host %s has version %d after the return of the control hosts, expected %d", name, view.Document.Version, c.published)
+		}
+	}
+}
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -32,7 +32,7 @@
 	return ControlDump{
 		ControlHost: c.ControlHost, Process: c.Process, Quorum: c.quorum.Report(now), LeaderHeard: c.leaderHeard(now),
 		Version: published.Document.Version, Index: published.Index, Evacuated: published.Evacuated,
-		Entries: c.readyEntries(now), Controls: c.controlHosts(), ReadsList: c.reading, ListNumber: c.list.Number(),
+		Entries: c.readyEntries(), Controls: c.controlHosts(), ReadsList: c.reading, ListNumber: c.list.Number(),
 		ListAge: c.list.Age(now), Endpoints: len(c.list.Entries()), Orders: len(c.orders.pending),
 	}
 }
@@ -55,6 +55,6 @@
 func (e *Entry) Dump(now core.Millis) EntryDump {
 	return EntryDump{
 		EntryHost: e.EntryHost, Control: e.current, HeardAgo: now - e.heard, Version: e.document.Version, Index: e.index,
-		Evacuated: e.evacuated, Endpoints: len(e.list.Entries()), ListAge: e.list.Age(now), Counts: e.counts,
+		Evacuated: e.evacuated, Endpoints: e.list.Len(), ListAge: e.list.Age(now), Counts: e.counts,
 	}
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -13,16 +13,21 @@
 // Lengths of time of an entry host. They leave time for two changes of the control host within the 2.5 s in which a configuration has to be in force.
 const (
 	// EntryTick is how often the driver calls Tick.
-	EntryTick   = 50 * core.Millisecond
-	reportEvery = 500 * core.Millisecond
-	// eagerEvery is for a host that has no configuration yet.
-	eagerEvery = 200 * core.Millisecond
+	EntryTick = 50 * core.Millisecond
+	// reportEvery keeps a control host with 66 entry hosts, a share of 1,200, within 1.2% of a core and 30 KB/s; what changes is sent at once.
+	reportEvery = 800 * core.Millisecond
 	// controlSilent is more than two reports without an update.
-	controlSilent = 1200 * core.Millisecond
+	controlSilent = 2 * core.Second
+	// strangeSilent is for a host that no control host has answered yet: some ways between regions, with a new connection.
+	strangeSilent = 500 * core.Millisecond
 	// avoidFor keeps a control host that failed from being tried again at once.
 	avoidFor    = 3 * core.Second
 	betterEvery = 3 * core.Second
-	unledAtMost = 300 * core.Millisecond
+	// betterSoon spreads the turns of hosts that learn of the control hosts at the same time.
+	betterSoon = 300 * core.Millisecond
+	// unledFirst is how long a control host may hear no leader before another one is asked; each further one in a row is given twice the time, since a leader that no host hears is no reason for new connections.
+	unledFirst = 300 * core.Millisecond
+	unledMost  = 5 * core.Second
 	// returningFor is longer than a zone that returns counts as cold.
 	returningFor = 5 * core.Second
 )
@@ -34,16 +39,22 @@
 	// Seeds names the control hosts that are known at the start.
 	Seeds []string
 
-	controls  []ControlHost
-	current   string
-	heard     core.Millis
-	unledAt   core.Millis
-	avoid     map[string]core.Millis
-	reportAt  core.Millis
-	betterAt  core.Millis
-	index     uint64
-	document  routes.Document
-	evacuated []string
+	controls []ControlHost
+	// controlsOf and controlsNumber are those of the list of control hosts that is held.
+	controlsOf     uint64
+	controlsNumber uint64
+	current        string
+	heard          core.Millis
+	// silentMost is how long the current control host may be silent.
+	silentMost core.Millis
+	unledAt    core.Millis
+	unledMost  core.Millis
+	avoid      map[string]core.Millis
+	reportAt   core.Millis
+	betterAt   core.Millis
+	index      uint64
+	document   routes.Document
+	evacuated  []string
 	// returnedAt is when an evacuation ended last.
 	returnedAt core.Millis
 	list       roster.Copy
@@ -57,6 +68,7 @@
 		e.controls = append(e.controls, ControlHost{Name: name})
 	}
 	e.betterAt = now + betterEvery
+	e.silentMost, e.unledMost = strangeSilent, controlSilent
 	e.change(now, "")
 }
 
@@ -100,14 +112,16 @@
 // Tick carries out what is due; the driver calls it every EntryTick.
 func (e *Entry) Tick(now core.Millis) core.Effects {
 	out := &core.Effects{}
-	if now-e.heard > controlSilent {
+	if now-e.heard > e.silentMost {
 		failed := e.current
 		e.change(now, failed)
-		out.Logf("control", "Host %s was not heard for %s; reports to %s.", failed, controlSilent, e.current)
+		out.Logf("control", "Host %s was not heard for %s; reports to %s.", failed, e.silentMost, e.current)
+		e.silentMost = min(2*e.silentMost, controlSilent)
 	}
-	if e.unledAt != 0 && now-e.unledAt > unledAtMost {
+	if e.unledAt != 0 && now-e.unledAt > e.unledMost {
 		failed := e.current
 		e.change(now, failed)
+		e.unledMost = min(2*e.unledMost, unledMost)
 		out.Logf("control", "Host %s hears no leader; reports to %s.", failed, e.current)
 	}
 	if now >= e.reportAt {
@@ -122,35 +136,41 @@
 // report tells a control host what this host is and holds.
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	e.reportAt = now + reportEvery
-	if e.document.Version == 0 {
-		e.reportAt = now + eagerEvery
-	}
 	if to == "" {
 		return
 	}
 	out.Send(to, &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
-		ListProcess: e.list.Process(), ListNumber: e.list.Number(), Probe: probe,
+		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsOf: e.controlsOf, ControlsNumber: e.controlsNumber, Probe: probe,
 	})
 }
 
 // tryBetter reports to a nearer control host too, which becomes the current one when it answers.
 func (e *Entry) tryBetter(now core.Millis, out *core.Effects) {
 	e.betterAt = now + betterEvery
-	best := ControlHost{Name: e.current}
+	if best := e.nearest(now); e.rank(best) < e.rank(e.hostNamed(e.current)) {
+		e.report(now, best.Name, true, out)
+	}
+}
+
+// nearest returns the nearest control host that did not fail a moment ago.
+func (e *Entry) nearest(now core.Millis) (best ControlHost) {
 	for _, c := range e.controls {
-		if c.Name == e.current {
+		if e.avoid[c.Name] <= now && (best.Name == "" || e.rank(c) < e.rank(best)) {
 			best = c
 		}
 	}
+	return best
+}
+
+// hostNamed returns a control host with its place, which is empty before it is known.
+func (e *Entry) hostNamed(name string) ControlHost {
 	for _, c := range e.controls {
-		if e.rank(c) < e.rank(best) {
-			best = c
+		if c.Name == name {
+			return c
 		}
 	}
-	if best.Name != e.current {
-		e.report(now, best.Name, true, out)
-	}
+	return ControlHost{Name: name}
 }
 
 // Receive takes a message from a control host; it returns whether what is in force may have changed.
@@ -160,11 +180,12 @@
 		return false, effects
 	}
 	out := &core.Effects{}
+	e.takeControls(now, u)
 	if from != e.current {
 		e.considerSwitch(now, from, u, out)
 	}
 	if from == e.current {
-		e.heard = now
+		e.heard, e.silentMost = now, controlSilent
 		e.noteLeader(now, u)
 	}
 	if u.Bare {
@@ -173,18 +194,20 @@
 	return e.take(now, from, u, out), *out
 }
 
+// takeControls takes the control hosts that a host which hears the leader knows, and soon turns to a nearer one.
+func (e *Entry) takeControls(now core.Millis, u *Update) {
+	if len(u.Controls) == 0 || !u.LeaderHeard {
+		return
+	}
+	e.controls, e.controlsOf, e.controlsNumber = u.Controls, u.Process, u.ControlsNumber
+	if e.rank(e.nearest(now)) < e.rank(e.hostNamed(e.current)) {
+		e.betterAt = min(e.betterAt, now+core.Millis(e.Rand.Int64N(int64(betterSoon))))
+	}
+}
+
 // considerSwitch changes to a nearer control host that hears the leader.
 func (e *Entry) considerSwitch(now core.Millis, from string, u *Update, out *core.Effects) {
-	var mine, theirs ControlHost
-	for _, c := range u.Controls {
-		if c.Name == from {
-			theirs = c
-		}
-		if c.Name == e.current {
-			mine = c
-		}
-	}
-	if u.LeaderHeard && e.rank(theirs) < e.rank(mine) {
+	if u.LeaderHeard && e.rank(e.hostNamed(from)) < e.rank(e.hostNamed(e.current)) {
 		out.Logf("control", "Reports to %s, which is nearer than %s.", from, e.current)
 		e.current, e.unledAt = from, 0
 		e.reportAt = now
@@ -194,7 +217,7 @@
 func (e *Entry) noteLeader(now core.Millis, u *Update) {
 	switch {
 	case u.LeaderHeard:
-		e.unledAt = 0
+		e.unledAt, e.unledMost = 0, unledFirst
 	case e.unledAt == 0:
 		e.unledAt = now
 	}
@@ -215,13 +238,6 @@
 		changed = true
 		out.Logf("config", "Takes version %d, evacuated %v, index %d from %s.", e.document.Version, e.evacuated, e.index, from)
 	}
-	if len(u.Controls) > 0 && u.LeaderHeard {
-		e.controls = u.Controls
-	}
-	if e.list.Process() == 0 && u.Endpoints == nil {
-		// The list comes from a nearer control host.
-		e.betterAt = min(e.betterAt, now+eagerEvery)
-	}
 	e.counts = u.Entries
 	if u.Endpoints == nil {
 		return changed
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -6,77 +6,84 @@
 	"clementinelock/core/routes"
 )
 
+// Messages travel with numbers in place of their fields' names, since every entry host gets and sends several a second; a number is never used again for something else.
+
 // EntryHost is what an entry host tells of itself.
 type EntryHost struct {
-	Name    string
-	Region  string
-	Zone    string
-	Address string
+	Name    string `cbor:"1,keyasint"`
+	Region  string `cbor:"2,keyasint"`
+	Zone    string `cbor:"3,keyasint"`
+	Address string `cbor:"4,keyasint"`
 	// Process is that of the host's start; a later start has a greater one.
-	Process uint64
+	Process uint64 `cbor:"5,keyasint"`
 	// Ready is false before the host can serve and from the begin of a planned stop on.
-	Ready bool
+	Ready bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Report goes from an entry host to its control host, with what it holds already.
 type Report struct {
 	EntryHost
-	Index       uint64
-	Version     uint64
-	ListProcess uint64
-	ListNumber  uint64
+	Index       uint64 `cbor:"10,keyasint,omitempty"`
+	Version     uint64 `cbor:"11,keyasint,omitempty"`
+	ListProcess uint64 `cbor:"12,keyasint,omitempty"`
+	ListNumber  uint64 `cbor:"13,keyasint,omitempty"`
+	// ControlsOf and ControlsNumber tell whose list of control hosts is held, by the process of its sender.
+	ControlsOf     uint64 `cbor:"14,keyasint,omitempty"`
+	ControlsNumber uint64 `cbor:"15,keyasint,omitempty"`
 	// Probe asks only whether the control host hears the leader; the answer brings nothing else.
-	Probe bool
+	Probe bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
 type Update struct {
 	// Process tells apart the processes of the control host.
-	Process uint64
+	Process uint64 `cbor:"1,keyasint"`
 	// Bare marks the answer to a probe, which tells nothing of what is in force.
-	Bare bool
+	Bare bool `cbor:"2,keyasint,omitempty"`
 	// LeaderHeard tells that the control host follows a leader now; one that does not may have missed changes.
-	LeaderHeard bool
+	LeaderHeard bool `cbor:"3,keyasint,omitempty"`
 	// Index and Version are those of what is in force; an entry host takes the index once it holds the version.
-	Index   uint64
-	Version uint64
+	Index   uint64 `cbor:"4,keyasint,omitempty"`
+	Version uint64 `cbor:"5,keyasint,omitempty"`
 	// Document is nil when the entry host has it already.
-	Document  *routes.Document
-	Evacuated []string
-	Endpoints *roster.Delta
-	Controls  []ControlHost
-	Entries   EntryCounts
+	Document  *routes.Document `cbor:"6,keyasint,omitempty"`
+	Evacuated []string         `cbor:"7,keyasint,omitempty"`
+	Endpoints *roster.Delta    `cbor:"8,keyasint,omitempty"`
+	// Controls is nil when the entry host has the list of that number already.
+	Controls       []ControlHost `cbor:"9,keyasint,omitempty"`
+	ControlsNumber uint64        `cbor:"10,keyasint,omitempty"`
+	Entries        EntryCounts   `cbor:"11,keyasint"`
 }
 
 // EntryCounts counts the ready entry hosts of the receiver's availability zone, of its region and of the deployment.
 type EntryCounts struct {
-	Zone   int
-	Region int
-	All    int
+	Zone   int `cbor:"1,keyasint"`
+	Region int `cbor:"2,keyasint"`
+	All    int `cbor:"3,keyasint"`
 }
 
 // ControlHost is a control host with its place.
 type ControlHost struct {
-	Name   string
-	Region string
-	Zone   string
+	Name   string `cbor:"1,keyasint"`
+	Region string `cbor:"2,keyasint"`
+	Zone   string `cbor:"3,keyasint"`
 }
 
 // Share goes from one control host to another: the entry hosts that report to the sender, and the list when the sender reads it.
 type Share struct {
 	ControlHost
-	Process uint64
-	Number  uint64
+	Process uint64 `cbor:"4,keyasint"`
+	Number  uint64 `cbor:"5,keyasint"`
 	// Have is the number that the sender holds of the receiver's entry hosts, of the receiver's process HaveOf.
-	HaveOf uint64
-	Have   uint64
+	HaveOf uint64 `cbor:"6,keyasint,omitempty"`
+	Have   uint64 `cbor:"7,keyasint,omitempty"`
 	// Whole tells that Entries holds all of the sender's entry hosts; without it they are as before.
-	Whole   bool
-	Entries []EntryHost
+	Whole   bool        `cbor:"8,keyasint,omitempty"`
+	Entries []EntryHost `cbor:"9,keyasint,omitempty"`
 	// ListProcess and ListNumber tell what the sender holds of the receiver's list.
-	ListProcess uint64
-	ListNumber  uint64
-	Endpoints   *roster.Delta
+	ListProcess uint64        `cbor:"10,keyasint,omitempty"`
+	ListNumber  uint64        `cbor:"11,keyasint,omitempty"`
+	Endpoints   *roster.Delta `cbor:"12,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader: something that an operator asks for.
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -9,7 +9,9 @@
 
 func (c *Control) onReport(now core.Millis, from string, m *Report, out *core.Effects) {
 	if m.Probe {
-		out.Send(from, &Update{Process: c.Process, Bare: true, LeaderHeard: c.leaderHeard(now), Controls: c.controlHosts()})
+		u := &Update{Process: c.Process, Bare: true, LeaderHeard: c.leaderHeard(now)}
+		c.addControls(m, u)
+		out.Send(from, u)
 		return
 	}
 	e := c.entries[from]
@@ -17,19 +19,23 @@
 		return
 	}
 	if e == nil {
-		e = &entryState{firstAt: now}
+		e = &entryState{}
 		c.entries[from] = e
 		out.Logf("entries", "Host %s reports here.", from)
 	}
 	changed := e.EntryHost != m.EntryHost
 	if e.Process != m.Process {
 		e.sentVersion, e.sentNumber = 0, 0
+		e.firstAt = 0
+	}
+	if e.firstAt == 0 && c.ledSince != 0 {
 		e.firstAt = now
 	}
 	e.Report, e.heard = *m, now
 	if changed {
 		c.number++
-		c.share(now, out)
+		c.readyKnown = false
+		c.shareAt = min(c.shareAt, now+shareSoon)
 	}
 	c.update(now, e, out)
 }
@@ -39,11 +45,12 @@
 	published := c.book.Published()
 	u := &Update{
 		Process: c.Process, LeaderHeard: c.leaderHeard(now), Index: published.Index, Version: published.Document.Version,
-		Evacuated: published.Evacuated, Controls: c.controlHosts(),
+		Evacuated: published.Evacuated,
 	}
+	c.addControls(&e.Report, u)
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
-	for _, each := range c.readyEntries(now) {
+	for _, each := range c.readyEntries() {
 		u.Entries.All++
 		if each.Region == e.Region {
 			u.Entries.Region++
@@ -55,6 +62,14 @@
 	out.Send(e.Name, u)
 }
 
+// addControls adds the control hosts unless the entry host holds the same list.
+func (c *Control) addControls(r *Report, u *Update) {
+	u.ControlsNumber = c.controlsNumber
+	if r.ControlsOf != c.Process || r.ControlsNumber != c.controlsNumber {
+		u.Controls = c.controlHosts()
+	}
+}
+
 // addDocument adds the document to an update unless the entry host has it or is just getting it.
 func (c *Control) addDocument(now core.Millis, e *entryState, u *Update) {
 	document := c.book.Published().Document
@@ -68,7 +83,7 @@
 
 // addList adds what the entry host lacks of the list and is not just getting.
 func (c *Control) addList(now core.Millis, e *entryState, u *Update) {
-	if e.ListProcess == 0 && now-e.firstAt < moveWithin && c.knowsNearer(now, e) {
+	if e.ListProcess == 0 && (e.firstAt == 0 || now-e.firstAt < moveWithin) && c.knowsNearer(now, e) {
 		return
 	}
 	process, number := e.ListProcess, e.ListNumber
@@ -187,10 +202,15 @@
 	}
 	if other.process != m.Process {
 		*other = controlState{process: m.Process}
+		c.readyKnown = false
+	}
+	if other.ControlHost != m.ControlHost {
+		c.controlsNumber++
 	}
 	other.ControlHost, other.heard = m.ControlHost, now
 	if m.Whole {
 		other.entries, other.number = m.Entries, m.Number
+		c.readyKnown = false
 	} else if other.number != m.Number {
 		other.number = 0
 	}
@@ -268,19 +288,29 @@
 		if now-c.entries[name].heard > entryGone {
 			delete(c.entries, name)
 			c.number++
+			c.readyKnown = false
 			out.Logf("entries", "Host %s was not heard for %s.", name, entryGone)
 		}
 	}
 	for _, name := range sortedNames(c.controls) {
 		if now-c.controls[name].heard > controlGone {
 			delete(c.controls, name)
+			c.controlsNumber++
+			c.readyKnown = false
 			out.Logf("controls", "Host %s was not heard for %s.", name, controlGone)
 		}
 	}
 }
 
 // readyEntries lists the entry hosts that serve, by name; of one that is known twice the later process counts.
-func (c *Control) readyEntries(core.Millis) []EntryHost {
+func (c *Control) readyEntries() []EntryHost {
+	if !c.readyKnown {
+		c.ready, c.readyKnown = c.findReady(), true
+	}
+	return c.ready
+}
+
+func (c *Control) findReady() []EntryHost {
 	byName := map[string]EntryHost{}
 	take := func(e EntryHost) {
 		if old, known := byName[e.Name]; !known || old.Process < e.Process || old.Process == e.Process && old.Ready {
@@ -305,8 +335,8 @@
 }
 
 // Directory lists the entry hosts that a client in the availability zone should use: those near it, at least two where there are as many.
-func (c *Control) Directory(now core.Millis, region, zone string) []string {
-	all := c.readyEntries(now)
+func (c *Control) Directory(region, zone string) []string {
+	all := c.readyEntries()
 	for _, near := range []func(EntryHost) bool{
 		func(e EntryHost) bool { return e.Zone == zone },
 		func(e EntryHost) bool { return e.Region == region },
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -44,17 +44,28 @@
 
 func (e *entryHost) Receive(now core.Millis, from string, message core.Message) core.Effects {
 	_, effects := e.Entry.Receive(now, from, message)
-	view := e.View(now)
-	if view.Document.Version < e.version || view.Index < e.index {
-		e.t.Fatalf("entry host %s went from version %d at index %d to version %d at index %d", e.Name, e.version, e.index, view.Document.Version, view.Index)
+	held := e.Dump(now)
+	if held.Version < e.version || held.Index < e.index {
+		e.t.Fatalf("entry host %s went from version %d at index %d to version %d at index %d", e.Name, e.version, e.index, held.Version, held.Index)
 	}
-	e.version, e.index = view.Document.Version, view.Index
+	e.version, e.index = held.Version, held.Index
 	return effects
 }
 
 func region(zone string) string { return zone[:2] }
 
+// controlZones and entryZones place the hosts of a small deployment.
+var (
+	controlZones = []string{"r0-a", "r1-a", "r2-a", "r0-b", "r1-b", "r2-b"}
+	entryZones   = []string{"r0-a", "r0-a", "r1-a", "r1-a", "r2-a", "r2-a", "r0-b", "r1-b", "r2-b"}
+)
+
 func newSite(t testing.TB, seed uint64) *site {
+	return newSiteIn(t, seed, controlZones, entryZones)
+}
+
+// newSiteIn places a control host and an entry host in each of the availability zones named; the first three control hosts are the seeds.
+func newSiteIn(t testing.TB, seed uint64, controls, entries []string) *site {
 	s := &site{
 		World: fake.NewWorld(seed), t: t, zones: map[string]string{}, disks: map[string]*fake.Disk{}, controls: map[string]*fleet.Control{},
 		entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unclear: map[string]bool{},
@@ -68,7 +79,7 @@
 	}
 	s.Carry = s.carry
 	var names []string
-	for i, zone := range []string{"r0-a", "r1-a", "r2-a", "r0-b", "r1-b", "r2-b"} {
+	for i, zone := range controls {
 		name := fmt.Sprintf("control-%d", i)
 		s.zones[name] = zone
 		names = append(names, name)
@@ -82,7 +93,7 @@
 		s.disks[name] = fake.NewDisk(incarnation)
 		s.At(s.Now+core.Millis(s.Rand.IntN(300)), func() { s.startControl(name) })
 	}
-	for i, zone := range []string{"r0-a", "r0-a", "r1-a", "r1-a", "r2-a", "r2-a", "r0-b", "r1-b", "r2-b"} {
+	for i, zone := range entries {
 		name := fmt.Sprintf("entry-%d", i)
 		s.zones[name] = zone
 		s.At(s.Now+core.Millis(s.Rand.IntN(300)), func() { s.startEntry(name) })
@@ -177,11 +188,12 @@
 
 func (s *site) upControls() []string {
 	var names []string
-	for i := range 6 {
-		if name := fmt.Sprintf("control-%d", i); s.Up(name) {
+	for name := range s.disks {
+		if s.Up(name) {
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -285,7 +297,7 @@
 	}
 	for name, c := range s.controls {
 		for _, zone := range []string{"r0-a", "r1-b"} {
-			if got := c.Directory(s.Now, region(zone), zone); len(got) < 2 {
+			if got := c.Directory(region(zone), zone); len(got) < 2 {
 				s.t.Fatalf("control host %s names %v for zone %s", name, got, zone)
 			}
 		}
--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 
 	"clementinelock/core"
@@ -113,6 +114,9 @@
 		number = 0
 	}
 	d := &Delta{Process: j.Process, From: number, Number: j.number, Age: j.Age(now)}
+	if number == j.number {
+		return d
+	}
 	for _, e := range j.entries {
 		if e.number > number {
 			d.Entries = append(d.Entries, j.plain(e))
@@ -160,6 +164,8 @@
 	number  uint64
 	readAt  core.Millis
 	entries map[string]numbered
+	// order lists the endpoints' ids, nil when they have to be sorted anew.
+	order []string
 }
 
 // Process returns the process whose journal the copy follows, 0 at first.
@@ -185,6 +191,7 @@
 	}
 	if d.From == 0 {
 		c.entries = make(map[string]numbered, len(d.Entries))
+		c.order = nil
 	}
 	c.process, c.number, c.readAt = d.Process, d.Number, now-d.Age
 	for _, e := range d.Entries {
@@ -193,22 +200,34 @@
 			n.warmAt = c.readAt + e.ColdFor
 		}
 		n.ColdFor = 0
+		if _, held := c.entries[e.ID]; !held {
+			c.order = nil
+		}
 		c.entries[e.ID] = n
 	}
 	for _, id := range d.Removed {
 		delete(c.entries, id)
+		c.order = nil
 	}
 	return true
 }
 
 // Entries lists the endpoints by id, with their cold time after the newest reading.
 func (c *Copy) Entries() []Entry {
-	out := make([]Entry, 0, len(c.entries))
-	for _, n := range c.entries {
+	if c.order == nil {
+		c.order = slices.Sorted(maps.Keys(c.entries))
+	}
+	out := make([]Entry, 0, len(c.order))
+	for _, id := range c.order {
+		n := c.entries[id]
 		e := n.Entry
 		e.ColdFor = max(0, n.warmAt-c.readAt)
 		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return compareText(a.ID, b.ID) })
 	return out
 }
+
+// Len returns how many endpoints the copy holds.
+func (c *Copy) Len() int {
+	return len(c.entries)
+}
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -299,5 +299,5 @@
 func (c *Control) EntryHosts(region, zone string) []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.machine.Directory(c.clock.Now(), region, zone)
+	return c.machine.Directory(region, zone)
 }
--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -25,9 +25,11 @@
 
 // Lengths of time between hosts. Silence is found by the regular messages, so that keeping alive costs little.
 const (
-	peerSilentAfter = 1500 * time.Millisecond
-	peerKeepAlive   = 700 * time.Millisecond
-	headerWithin    = 3 * time.Second
+	peerSilentAfter = 2 * time.Second
+	peerKeepAlive   = 900 * time.Millisecond
+	// peerIdleAfter is some reports; a host that has turned to another control host soon costs the earlier one nothing.
+	peerIdleAfter = 3 * time.Second
+	headerWithin  = 3 * time.Second
 )
 
 // host is what control and entry hosts have in common.
@@ -52,7 +54,8 @@
 	}
 	h.network = &link.Network{
 		Self: h.Settings.Host, Address: cmp.Or(h.Settings.PeerListen, h.Settings.peerAddress(h.Settings.Host)), Keys: keys, Receive: receive,
-		AddressOf: h.Settings.peerAddress, FromOwnAddress: true, SilentAfter: peerSilentAfter, KeepAliveEvery: peerKeepAlive,
+		AddressOf: h.Settings.peerAddress, FromOwnAddress: true, Reuse: true,
+		SilentAfter: peerSilentAfter, KeepAliveEvery: peerKeepAlive, IdleAfter: peerIdleAfter,
 		OnError: func(peer string, err error) { h.Log.Debug("link", fmt.Sprintf("Host %s: %v.", peer, err)) },
 	}
 	if err := h.network.Listen(ctx); err != nil {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -49,9 +49,12 @@
 	AddressOf func(name string) string
 	// FromOwnAddress lets connections to others come from the address's IP, by which relays and filters on the way know the host.
 	FromOwnAddress bool
-	// SilentAfter and KeepAliveEvery are those of the constants above when they are left zero.
+	// Reuse sends to a host on the connection that this host opened, while there is one, instead of opening another. All hosts must set it alike.
+	Reuse bool
+	// SilentAfter, KeepAliveEvery and IdleAfter are those of the constants above when they are left zero.
 	SilentAfter    time.Duration
 	KeepAliveEvery time.Duration
+	IdleAfter      time.Duration
 	// Receive is called with each message and the name in its sender's certificate.
 	Receive func(from string, message core.Message)
 	// OnError is told of connections that fail.
@@ -60,6 +63,8 @@
 	mutex     sync.Mutex
 	addresses map[string]string
 	peers     map[string]*peer
+	// incoming holds the newest connection that each host opened.
+	incoming  map[string]*quic.Conn
 	context   context.Context
 	socket    *net.UDPConn
 	transport *quic.Transport
@@ -123,6 +128,7 @@
 		n.addresses = map[string]string{}
 	}
 	n.peers = map[string]*peer{}
+	n.incoming = map[string]*quic.Conn{}
 	return nil
 }
 
@@ -163,21 +169,64 @@
 	}
 }
 
-// serve reads the messages of one connection until it ends.
+// serve reads what comes on a connection that another host opened, until it ends.
 func (n *Network) serve(ctx context.Context, connection *quic.Conn) {
 	from := certs.PeerName(connection.ConnectionState().TLS)
-	stream, err := connection.AcceptUniStream(ctx)
-	if err != nil {
-		return
+	if n.Reuse {
+		n.setIncoming(from, connection)
+		defer n.unsetIncoming(from, connection)
+	}
+	n.readStreams(ctx, from, connection)
+}
+
+func (n *Network) setIncoming(from string, connection *quic.Conn) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.incoming[from] = connection
+}
+
+func (n *Network) unsetIncoming(from string, connection *quic.Conn) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.incoming[from] == connection {
+		delete(n.incoming, from)
+	}
+}
+
+// incomingFrom returns the connection that the host opened last and that still lives, or nil.
+func (n *Network) incomingFrom(name string) *quic.Conn {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if connection := n.incoming[name]; connection != nil && connection.Context().Err() == nil {
+		return connection
+	}
+	return nil
+}
+
+// readStreams reads one stream after the other; a sender that has paused goes on with a new one.
+func (n *Network) readStreams(ctx context.Context, from string, connection *quic.Conn) {
+	for {
+		stream, err := connection.AcceptUniStream(ctx)
+		if err != nil {
+			return
+		}
+		if err := n.readMessages(from, stream); err != nil {
+			_ = connection.CloseWithError(1, "unreadable")
+			return
+		}
 	}
+}
+
+// readMessages reads a stream to its end; it errs on one that breaks off.
+func (n *Network) readMessages(from string, stream io.Reader) error {
 	reader := bufio.NewReader(stream)
 	for {
 		data, err := readMessage(reader)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				_ = connection.CloseWithError(1, "unreadable")
-			}
-			return
+			return err
 		}
 		message, err := host.Decode(data)
 		if err != nil {
@@ -228,139 +277,3 @@
 	}
 	return n.AddressOf(name)
 }
-
-// peer sends to one host.
-type peer struct {
-	network    *Network
-	name       string
-	queue      chan []byte
-	connection *quic.Conn
-	stream     *quic.SendStream
-	// socket is the connection's own when it comes from the host's address.
-	socket    *net.UDPConn
-	wait      time.Duration
-	notBefore time.Time
-}
-
-func (p *peer) run(ctx context.Context) {
-	idle := time.NewTimer(idleAfter)
-	defer idle.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			p.hangUp()
-			return
-		case <-idle.C:
-			p.hangUp()
-			idle.Reset(idleAfter)
-		case data := <-p.queue:
-			idle.Reset(idleAfter)
-			p.send(ctx, data)
-		}
-	}
-}
-
-// send writes a message and what else waits; a message that can't be written is lost.
-func (p *peer) send(ctx context.Context, data []byte) {
-	if p.connection != nil && p.connection.Context().Err() != nil {
-		p.network.Stats.add(func(s *Stats) { s.Lost++ })
-		p.hangUp()
-	}
-	if p.connection == nil && !p.dial(ctx) {
-		return
-	}
-	buffer := binary.AppendUvarint(nil, uint64(len(data)))
-	buffer = append(buffer, data...)
-	count := uint64(1)
-	for len(buffer) < maxBatch && len(p.queue) > 0 {
-		next := <-p.queue
-		buffer = binary.AppendUvarint(buffer, uint64(len(next)))
-		buffer = append(buffer, next...)
-		count++
-	}
-	_ = p.stream.SetWriteDeadline(time.Now().Add(writeWithin))
-	if _, err := p.stream.Write(buffer); err != nil {
-		p.network.Stats.add(func(s *Stats) { s.Lost++ })
-		p.network.OnError(p.name, err)
-		p.hangUp()
-		return
-	}
-	p.network.Stats.add(func(s *Stats) { s.SentMessages += count; s.SentBytes += uint64(len(buffer)) })
-}
-
-const maxBatch = 64 << 10
-
-// dial opens a new connection, from a new port, unless the last attempt failed a moment ago.
-func (p *peer) dial(ctx context.Context) bool {
-	address := p.network.addressOf(p.name)
-	if address == "" || time.Now().Before(p.notBefore) {
-		return false
-	}
-	within, cancel := context.WithTimeout(ctx, dialWithin)
-	defer cancel()
-	p.network.Stats.add(func(s *Stats) { s.Dials++ })
-	connection, err := p.connect(within, address)
-	if err == nil {
-		err = p.open(connection)
-	}
-	if err != nil {
-		p.closeSocket()
-		p.wait = min(max(2*p.wait, redialAfter), redialMost)
-		p.notBefore = time.Now().Add(p.wait)
-		p.network.OnError(p.name, err)
-		return false
-	}
-	p.wait = 0
-	return true
-}
-
-// connect opens a connection, from a port of its own.
-func (p *peer) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	tlsConfig := p.network.Keys.Config([]string{protocol}, certs.Hosts)
-	if !p.network.FromOwnAddress {
-		return quic.DialAddr(ctx, address, tlsConfig, p.network.config())
-	}
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, err
-	}
-	own, err := net.ResolveUDPAddr("udp", p.network.Address)
-	if err != nil {
-		return nil, err
-	}
-	p.socket, err = net.ListenUDP("udp", &net.UDPAddr{IP: own.IP})
-	if err != nil {
-		return nil, err
-	}
-	return quic.Dial(ctx, p.socket, to, tlsConfig, p.network.config())
-}
-
-func (p *peer) closeSocket() {
-	if p.socket != nil {
-		// The connection on it has ended.
-		_ = p.socket.Close()
-		p.socket = nil
-	}
-}
-
-func (p *peer) open(connection *quic.Conn) error {
-	name := certs.PeerName(connection.ConnectionState().TLS)
-	if name != p.name {
-		_ = connection.CloseWithError(1, "wrong host")
-		return fmt.Errorf("address of host %q is answered by host %q", p.name, name)
-	}
-	stream, err := connection.OpenUniStream()
-	if err != nil {
-		return err
-	}
-	p.connection, p.stream = connection, stream
-	return nil
-}
-
-func (p *peer) hangUp() {
-	if p.connection != nil {
-		_ = p.connection.CloseWithError(0, "")
-	}
-	p.connection, p.stream = nil, nil
-	p.closeSocket()
-}
--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,114 @@
+package link_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/io/certs"
+	"clementinelock/io/link"
+)
+
+// patience is how long a test waits for a message that has to come; tests don't depend on how fast it does.
+const patience = 20 * time.Second
+
+// hosts are the addresses of the hosts of a test, each on a port of its own.
+var hosts = map[string]string{"a": "127.0.0.1:17631", "b": "127.0.0.1:17632"}
+
+// station is one host with the messages that it has got.
+type station struct {
+	*link.Network
+	got  chan string
+	stop context.CancelFunc
+}
+
+func start(t *testing.T, name string, reuse bool, idleAfter time.Duration) *station {
+	t.Helper()
+	keys, err := certs.MakeUnverified(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &station{got: make(chan string, 1000), stop: stop}
+	s.Network = &link.Network{
+		Self: name, Address: hosts[name], Keys: keys, Reuse: reuse, IdleAfter: idleAfter, FromOwnAddress: true,
+		AddressOf: func(name string) string { return hosts[name] },
+		Receive:   func(from string, _ core.Message) { s.got <- from },
+		OnError:   func(host string, err error) { t.Logf("%s to %s: %v", name, host, err) },
+	}
+	if err := s.Listen(ctx); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	return s
+}
+
+// reach sends again and again until the receiver has got a message from the sender.
+func reach(t *testing.T, from *station, name string, to *station) {
+	t.Helper()
+	end := time.After(patience)
+	for {
+		from.Send(name, &fleet.Update{Process: 1})
+		select {
+		case got := <-to.got:
+			if got == from.Self {
+				return
+			}
+		case <-time.After(20 * time.Millisecond):
+		case <-end:
+			t.Fatalf("host %s has got no message from %s within %s", name, from.Self, patience)
+		}
+	}
+}
+
+// TestAnswersShareTheConnection checks that a host answers on the connection that came in, where hosts reuse connections.
+func TestAnswersShareTheConnection(t *testing.T) {
+	for _, reuse := range []bool{false, true} {
+		a, b := start(t, "a", reuse, 0), start(t, "b", reuse, 0)
+		reach(t, a, "b", b)
+		reach(t, b, "a", a)
+		if dials := b.Stats.Read().Dials; (dials == 0) != reuse {
+			t.Errorf("with reuse %t host b opened %d connections", reuse, dials)
+		}
+		a.stop()
+		b.stop()
+		a.Close()
+		b.Close()
+	}
+}
+
+// TestSharedConnectionOfEndedProcess checks that answers reach a host that has started anew, before the connection of its earlier process counts as silent.
+func TestSharedConnectionOfEndedProcess(t *testing.T) {
+	a, b := start(t, "a", true, 0), start(t, "b", true, 0)
+	reach(t, a, "b", b)
+	reach(t, b, "a", a)
+	a.stop()
+	a.Close()
+	again := start(t, "a", true, 0)
+	reach(t, again, "b", b)
+	reach(t, b, "a", again)
+	if dials := b.Stats.Read().Dials; dials > 1 {
+		t.Errorf("host b opened %d connections", dials)
+	}
+}
+
+// TestSharedConnectionThatEnds checks that a host opens a connection of its own once the other has closed the shared one.
+func TestSharedConnectionThatEnds(t *testing.T) {
+	a, b := start(t, "a", true, 50*time.Millisecond), start(t, "b", true, 0)
+	reach(t, a, "b", b)
+	reach(t, b, "a", a)
+	for end := time.Now().Add(patience); b.Stats.Read().Dials == 0; {
+		if time.Now().After(end) {
+			t.Fatal("host b never opened a connection of its own")
+		}
+		time.Sleep(100 * time.Millisecond)
+		reach(t, b, "a", a)
+	}
+}
--- /dev/null
+++ b/io/link/peer.go
@@ -0,0 +1,185 @@
+package link
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"clementinelock/io/certs"
+
+	"github.com/quic-go/quic-go"
+)
+
+// maxBatch bounds what is written at once, in bytes.
+const maxBatch = 64 << 10
+
+// peer sends to one host.
+type peer struct {
+	network    *Network
+	name       string
+	queue      chan []byte
+	connection *quic.Conn
+	stream     *quic.SendStream
+	// shared tells that the other host opened the connection.
+	shared bool
+	// socket is the connection's own when it comes from the host's address.
+	socket    *net.UDPConn
+	wait      time.Duration
+	notBefore time.Time
+}
+
+func (p *peer) run(ctx context.Context) {
+	idleAfter := cmp.Or(p.network.IdleAfter, idleAfter)
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.hangUp()
+			return
+		case <-idle.C:
+			p.hangUp()
+			idle.Reset(idleAfter)
+		case data := <-p.queue:
+			idle.Reset(idleAfter)
+			p.send(ctx, data)
+		}
+	}
+}
+
+// send writes a message and what else waits; a message that can't be written is lost.
+func (p *peer) send(ctx context.Context, data []byte) {
+	if p.connection != nil && p.connection.Context().Err() != nil {
+		p.network.Stats.add(func(s *Stats) { s.Lost++ })
+		p.hangUp()
+	}
+	if p.shared && p.network.incomingFrom(p.name) != p.connection {
+		// The host has started anew or given up the older connection.
+		p.hangUp()
+	}
+	if p.connection == nil && !p.share() && !p.dial(ctx) {
+		return
+	}
+	buffer := binary.AppendUvarint(nil, uint64(len(data)))
+	buffer = append(buffer, data...)
+	count := uint64(1)
+	for len(buffer) < maxBatch && len(p.queue) > 0 {
+		next := <-p.queue
+		buffer = binary.AppendUvarint(buffer, uint64(len(next)))
+		buffer = append(buffer, next...)
+		count++
+	}
+	_ = p.stream.SetWriteDeadline(time.Now().Add(writeWithin))
+	if _, err := p.stream.Write(buffer); err != nil {
+		p.network.Stats.add(func(s *Stats) { s.Lost++ })
+		p.network.OnError(p.name, err)
+		_ = p.connection.CloseWithError(2, "stalled")
+		p.hangUp()
+		return
+	}
+	p.network.Stats.add(func(s *Stats) { s.SentMessages += count; s.SentBytes += uint64(len(buffer)) })
+}
+
+// share takes the connection that the host opened, where connections are reused and there is one.
+func (p *peer) share() bool {
+	if !p.network.Reuse {
+		return false
+	}
+	connection := p.network.incomingFrom(p.name)
+	if connection == nil {
+		return false
+	}
+	stream, err := connection.OpenUniStream()
+	if err != nil {
+		p.network.OnError(p.name, err)
+		return false
+	}
+	p.connection, p.stream, p.shared = connection, stream, true
+	return true
+}
+
+// dial opens a new connection, from a new port, unless the last attempt failed a moment ago.
+func (p *peer) dial(ctx context.Context) bool {
+	address := p.network.addressOf(p.name)
+	if address == "" || time.Now().Before(p.notBefore) {
+		return false
+	}
+	within, cancel := context.WithTimeout(ctx, dialWithin)
+	defer cancel()
+	p.network.Stats.add(func(s *Stats) { s.Dials++ })
+	connection, err := p.connect(within, address)
+	if err == nil {
+		err = p.open(connection)
+	}
+	if err != nil {
+		p.closeSocket()
+		p.wait = min(max(2*p.wait, redialAfter), redialMost)
+		p.notBefore = time.Now().Add(p.wait)
+		p.network.OnError(p.name, err)
+		return false
+	}
+	p.wait = 0
+	if p.network.Reuse {
+		go p.network.readStreams(ctx, p.name, p.connection)
+	}
+	return true
+}
+
+// connect opens a connection, from a port of its own.
+func (p *peer) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	tlsConfig := p.network.Keys.Config([]string{protocol}, certs.Hosts)
+	if !p.network.FromOwnAddress {
+		return quic.DialAddr(ctx, address, tlsConfig, p.network.config())
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	own, err := net.ResolveUDPAddr("udp", p.network.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.socket, err = net.ListenUDP("udp", &net.UDPAddr{IP: own.IP})
+	if err != nil {
+		return nil, err
+	}
+	return quic.Dial(ctx, p.socket, to, tlsConfig, p.network.config())
+}
+
+func (p *peer) closeSocket() {
+	if p.socket != nil {
+		// The connection on it has ended.
+		_ = p.socket.Close()
+		p.socket = nil
+	}
+}
+
+func (p *peer) open(connection *quic.Conn) error {
+	name := certs.PeerName(connection.ConnectionState().TLS)
+	if name != p.name {
+		_ = connection.CloseWithError(1, "wrong host")
+		return fmt.Errorf("address of host %q is answered by host %q", p.name, name)
+	}
+	stream, err := connection.OpenUniStream()
+	if err != nil {
+		return err
+	}
+	p.connection, p.stream = connection, stream
+	return nil
+}
+
+// hangUp ends the connection; one that the host opened is left to it.
+func (p *peer) hangUp() {
+	switch {
+	case p.connection == nil:
+	case p.shared:
+		_ = p.stream.Close()
+	default:
+		_ = p.connection.CloseWithError(0, "")
+	}
+	p.connection, p.stream, p.shared = nil, nil, false
+	p.closeSocket()
+}
