Long lists are read by availability zone, at the same time

Cause: with 60 pages, a reading page after page needs 45 ms a page from another region, 2.7 s in all, and was given up after 0.9 s: a leader outside the list's region never had a list (page 16 at best), so that control hosts near the list each read it for themselves and passed on nothing. Ruled out: the platform's rate (400 calls a second there, none refused).

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -20,8 +20,12 @@
 	// listShareEvery tells the other control hosts that the reader lives before they read the list themselves.
 	listShareEvery = 500 * core.Millisecond
 	listEvery      = 800 * core.Millisecond
-	// listStale is the age at which a list of another reader no longer spares the own reading.
-	listStale = 1700 * core.Millisecond
+	// listPerCall keeps the reading of a long list, whose pages take 0.2 ms of a core each, within 1% of a core.
+	listPerCall = 20 * core.Millisecond
+	// listEveryMost leaves half of the 3 s in which an endpoint that leaves has to be known.
+	listEveryMost = 1500 * core.Millisecond
+	// listLate is by how much another reader's list may be late before it no longer spares the own reading.
+	listLate = 900 * core.Millisecond
 	// entryGone is three reports; look-ups must not name a host for longer than 6 s after its end.
 	entryGone   = 2500 * core.Millisecond
 	controlGone = 4 * core.Second
@@ -64,9 +68,12 @@
 	list     roster.Journal
 	listAt   core.Millis
 	reading  bool
-	readMost core.Millis
-	shareAt  core.Millis
-	orders   orderBook
+	// listCalls is how many calls the last reading took.
+	listCalls int
+	// readerEvery is how often the host reads the list whose list is held here.
+	readerEvery core.Millis
+	shareAt     core.Millis
+	orders      orderBook
 	// contacts are the seeds of the settings, as they are now.
 	contacts []string
 }
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"clementinelock/core"
 	"clementinelock/core/edits"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
@@ -84,6 +85,8 @@
 	ListProcess uint64        `cbor:"10,keyasint,omitempty"`
 	ListNumber  uint64        `cbor:"11,keyasint,omitempty"`
 	Endpoints   *roster.Delta `cbor:"12,keyasint,omitempty"`
+	// ListEvery is how often the sender reads the list, when it does.
+	ListEvery core.Millis `cbor:"13,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader: something that an operator asks for.
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -172,6 +172,7 @@
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
 		s.Whole = other.have != c.number
 		if c.reading {
+			s.ListEvery = c.readEvery()
 			s.Endpoints = c.list.Since(now, other.theyList[0], other.theyList[1])
 			if s.Endpoints != nil && s.Endpoints.From != s.Endpoints.Number {
 				other.listDueAt = max(other.listDueAt, now+transferFor(entryBytes*len(s.Endpoints.Entries)))
@@ -222,16 +223,16 @@
 		other.theyList = [2]uint64{m.ListProcess, m.ListNumber}
 	}
 	if m.Endpoints != nil && other.list.Apply(now, m.Endpoints) {
-		c.takeList(now, other)
+		c.takeList(now, other, m.ListEvery)
 	}
 }
 
 // takeList takes another host's list when it is newer than what is held here.
-func (c *Control) takeList(now core.Millis, other *controlState) {
+func (c *Control) takeList(now core.Millis, other *controlState, every core.Millis) {
 	if c.reading && c.quorum.IsLeader() || c.list.Known() && other.list.Age(now) > c.list.Age(now) {
 		return
 	}
-	c.reading = false
+	c.reading, c.readerEvery = false, every
 	c.list.Set(now-other.list.Age(now), other.list.Entries())
 }
 
@@ -240,13 +241,28 @@
 	if now < c.listAt {
 		return false
 	}
-	if !c.quorum.IsLeader() && c.list.Known() && c.list.Age(now) < listStale+c.stagger() {
+	stale := max(listEvery, c.readerEvery) + listLate + c.stagger()
+	if !c.quorum.IsLeader() && c.list.Known() && c.list.Age(now) < stale {
 		return false
 	}
-	c.listAt = now + max(listEvery, c.readMost)
+	c.listAt = now + c.readEvery()
 	return true
 }
 
+// readEvery returns how often this host reads the list: a long one less often, and none beyond its share of the calls that the platform takes.
+func (c *Control) readEvery() core.Millis {
+	every := max(listEvery, min(core.Millis(c.listCalls)*listPerCall, listEveryMost))
+	if c.ListCallsPerSecond <= 0 {
+		return every
+	}
+	readers := 1.0
+	if !c.quorum.IsLeader() {
+		// All control hosts may be reading; the list's rate is divided among them.
+		readers = float64(len(c.controls) + 1)
+	}
+	return max(every, core.Millis(rateMargin*readers*float64(c.listCalls)/c.ListCallsPerSecond*float64(core.Second)))
+}
+
 // rateMargin leaves a third of the list's rate to hosts that nobody here knows of.
 const rateMargin = 1.5
 
@@ -268,13 +284,7 @@
 			c.reading = true
 			out.Logf("list", "Reads the platform's list: %d endpoints.", len(entries))
 		}
-		// All control hosts may be reading; the list's rate is divided among them.
-		if c.ListCallsPerSecond > 0 && !c.quorum.IsLeader() {
-			readers := float64(len(c.controls) + 1)
-			c.readMost = core.Millis(rateMargin * readers * float64(calls) / c.ListCallsPerSecond * float64(core.Second))
-		} else {
-			c.readMost = 0
-		}
+		c.listCalls = calls
 		// Those that miss the leader's readings too are spared their own by this one.
 		if c.list.Set(askedAt, entries) || !c.quorum.IsLeader() {
 			c.share(now, out)
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,11 +35,15 @@
 	replies map[uint64]chan core.Reply
 	tickets uint64
 	reading bool
+	list    listReader
 }
 
 // NewControl returns a control host with the settings.
 func NewControl(s Settings, p Platform, log *logs.Logger) *Control {
-	return &Control{host: newHost(s, p, log), wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{}}
+	return &Control{
+		host: newHost(s, p, log), wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{},
+		list: listReader{platform: p, address: s.List, zones: slices.Sorted(maps.Keys(s.Regions))},
+	}
 }
 
 // Run serves until the stop context ends and the planned stop is done; it errs when the host can't go on.
@@ -192,7 +198,7 @@
 	asked := c.clock.Now()
 	within, cancel := context.WithTimeout(ctx, listWithin)
 	defer cancel()
-	entries, calls, err := c.Platform.ReadList(within, c.Settings.List)
+	entries, calls, err := c.list.read(within)
 	if err != nil && ctx.Err() == nil {
 		c.Log.Error("list", err)
 	}
--- /dev/null
+++ b/io/fleet/list_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"clementinelock/core/roster"
+)
+
+// pagedList is a platform's list with pages of 50 endpoints, of which a reading gets that many before its time is over.
+type pagedList struct {
+	Platform
+	inZone  map[string]int
+	within  int
+	refused string
+
+	mutex sync.Mutex
+	asked []string
+}
+
+func (l *pagedList) ReadList(_ context.Context, _, zone string) (entries []roster.Entry, calls int, err error) {
+	l.mutex.Lock()
+	l.asked = append(l.asked, zone)
+	l.mutex.Unlock()
+	if zone != "" && zone == l.refused {
+		return nil, 1, errors.New("status 429")
+	}
+	for name, count := range l.inZone {
+		for i := range count {
+			if zone == "" || zone == name {
+				entries = append(entries, roster.Entry{ID: fmt.Sprintf("%s-%d", name, i), Zone: name})
+			}
+		}
+	}
+	calls = max(1, (len(entries)+49)/50)
+	if calls > l.within {
+		return nil, l.within, context.DeadlineExceeded
+	}
+	return entries, calls, nil
+}
+
+// TestLongListIsReadInParts reads a list of 60 pages, of which only 16 come one after the other within a reading's time.
+func TestLongListIsReadInParts(t *testing.T) {
+	list := &pagedList{inZone: map[string]int{"a": 1000, "b": 1000, "c": 1000}, within: 20}
+	r := &listReader{platform: list, zones: []string{"a", "b", "c"}}
+	if _, _, err := r.read(context.Background()); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("the first reading ends with %v", err)
+	}
+	entries, calls, err := r.read(context.Background())
+	if err != nil || len(entries) != 3000 || calls != 60 {
+		t.Fatalf("%d endpoints were read in %d calls, %v", len(entries), calls, err)
+	}
+	list.refused = "b"
+	if entries, _, err := r.read(context.Background()); err == nil || entries != nil {
+		t.Fatalf("a list without the part of an availability zone is read as %d endpoints", len(entries))
+	}
+	list.refused = ""
+	list.inZone = map[string]int{"a": 60, "b": 60, "c": 60}
+	if _, calls, err := r.read(context.Background()); err != nil || calls != 6 {
+		t.Fatalf("the shorter list is read in %d calls, %v", calls, err)
+	}
+	list.asked = nil
+	if _, calls, err := r.read(context.Background()); err != nil || calls != 4 || !slices.Equal(list.asked, []string{""}) {
+		t.Fatalf("the shorter list is read in %d calls of %q, %v", calls, list.asked, err)
+	}
+}
--- a/io/fleet/platform.go
+++ b/io/fleet/platform.go
@@ -32,8 +32,8 @@
 	Dialect() proto.Dialect
 	// Decode reads a document; it errs on one that can't be in force.
 	Decode(document routes.Document) (*routes.Table, error)
-	// ReadList reads the whole list of endpoints; calls counts what was asked of the platform.
-	ReadList(ctx context.Context, address string) (entries []roster.Entry, calls int, err error)
+	// ReadList reads the list of the endpoints in an availability zone, or of all without a zone; calls counts what was asked of the platform.
+	ReadList(ctx context.Context, address, zone string) (entries []roster.Entry, calls int, err error)
 	// OperatorHandler serves operators.
 	OperatorHandler(o Operator) http.Handler
 	// DirectoryHandler serves look-ups; callers may keep an answer for that many seconds.
