Entry hosts leave a control host without a leader soon

Ruled out: the list and the shared connections (the version reached the host 34 ms after it had turned to a host that had it). Change: a control host tells its entry hosts at once when it no longer hears the leader; these ask three others at the same time and turn to the first that does, again after 0.5 s and then ever later. A probe no longer puts off the next report.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -129,7 +129,7 @@
 func (c *Control) Tick(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
 		c.quorum.Tick(now, out)
-		c.noteLeader(now)
+		c.noteLeader(now, out)
 		c.dropGone(now, out)
 		c.tickOrders(now, out)
 		c.retireMember(now, out)
@@ -253,13 +253,18 @@
 	return c.quorum.LeaderHeard(now) < leaderSilent
 }
 
-// noteLeader keeps since when this host hears a leader.
-func (c *Control) noteLeader(now core.Millis) {
+// noteLeader keeps since when this host hears a leader, and tells its entry hosts when it no longer does.
+func (c *Control) noteLeader(now core.Millis, out *core.Effects) {
+	heard := c.leaderHeard(now)
 	switch {
-	case !c.leaderHeard(now):
-		c.ledSince = 0
-	case c.ledSince == 0:
+	case heard && c.ledSince == 0:
 		c.ledSince = now
+	case !heard && c.ledSince != 0:
+		c.ledSince = 0
+		out.Logf("quorum", "Hears no leader; tells its %d entry hosts.", len(c.entries))
+		for _, name := range sortedNames(c.entries) {
+			c.update(now, c.entries[name], out)
+		}
 	}
 }
 
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -25,9 +25,11 @@
 	betterEvery = 3 * core.Second
 	// betterSoon spreads the turns of hosts that learn of the control hosts at the same time.
 	betterSoon = 300 * core.Millisecond
-	// unledFirst is how long a control host may hear no leader before another one is asked; each further one in a row is given twice the time, since a leader that no host hears is no reason for new connections.
-	unledFirst = 300 * core.Millisecond
-	unledMost  = 5 * core.Second
+	// unledAskFirst is how long after the first question others are asked again whether they hear a leader; each further time waits twice as long, since a leader that no host hears is no reason for new connections.
+	unledAskFirst = 500 * core.Millisecond
+	unledAskMost  = 5 * core.Second
+	// unledAsked is how many are asked at once: with a cut in halves, two of them are on the side of the current one in one case of six or less.
+	unledAsked = 3
 	// returningFor is longer than a zone that returns counts as cold.
 	returningFor = 5 * core.Second
 )
@@ -47,14 +49,16 @@
 	heard          core.Millis
 	// silentMost is how long the current control host may be silent.
 	silentMost core.Millis
-	unledAt    core.Millis
-	unledMost  core.Millis
-	avoid      map[string]core.Millis
-	reportAt   core.Millis
-	betterAt   core.Millis
-	index      uint64
-	document   routes.Document
-	evacuated  []string
+	// unled tells that the current control host hears no leader; others are asked again at askAt, and then after askWait.
+	unled     bool
+	askAt     core.Millis
+	askWait   core.Millis
+	avoid     map[string]core.Millis
+	reportAt  core.Millis
+	betterAt  core.Millis
+	index     uint64
+	document  routes.Document
+	evacuated []string
 	// returnedAt is when an evacuation ended last.
 	returnedAt core.Millis
 	list       roster.Copy
@@ -68,7 +72,7 @@
 		e.controls = append(e.controls, ControlHost{Name: name})
 	}
 	e.betterAt = now + betterEvery
-	e.silentMost, e.unledMost = strangeSilent, controlSilent
+	e.silentMost = strangeSilent
 	e.change(now, "")
 }
 
@@ -105,7 +109,7 @@
 	if len(all) > 0 {
 		e.current = all[0].Name
 	}
-	e.heard, e.unledAt = now, 0
+	e.heard, e.unled = now, false
 	e.reportAt = now
 }
 
@@ -118,11 +122,8 @@
 		out.Logf("control", "Host %s was not heard for %s; reports to %s.", failed, e.silentMost, e.current)
 		e.silentMost = min(2*e.silentMost, controlSilent)
 	}
-	if e.unledAt != 0 && now-e.unledAt > e.unledMost {
-		failed := e.current
-		e.change(now, failed)
-		e.unledMost = min(2*e.unledMost, unledMost)
-		out.Logf("control", "Host %s hears no leader; reports to %s.", failed, e.current)
+	if e.unled && now >= e.askAt {
+		e.askOthers(now, out)
 	}
 	if now >= e.reportAt {
 		e.report(now, e.current, false, out)
@@ -135,7 +136,9 @@
 
 // report tells a control host what this host is and holds.
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
-	e.reportAt = now + reportEvery
+	if !probe {
+		e.reportAt = now + reportEvery
+	}
 	if to == "" {
 		return
 	}
@@ -205,22 +208,46 @@
 	}
 }
 
-// considerSwitch changes to a nearer control host that hears the leader.
+// considerSwitch changes to a control host that hears the leader when it is nearer than the current one, or when that hears none.
 func (e *Entry) considerSwitch(now core.Millis, from string, u *Update, out *core.Effects) {
-	if u.LeaderHeard && e.rank(e.hostNamed(from)) < e.rank(e.hostNamed(e.current)) {
-		out.Logf("control", "Reports to %s, which is nearer than %s.", from, e.current)
-		e.current, e.unledAt = from, 0
-		e.reportAt = now
+	nearer := e.rank(e.hostNamed(from)) < e.rank(e.hostNamed(e.current))
+	if !u.LeaderHeard || !nearer && !e.unled {
+		return
+	}
+	reason := "is nearer"
+	if e.unled {
+		reason = "hears the leader"
+		e.avoid[e.current] = now + avoidFor
 	}
+	out.Logf("control", "Reports to %s, which %s, in place of %s.", from, reason, e.current)
+	e.current, e.unled = from, false
+	e.heard, e.reportAt = now, now
 }
 
+// noteLeader takes whether the current control host hears the leader; when it no longer does, others are asked.
 func (e *Entry) noteLeader(now core.Millis, u *Update) {
-	switch {
-	case u.LeaderHeard:
-		e.unledAt, e.unledMost = 0, unledFirst
-	case e.unledAt == 0:
-		e.unledAt = now
+	if !u.LeaderHeard && !e.unled {
+		e.askAt, e.askWait = now, unledAskFirst
+		if e.index == 0 {
+			// A deployment that starts has no leader yet, and all its hosts know the same few control hosts.
+			e.askAt = now + controlSilent
+		}
+	}
+	e.unled = !u.LeaderHeard
+}
+
+// askOthers asks some other control hosts whether they hear the leader.
+func (e *Entry) askOthers(now core.Millis, out *core.Effects) {
+	e.askAt = now + e.askWait
+	e.askWait = min(2*e.askWait, unledAskMost)
+	asked := 0
+	for _, i := range e.Rand.Perm(len(e.controls)) {
+		if name := e.controls[i].Name; name != e.current && asked < unledAsked {
+			e.report(now, name, true, out)
+			asked++
+		}
 	}
+	out.Logf("control", "Host %s hears no leader; asks %d others.", e.current, asked)
 }
 
 // take brings into force what an update holds beyond what is held; nothing ever goes back.
--- /dev/null
+++ b/core/fleet/minority_test.go
@@ -0,0 +1,57 @@
+package fleet_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/quorum"
+)
+
+// contactWindow and inForce are bounds of the users: how long a host's ways must have been whole, and then how long a confirmed version may take.
+const (
+	contactWindow = 3 * core.Second
+	inForce       = 2500 * core.Millisecond
+)
+
+// leader returns the control host that leads.
+func (s *site) leader() string {
+	for _, name := range s.upControls() {
+		if s.controls[name].Dump(s.Now).Quorum.Role == quorum.Leader {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestMinorityIsLeftSoon cuts the leader and another control host off from the others: entry hosts that reach both sides must follow the larger one, which elects a leader and confirms a version, within the bounds.
+func TestMinorityIsLeftSoon(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			s := newSite(t, seed)
+			s.For(500)
+			s.publish()
+			s.For(8 * core.Second)
+			leader := s.leader()
+			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
+			near := others[s.Rand.IntN(len(others))]
+			for _, other := range others {
+				if other != near {
+					s.Isolate(other, []string{leader, near}, true)
+				}
+			}
+			cut := s.Now
+			for before := s.acked; s.acked == before; s.For(300) {
+				s.publish()
+			}
+			version := s.acked
+			s.For(max(cut+contactWindow, s.Now+inForce) - s.Now)
+			for name, e := range s.entries {
+				if view := e.View(s.Now); view.Document.Version < version {
+					t.Errorf("entry host %s at %s has version %d, expected %d which was confirmed %s before", name, e.Current(), view.Document.Version, version, inForce)
+				}
+			}
+		})
+	}
+}
