Hosts that start all at once get their list before there is a leader

Ruled out: readings of the list (all control hosts had it after 0.2 to 0.6 s) and configurations (most entry hosts had theirs after 0.2 s). Change: only long lists (1,000 endpoints) are kept back, for 2 s from the first report; a host that can't serve yet goes by any control host's word on where the others are, and turns to the nearest at once. Test that failed first: 290 entry hosts and all control hosts end and come back; all have configuration and list within 1.5 s, with 400 and with 2,988 endpoints.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -82,7 +82,7 @@
 type entryState struct {
 	Report
 	heard core.Millis
-	// firstAt is when the entry host's process reported here first while there was a leader.
+	// firstAt is when the entry host's process reported here first.
 	firstAt core.Millis
 	// What was sent last, and when or until when it may be on its way; it is sent again when it is not confirmed in time.
 	sentVersion   uint64
--- a/core/fleet/crowd_test.go
+++ b/core/fleet/crowd_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"testing"
 
 	"clementinelock/core"
@@ -159,3 +161,30 @@
 		}
 	}
 }
+
+// TestCrowdReturns ends all hosts at once while their disks stay: entry hosts must have what is in force and the list before there is a new leader, since callers are waiting.
+func TestCrowdReturns(t *testing.T) {
+	for _, endpoints := range []int{400, 2988} {
+		c := newCrowd(t, 4)
+		c.list = longList()[:endpoints]
+		c.For(500)
+		c.publish()
+		c.For(10 * core.Second)
+		for name := range c.zones {
+			c.crash(name, true)
+		}
+		c.For(core.Second)
+		for _, name := range slices.Sorted(maps.Keys(c.zones)) {
+			c.begin(name)
+		}
+		back := c.Now
+		// A service may be suspended for some seconds; the first second is for the lists of control hosts to be read and for connections.
+		c.For(1500)
+		for name, e := range c.entries {
+			if view := e.View(c.Now); view.Document.Version == 0 || len(view.Endpoints) != endpoints {
+				t.Fatalf("entry host %s has version %d and %d of %d endpoints 1.5 s after its start", name, view.Document.Version, len(view.Endpoints), endpoints)
+			}
+		}
+		c.checkWork(back, c.Now, controlShare, math.MaxInt)
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -197,9 +197,14 @@
 	return e.take(now, from, u, out), *out
 }
 
-// takeControls takes the control hosts that a host which hears the leader knows, and soon turns to a nearer one.
+// follows tells whether to go by an update: one of a control host that hears the leader, or any as long as this host can't serve.
+func (e *Entry) follows(u *Update) bool {
+	return u.LeaderHeard || e.list.Process() == 0
+}
+
+// takeControls takes the control hosts that a host knows, and soon turns to a nearer one.
 func (e *Entry) takeControls(now core.Millis, u *Update) {
-	if len(u.Controls) == 0 || !u.LeaderHeard {
+	if len(u.Controls) == 0 || !e.follows(u) {
 		return
 	}
 	e.controls, e.controlsOf, e.controlsNumber = u.Controls, u.Process, u.ControlsNumber
@@ -211,11 +216,11 @@
 // considerSwitch changes to a control host that hears the leader when it is nearer than the current one, or when that hears none.
 func (e *Entry) considerSwitch(now core.Millis, from string, u *Update, out *core.Effects) {
 	nearer := e.rank(e.hostNamed(from)) < e.rank(e.hostNamed(e.current))
-	if !u.LeaderHeard || !nearer && !e.unled {
+	if !e.follows(u) || !nearer && !(e.unled && u.LeaderHeard) {
 		return
 	}
 	reason := "is nearer"
-	if e.unled {
+	if !nearer {
 		reason = "hears the leader"
 		e.avoid[e.current] = now + avoidFor
 	}
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -19,16 +19,13 @@
 		return
 	}
 	if e == nil {
-		e = &entryState{}
+		e = &entryState{firstAt: now}
 		c.entries[from] = e
 		out.Logf("entries", "Host %s reports here.", from)
 	}
 	changed := e.EntryHost != m.EntryHost
 	if e.Process != m.Process {
 		e.sentVersion, e.sentNumber = 0, 0
-		e.firstAt = 0
-	}
-	if e.firstAt == 0 && c.ledSince != 0 {
 		e.firstAt = now
 	}
 	e.Report, e.heard = *m, now
@@ -83,7 +80,7 @@
 
 // addList adds what the entry host lacks of the list and is not just getting.
 func (c *Control) addList(now core.Millis, e *entryState, u *Update) {
-	if e.ListProcess == 0 && (e.firstAt == 0 || now-e.firstAt < moveWithin) && c.knowsNearer(now, e) {
+	if e.ListProcess == 0 && c.list.Len() >= longList && now-e.firstAt < moveWithin && c.knowsNearer(now, e) {
 		return
 	}
 	process, number := e.ListProcess, e.ListNumber
@@ -113,6 +110,8 @@
 const (
 	// moveWithin is how long a host without a list is left the time to turn to a nearer control host; all hosts know only three of them at their start.
 	moveWithin = 2 * core.Second
+	// longList is from how many endpoints on a list is only sent to hosts that stay: below, sending it twice takes less than a tenth of a second of the smallest link.
+	longList = 1000
 	// slowestWay is what the smallest host's link of 2 Mbit/s carries beside its requests, in bytes per millisecond.
 	slowestWay = 100
 	// entryBytes is about what one endpoint takes in a delta.
--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -56,6 +56,11 @@
 	return j.number
 }
 
+// Len returns how many endpoints the list holds.
+func (j *Journal) Len() int {
+	return len(j.entries)
+}
+
 // Age returns how long ago the list was read from the platform.
 func (j *Journal) Age(now core.Millis) core.Millis {
 	return now - j.readAt
