Long lists travel packed, and not between control hosts that each read them

The test of a list on a small link has the largest deployment's 12,000 endpoints in place of 3,000, since a packed list of 3,000 is there before the second is over. Tests that failed first: bytes between control hosts; packing once, cold times of packed lists and broken bytes in core/roster.

--- a/core/fleet/crowd_test.go
+++ b/core/fleet/crowd_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"clementinelock/core"
+	"clementinelock/core/fleet"
 	"clementinelock/core/host"
 	"clementinelock/core/roster"
 )
@@ -188,3 +189,23 @@
 		c.checkWork(back, c.Now, controlShare, math.MaxInt)
 	}
 }
+
+// TestLongListBetweenControlHosts ends all hosts of a deployment with a long list: until there is a leader, control hosts that all read the list must not each send it to all others.
+func TestLongListBetweenControlHosts(t *testing.T) {
+	c := newCrowd(t, 5)
+	c.list = longList()
+	between := 0
+	c.OnSend = func(from, to string, message core.Message) {
+		c.account(from, to, message)
+		if share, ok := message.(*fleet.Share); ok && share.Endpoints != nil {
+			between += share.Endpoints.Len()
+		}
+	}
+	c.For(500)
+	c.publish()
+	c.For(8 * core.Second)
+	// The leader sends it to each of the others; as much again is left for a second reader.
+	if most := 2 * (len(c.controls) - 1) * len(c.list); between > most {
+		t.Fatalf("control hosts sent each other %d entries, expected at most %d", between, most)
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -274,6 +274,10 @@
 	if u.Endpoints == nil {
 		return changed
 	}
+	if err := u.Endpoints.Unpack(); err != nil {
+		out.Logf("list", "The list from %s can't be read: %v.", from, err)
+		return changed
+	}
 	newer := u.Endpoints.Process == e.list.Process() || u.Endpoints.Age < e.list.Age(now) || e.list.Process() == 0
 	number := e.list.Number()
 	if newer && e.list.Apply(now, u.Endpoints) && (u.Endpoints.From == 0 || e.list.Number() != number) {
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -90,7 +90,7 @@
 	u.Endpoints = c.list.Since(now, process, number)
 	if u.Endpoints != nil && u.Endpoints.From != u.Endpoints.Number {
 		e.sentNumber = c.list.Number()
-		e.numberDueAt = max(e.numberDueAt, now+transferFor(entryBytes*len(u.Endpoints.Entries)))
+		e.numberDueAt = max(e.numberDueAt, now+transferFor(u.Endpoints.Size()))
 	}
 }
 
@@ -114,8 +114,6 @@
 	longList = 1000
 	// slowestWay is what the smallest host's link of 2 Mbit/s carries beside its requests, in bytes per millisecond.
 	slowestWay = 100
-	// entryBytes is about what one endpoint takes in a delta.
-	entryBytes = 60
 )
 
 // transferFor returns how long a message of that many bytes may be on its way before it counts as lost; sending it again sooner would choke a small link for good.
@@ -170,11 +168,11 @@
 		s.HaveOf, s.Have = other.process, other.number
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
 		s.Whole = other.have != c.number
-		if c.reading {
+		if c.sharesList() {
 			s.ListEvery = c.readEvery()
 			s.Endpoints = c.list.Since(now, other.theyList[0], other.theyList[1])
 			if s.Endpoints != nil && s.Endpoints.From != s.Endpoints.Number {
-				other.listDueAt = max(other.listDueAt, now+transferFor(entryBytes*len(s.Endpoints.Entries)))
+				other.listDueAt = max(other.listDueAt, now+transferFor(s.Endpoints.Size()))
 			}
 			// A lost message is noticed by the number that a share brings back once it is overdue.
 			other.theyList = [2]uint64{c.Process, c.list.Number()}
@@ -190,6 +188,11 @@
 	out.Send(name, s)
 }
 
+// sharesList tells whether the other control hosts get the list that this one reads. Without a leader each reads a long list itself, since sending it from each to all would cost far more.
+func (c *Control) sharesList() bool {
+	return c.reading && (c.quorum.IsLeader() || c.list.Len() < longList)
+}
+
 func (c *Control) onShare(now core.Millis, from string, m *Share, out *core.Effects) {
 	other := c.controls[from]
 	if other == nil {
@@ -221,7 +224,14 @@
 	if now >= other.listDueAt {
 		other.theyList = [2]uint64{m.ListProcess, m.ListNumber}
 	}
-	if m.Endpoints != nil && other.list.Apply(now, m.Endpoints) {
+	if m.Endpoints == nil {
+		return
+	}
+	if err := m.Endpoints.Unpack(); err != nil {
+		out.Logf("list", "The list from %s can't be read: %v.", from, err)
+		return
+	}
+	if other.list.Apply(now, m.Endpoints) {
 		c.takeList(now, other, m.ListEvery)
 	}
 }
@@ -285,7 +295,8 @@
 		}
 		c.listCalls = calls
 		// Those that miss the leader's readings too are spared their own by this one.
-		if c.list.Set(askedAt, entries) || !c.quorum.IsLeader() {
+		changed := c.list.Set(askedAt, entries)
+		if c.sharesList() && (changed || !c.quorum.IsLeader()) {
 			c.share(now, out)
 		}
 	})
--- a/core/fleet/spread_test.go
+++ b/core/fleet/spread_test.go
@@ -17,23 +17,25 @@
 	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
 		t.Fatal(err)
 	}
-	const endpoints = 3000
+	// The list of the largest deployment; packed it takes a link of 250 KB a second more than half a second.
+	const endpoints = 12000
+	random := rand.New(rand.NewPCG(2, 2))
 	var entries []roster.Entry
 	for i := range endpoints {
-		entries = append(entries, roster.Entry{ID: fmt.Sprintf("i-%d", i), Service: "s", Zone: "z", Address: fmt.Sprintf("10.0.0.1:%d", i), Slots: 3})
+		entries = append(entries, roster.Entry{ID: fmt.Sprintf("i-%x", random.Uint64()), Service: "s", Zone: "z", Address: fmt.Sprintf("10.0.0.1:%d", i), Slots: 3})
 	}
 	c.TakeList(now, now, entries, 60)
 	report := &fleet.Report{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}}
 	sent := func(effects core.Effects) (n int) {
 		for _, s := range effects.Sends {
 			if u, ok := s.Message.(*fleet.Update); ok && u.Endpoints != nil {
-				n += len(u.Endpoints.Entries)
+				n += u.Endpoints.Len()
 			}
 		}
 		return n
 	}
 	total := 0
-	// A link of 250 KB a second takes about 0.8 s for the list; five reports come meanwhile.
+	// Five reports come while the list may be on its way.
 	for range 5 {
 		now += 200
 		total += sent(c.Receive(now, "e", report))
--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -21,6 +21,9 @@
 	entries  map[string]numbered
 	removals []removal
 	forgot   uint64
+	// whole is the packed list of that number, wholeAt the reading that its cold times rest on.
+	whole   *Delta
+	wholeAt core.Millis
 }
 
 // numbered is an entry with the number of its last change; ColdFor is replaced by the time when the endpoint is warm.
@@ -119,8 +122,13 @@
 		number = 0
 	}
 	d := &Delta{Process: j.Process, From: number, Number: j.number, Age: j.Age(now)}
-	if number == j.number {
+	switch number {
+	case j.number:
 		return d
+	case 0:
+		packed := *j.packed()
+		packed.Age = d.Age
+		return &packed
 	}
 	for _, e := range j.entries {
 		if e.number > number {
@@ -129,13 +137,24 @@
 	}
 	slices.SortFunc(d.Entries, func(a, b Entry) int { return compareText(a.ID, b.ID) })
 	for _, r := range j.removals {
-		if number > 0 && r.number > number {
+		if r.number > number {
 			d.Removed = append(d.Removed, r.id)
 		}
 	}
 	return d
 }
 
+// packed returns the whole list, which is packed once for all followers.
+func (j *Journal) packed() *Delta {
+	if j.whole != nil && j.whole.Number == j.number && j.wholeAt == j.readAt {
+		return j.whole
+	}
+	j.whole = &Delta{Process: j.Process, Number: j.number, Entries: j.Entries()}
+	j.whole.Pack()
+	j.wholeAt = j.readAt
+	return j.whole
+}
+
 func compareText(a, b string) int {
 	switch {
 	case a < b:
@@ -188,7 +207,7 @@
 	return now - c.readAt
 }
 
-// Apply takes a delta; it returns false when the delta does not follow on what the copy holds.
+// Apply takes a delta that is unpacked; it returns false when the delta does not follow on what the copy holds.
 func (c *Copy) Apply(now core.Millis, d *Delta) bool {
 	follows := d.Process == c.process && d.From <= c.number && d.Number >= c.number
 	if d.From != 0 && !follows {
--- a/core/roster/journal_test.go
+++ b/core/roster/journal_test.go
@@ -41,7 +41,11 @@
 			if random.IntN(3) == 0 {
 				continue
 			}
-			copies[i].Apply(now, journal.Since(now, copies[i].Process(), copies[i].Number()))
+			delta := journal.Since(now, copies[i].Process(), copies[i].Number())
+			if err := delta.Unpack(); err != nil {
+				t.Fatal(err)
+			}
+			copies[i].Apply(now, delta)
 			if got := copies[i].Entries(); len(got) != len(list) || copies[i].Number() != journal.Number() {
 				t.Fatalf("step %d: a copy has %d entries at number %d, the journal %d at %d", step, len(got), copies[i].Number(), len(list), journal.Number())
 			}
@@ -87,3 +91,36 @@
 		t.Fatalf("the copy has %v", c.Entries())
 	}
 }
+
+// TestLongListIsPackedOnce checks that followers get the same packed list, which takes less than half of the bytes, and that its cold times follow the readings.
+func TestLongListIsPackedOnce(t *testing.T) {
+	var list []roster.Entry
+	for i := range 1000 {
+		list = append(list, roster.Entry{ID: "i-" + strconv.Itoa(i*7919), Service: "s", Address: "10.0.0.1:" + strconv.Itoa(i), Zone: "z", Slots: 3})
+	}
+	list[0].ColdFor = 3000
+	journal := &roster.Journal{Process: 1}
+	journal.Set(core.Hour, list)
+	first, second := journal.Since(core.Hour, 0, 0), journal.Since(core.Hour+10, 0, 0)
+	if &first.Packed[0] != &second.Packed[0] || first.Len() != len(list) || second.Age != 10 {
+		t.Fatalf("the list of %d endpoints is packed anew, or with age %s", first.Len(), second.Age)
+	}
+	if plain := 60 * len(list); 2*len(first.Packed) > plain {
+		t.Fatalf("the packed list takes %d bytes, plain %d", len(first.Packed), plain)
+	}
+	list[0].ColdFor = 2000
+	journal.Set(core.Hour+1000, list)
+	later := journal.Since(core.Hour+1000, 0, 0)
+	if err := later.Unpack(); err != nil || later.Len() != len(list) {
+		t.Fatalf("unpacked as %d endpoints, %v", later.Len(), err)
+	}
+	for _, e := range later.Entries {
+		if e.ID == list[0].ID && e.ColdFor != 2000 {
+			t.Fatalf("the cold endpoint is cold for %s more, expected 2s", e.ColdFor)
+		}
+	}
+	later.Packed, later.Entries = []byte("no list"), nil
+	if later.Unpack() == nil {
+		t.Fatal("bytes that are no list are unpacked")
+	}
+}
