An entry host that turns to another control host tells the earlier one

Ruled out: shares between control hosts (2 MB), requests (no growth with time). Change: a last report says that the host has left; it gets nothing more and is named to callers until the other control host has told of it. Before it has heard of any leader, an entry host turns to the nearest control host by any other's word. Tests that failed first: list entries that go to other regions at a start, with endpoints that come up meanwhile (a tenth of what all need at most); a host that has left gets no update.

--- a/core/fleet/crowd_test.go
+++ b/core/fleet/crowd_test.go
@@ -110,7 +110,17 @@
 func TestCrowdStarts(t *testing.T) {
 	c := newCrowd(t, 1)
 	c.list = nil
-	c.At(c.Now+3*core.Second, func() { c.list = longList() })
+	// Endpoints start within some seconds too.
+	for part := range 6 {
+		c.At(c.Now+core.Millis(part+1)*500, func() { c.list = longList()[:(part+1)*len(longList())/6] })
+	}
+	far := 0
+	c.OnSend = func(from, to string, message core.Message) {
+		c.account(from, to, message)
+		if u, ok := message.(*fleet.Update); ok && u.Endpoints != nil && region(c.zones[from]) != region(c.zones[to]) {
+			far += u.Endpoints.Len()
+		}
+	}
 	c.For(500)
 	c.publish()
 	c.For(7500)
@@ -120,6 +130,10 @@
 			t.Fatalf("entry host %s has version %d and %d endpoints after 8 s", name, view.Document.Version, len(view.Endpoints))
 		}
 	}
+	// Bytes between regions are dear; each entry host has a control host in its region.
+	if most := len(c.entries) * len(longList()) / 10; far > most {
+		t.Errorf("%d entries of the list went to entry hosts of other regions, expected at most %d", far, most)
+	}
 }
 
 // TestCrowdInSteadyState checks the work of control hosts while nothing happens against the targets of the users.
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -50,7 +50,9 @@
 	// silentMost is how long the current control host may be silent.
 	silentMost core.Millis
 	// unled tells that the current control host hears no leader; others are asked again at askAt, and then after askWait.
-	unled     bool
+	unled bool
+	// led tells that this process has heard of a leader.
+	led       bool
 	askAt     core.Millis
 	askWait   core.Millis
 	avoid     map[string]core.Millis
@@ -183,6 +185,7 @@
 		return false, effects
 	}
 	out := &core.Effects{}
+	e.led = e.led || u.LeaderHeard
 	e.takeControls(now, u)
 	if from != e.current {
 		e.considerSwitch(now, from, u, out)
@@ -197,9 +200,9 @@
 	return e.take(now, from, u, out), *out
 }
 
-// follows tells whether to go by an update: one of a control host that hears the leader, or any as long as this host can't serve.
+// follows tells whether to go by an update: one of a control host that hears the leader, or any as long as no leader was heard of.
 func (e *Entry) follows(u *Update) bool {
-	return u.LeaderHeard || e.list.Process() == 0
+	return u.LeaderHeard || !e.led
 }
 
 // takeControls takes the control hosts that a host knows, and soon turns to a nearer one.
@@ -225,6 +228,7 @@
 		e.avoid[e.current] = now + avoidFor
 	}
 	out.Logf("control", "Reports to %s, which %s, in place of %s.", from, reason, e.current)
+	out.Send(e.current, &Report{EntryHost: e.EntryHost, Left: true})
 	e.current, e.unled = from, false
 	e.heard, e.reportAt = now, now
 }
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -33,6 +33,8 @@
 	ControlsNumber uint64 `cbor:"15,keyasint,omitempty"`
 	// Probe asks only whether the control host hears the leader; the answer brings nothing else.
 	Probe bool `cbor:"16,keyasint,omitempty"`
+	// Left tells that the entry host reports to another control host from now on; it needs no more updates from this one.
+	Left bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -18,6 +18,13 @@
 	if e != nil && e.Process > m.Process {
 		return
 	}
+	if m.Left {
+		if e != nil {
+			// It still counts as an entry host until the other control host has told of it.
+			e.Left = true
+		}
+		return
+	}
 	if e == nil {
 		e = &entryState{firstAt: now}
 		c.entries[from] = e
@@ -39,6 +46,9 @@
 
 // update sends an entry host what it lacks, or a sign of life.
 func (c *Control) update(now core.Millis, e *entryState, out *core.Effects) {
+	if e.Left {
+		return
+	}
 	published := c.book.Published()
 	u := &Update{
 		Process: c.Process, LeaderHeard: c.leaderHeard(now), Index: published.Index, Version: published.Document.Version,
@@ -305,10 +315,14 @@
 // dropGone forgets hosts that were not heard for long.
 func (c *Control) dropGone(now core.Millis, out *core.Effects) {
 	for _, name := range sortedNames(c.entries) {
-		if now-c.entries[name].heard > entryGone {
+		if e := c.entries[name]; now-e.heard > entryGone {
 			delete(c.entries, name)
 			c.number++
 			c.readyKnown = false
+			if e.Left {
+				out.Logf("entries", "Host %s has left for another control host.", name)
+				continue
+			}
 			out.Logf("entries", "Host %s was not heard for %s.", name, entryGone)
 		}
 	}
--- a/core/fleet/spread_test.go
+++ b/core/fleet/spread_test.go
@@ -62,3 +62,35 @@
 		t.Fatalf("the answer to a probe changed the view to %+v", view)
 	}
 }
+
+// TestHostThatHasLeftGetsNothing checks that a control host sends no updates to an entry host that reports to another one, but still names it to callers until that is known.
+func TestHostThatHasLeftGetsNothing(t *testing.T) {
+	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	now := core.Hour
+	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	host := fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Address: "e:1", Process: 1, Ready: true}
+	updates := func(effects core.Effects) (n int) {
+		for _, s := range effects.Sends {
+			if s.To == "e" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := updates(c.Receive(now, "e", &fleet.Report{EntryHost: host})); n != 1 {
+		t.Fatalf("%d updates answer a report", n)
+	}
+	n := updates(c.Receive(now+10, "e", &fleet.Report{EntryHost: host, Left: true}))
+	n += updates(c.TakeList(now+20, now, []roster.Entry{{ID: "i", Service: "s", Zone: "z", Address: "a", Slots: 3}}, 1))
+	if n != 0 {
+		t.Fatalf("%d updates go to a host that has left", n)
+	}
+	if named := c.Directory("r", "z"); len(named) != 1 {
+		t.Fatalf("callers are told of %q", named)
+	}
+	if n := updates(c.Receive(now+30, "e", &fleet.Report{EntryHost: host})); n != 1 {
+		t.Fatalf("%d updates answer a host that has come back", n)
+	}
+}
