--- /dev/null
+++ b/core/fake/agenda.go
@@ -0,0 +1,56 @@
+package fake
+
+import (
+	"container/heap"
+
+	"clementinelock/core"
+)
+
+// Agenda holds what is to happen at later times; what is due at the same time happens in the order in which it was added.
+type Agenda struct {
+	events eventHeap
+	count  uint64
+}
+
+type event struct {
+	at    core.Millis
+	order uint64
+	run   func()
+}
+
+// Add plans a function for a time.
+func (a *Agenda) Add(at core.Millis, run func()) {
+	a.count++
+	heap.Push(&a.events, event{at, a.count, run})
+}
+
+// Next takes out what is due next; ok is false when that is later than the time, or nothing is left.
+func (a *Agenda) Next(until core.Millis) (at core.Millis, run func(), ok bool) {
+	if len(a.events) == 0 || a.events[0].at > until {
+		return 0, nil, false
+	}
+	next := heap.Pop(&a.events).(event)
+	return next.at, next.run, true
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/core/fake/world.go
+++ b/core/fake/world.go
@@ -1,7 +1,6 @@
 package fake
 
 import (
-	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -35,18 +34,11 @@
 	life    map[string]int
 	frozen  map[string]bool
 	cut     map[[2]string]bool
-	events  eventHeap
-	count   uint64
+	agenda  Agenda
 	// Sent counts the messages by name.
 	Sent map[string]int
 }
 
-type event struct {
-	at    core.Millis
-	order uint64
-	run   func()
-}
-
 // NewWorld returns a world with a seed.
 func NewWorld(seed uint64) *World {
 	return &World{
@@ -60,8 +52,7 @@
 
 // At runs a function at a time.
 func (w *World) At(at core.Millis, run func()) {
-	w.count++
-	heap.Push(&w.events, event{max(at, w.Now), w.count, run})
+	w.agenda.Add(max(at, w.Now), run)
 }
 
 // Start brings a process up and ticks it from then on.
@@ -168,10 +159,13 @@
 
 // Run steps the world until the time.
 func (w *World) Run(until core.Millis) {
-	for len(w.events) > 0 && w.events[0].at <= until {
-		next := heap.Pop(&w.events).(event)
-		w.Now = next.at
-		next.run()
+	for {
+		at, run, ok := w.agenda.Next(until)
+		if !ok {
+			break
+		}
+		w.Now = at
+		run()
 	}
 	w.Now = until
 }
@@ -181,28 +175,6 @@
 	w.Run(w.Now + length)
 }
 
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at != h[j].at {
-		return h[i].at < h[j].at
-	}
-	return h[i].order < h[j].order
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
-
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // Part makes one part a process of the world.
 type Part struct {
 	core.Part
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"clementinelock/core"
+	"clementinelock/core/fake"
 	"clementinelock/core/fleet"
 	"clementinelock/core/pick"
 )
@@ -35,7 +36,7 @@
 	w.play(5 * core.Second)
 	settling := w.tally
 	w.tally = tally{}
-	w.events = nil
+	w.agenda = fake.Agenda{}
 	start := w.now
 	w.play(start + 20*core.Second)
 	t.Logf("settling: %v; after: %v", settling, w.tally)
@@ -131,16 +132,7 @@
 func TestColdReturn(t *testing.T) {
 	w := newWorld(5, 3, [3]int{2, 2, 2}, load{"s", work, objective, timeout, steady(1.5 * coldRate / 6)})
 	back := 5 * core.Second
-	w.at(back, func() {
-		for _, p := range w.places {
-			if p.Zone == "r0-a" {
-				p.coldUntil = w.now + modelColdFor
-				p.objects = nil
-			}
-		}
-		w.spread()
-	})
-	w.at(back+modelColdFor, w.spread)
+	w.comeBackCold(back)
 	w.play(15 * core.Second)
 	w.checkColdReturn(t, back)
 }
@@ -152,6 +144,13 @@
 	w.objects = 1000
 	w.addHosts(12)
 	back := 3 * core.Second
+	w.comeBackCold(back)
+	w.play(9 * core.Second)
+	w.checkColdReturn(t, back)
+}
+
+// comeBackCold lets the endpoints of r0-a come back cold at the time.
+func (w *world) comeBackCold(back core.Millis) {
 	w.at(back, func() {
 		for _, p := range w.places {
 			if p.Zone == "r0-a" {
@@ -162,8 +161,6 @@
 		w.spread()
 	})
 	w.at(back+modelColdFor, w.spread)
-	w.play(9 * core.Second)
-	w.checkColdReturn(t, back)
 }
 
 // checkColdReturn checks the endpoints of r0-a, which came back cold.
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -1,13 +1,13 @@
 package pick_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/fake"
 	"clementinelock/core/fleet"
 	"clementinelock/core/pick"
 	"clementinelock/core/roster"
@@ -23,28 +23,6 @@
 	modelColdExtra = 2.0
 )
 
-// event is something that happens at a time of the model.
-type event struct {
-	at    core.Millis
-	order int
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // place is one modelled endpoint.
 type place struct {
 	roster.Entry
@@ -78,8 +56,7 @@
 // world is a deployment on virtual time: entry hosts with the real tables before modelled endpoints.
 type world struct {
 	now    core.Millis
-	events eventHeap
-	order  int
+	agenda fake.Agenda
 	rand   *rand.Rand
 	zones  []string
 	tables map[string][]*pick.Table
@@ -184,8 +161,7 @@
 }
 
 func (w *world) at(at core.Millis, run func()) {
-	w.order++
-	heap.Push(&w.events, event{at, w.order, run})
+	w.agenda.Add(at, run)
 }
 
 // play lets callers arrive until the end and runs the world until nothing is left.
@@ -195,10 +171,13 @@
 			w.arrive(zone, i, until)
 		}
 	}
-	for len(w.events) > 0 {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
+	for {
+		at, run, ok := w.agenda.Next(core.Never)
+		if !ok {
+			return
+		}
+		w.now = at
+		run()
 	}
 }
 
