A starting host that turns to another control host is named as soon as it is ready

Cause: entry hosts now turn to the nearest control host before they are ready; the first one went on telling all others for 2.5 s that the host is not ready, which counts before what the new one says. Ruled out: a host that serves and turns to another control host (both say the same). Change: what is known of a host that left before it was ready is dropped at once and told soon. An entry host's name is that of its connection. Test that failed first: such a host is named to callers once the other control host tells of it.

--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -19,10 +19,7 @@
 		return
 	}
 	if m.Left {
-		if e != nil {
-			// It still counts as an entry host until the other control host has told of it.
-			e.Left = true
-		}
+		c.onLeft(now, e, out)
 		return
 	}
 	if e == nil {
@@ -36,6 +33,8 @@
 		e.firstAt = now
 	}
 	e.Report, e.heard = *m, now
+	// The connection tells who it is.
+	e.Name = from
 	if changed {
 		c.number++
 		c.readyKnown = false
@@ -44,6 +43,30 @@
 	c.update(now, e, out)
 }
 
+// onLeft sends nothing more to an entry host that reports elsewhere. One that serves is named to callers until the other control host has told of it; what is known of another one would hide that it has become ready.
+func (c *Control) onLeft(now core.Millis, e *entryState, out *core.Effects) {
+	if e == nil {
+		return
+	}
+	e.Left = true
+	if !e.Ready {
+		c.forget(e, out)
+		c.shareAt = min(c.shareAt, now+shareSoon)
+	}
+}
+
+// forget drops an entry host that no longer reports here.
+func (c *Control) forget(e *entryState, out *core.Effects) {
+	delete(c.entries, e.Name)
+	c.number++
+	c.readyKnown = false
+	if e.Left {
+		out.Logf("entries", "Host %s has left for another control host.", e.Name)
+		return
+	}
+	out.Logf("entries", "Host %s was not heard for %s.", e.Name, entryGone)
+}
+
 // update sends an entry host what it lacks, or a sign of life.
 func (c *Control) update(now core.Millis, e *entryState, out *core.Effects) {
 	if e.Left {
@@ -316,14 +339,7 @@
 func (c *Control) dropGone(now core.Millis, out *core.Effects) {
 	for _, name := range sortedNames(c.entries) {
 		if e := c.entries[name]; now-e.heard > entryGone {
-			delete(c.entries, name)
-			c.number++
-			c.readyKnown = false
-			if e.Left {
-				out.Logf("entries", "Host %s has left for another control host.", name)
-				continue
-			}
-			out.Logf("entries", "Host %s was not heard for %s.", name, entryGone)
+			c.forget(e, out)
 		}
 	}
 	for _, name := range sortedNames(c.controls) {
--- a/core/fleet/spread_test.go
+++ b/core/fleet/spread_test.go
@@ -94,3 +94,20 @@
 		t.Fatalf("%d updates answer a host that has come back", n)
 	}
 }
+
+// TestHostThatLeftBeforeItWasReady checks that what an earlier control host knew of a starting entry host does not keep callers from it once it is ready.
+func TestHostThatLeftBeforeItWasReady(t *testing.T) {
+	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	now := core.Hour
+	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	host := fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Address: "e:1", Process: 1}
+	c.Receive(now, "e", &fleet.Report{EntryHost: host})
+	c.Receive(now+10, "e", &fleet.Report{EntryHost: host, Left: true})
+	host.Ready = true
+	c.Receive(now+20, "d", &fleet.Share{ControlHost: fleet.ControlHost{Name: "d", Region: "r", Zone: "y"}, Process: 2, Number: 2, Whole: true, Entries: []fleet.EntryHost{host}})
+	if named := c.Directory("r", "z"); len(named) != 1 {
+		t.Fatalf("callers are told of %q", named)
+	}
+}
