--- a/core/fleet/search_test.go
+++ b/core/fleet/search_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"testing"
@@ -79,3 +80,30 @@
 		})
 	}
 }
+
+// TestReturnBesideALostDisk ends all hosts at once and takes the disk of one control host: entry hosts must have what is in force from the others soon, before that one is taken in again.
+func TestReturnBesideALostDisk(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			s := newSite(t, 200+seed)
+			s.For(500)
+			s.publish()
+			s.For(8 * core.Second)
+			for name := range s.zones {
+				s.crash(name, true)
+			}
+			s.wipe(s.seeds[seed%3])
+			s.For(700)
+			for _, name := range slices.Sorted(maps.Keys(s.zones)) {
+				s.begin(name)
+			}
+			// The same time as beside a control host that does not run.
+			s.For(core.Second)
+			for name, e := range s.entries {
+				if view := e.View(s.Now); view.Document.Version == 0 || !view.ListKnown {
+					t.Errorf("entry host %s has version %d and a list %t a second after its start; it reports to %s", name, view.Document.Version, view.ListKnown, e.Current())
+				}
+			}
+		})
+	}
+}
