An entry host without a free descriptor goes on accepting when it has one again

An error of Accept that passes (no descriptor left, a caller that has gone) ended the process: only errors that are time-outs were tried again, which EMFILE is not. Change: such errors are told in the log and accepting goes on after 50 ms. Test that failed first: a listener that has no descriptor for two connections; the caller's request got no answer within 20 s before, now it does.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -477,3 +479,39 @@
 		t.Fatalf("%d connections were opened for requests after each other, expected 1", opened)
 	}
 }
+
+// scarceListener has no descriptor left for its first connections.
+type scarceListener struct {
+	net.Listener
+	refusals atomic.Int64
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	if l.refusals.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestNoDescriptorLeft checks that a host that can accept no connection for a moment goes on when it can again.
+func TestNoDescriptorLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	scarce := &scarceListener{Listener: listener}
+	scarce.refusals.Store(2)
+	refused := make(chan error, 8)
+	server := &entry.Server{Dialect: dialect, Now: clock.New().Now, OnRequest: func(entry.Account) {}, OnRefused: func(err error) { refused <- err }}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, scarce) }()
+	t.Cleanup(func() { cancel(); _ = listener.Close(); <-ended })
+	c := (&host{address: listener.Addr().String()}).call(t)
+	c.send("GET", "/read/", "one", "")
+	// There are no routes yet; the answer shows that the connection was accepted.
+	c.expect("one", http.StatusServiceUnavailable, "")
+	if len(refused) != 2 {
+		t.Fatalf("%d errors were told, expected 2", len(refused))
+	}
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"clementinelock/core"
@@ -29,6 +30,8 @@
 	writeBuffer    = 4 << 10
 	bufferedBody   = 128 << 10
 	stopCheckEvery = 50 * time.Millisecond
+	// acceptAgain gives connections time to end before the next one is accepted; callers wait a second for it.
+	acceptAgain = 50 * time.Millisecond
 )
 
 // Server answers callers. Set the exported fields before Serve.
@@ -40,6 +43,8 @@
 	Now func() core.Millis
 	// OnRequest is called with each request's account; it must not block.
 	OnRequest func(Account)
+	// OnRefused is called with the error of a connection that could not be accepted for the moment; it must not block, and may be nil.
+	OnRefused func(error)
 
 	mutex    sync.Mutex
 	table    atomic.Pointer[routes.Table]
@@ -76,11 +81,14 @@
 			if s.stopping.Load() || ctx.Err() != nil {
 				return nil
 			}
-			var timeout net.Error
-			if errors.As(err, &timeout) && timeout.Timeout() {
-				continue
+			if !isPassing(err) {
+				return err
 			}
-			return err
+			if s.OnRefused != nil {
+				s.OnRefused(err)
+			}
+			time.Sleep(acceptAgain)
+			continue
 		}
 		c := newConn(ctx, s, accepted)
 		s.mutex.Lock()
@@ -90,6 +98,17 @@
 	}
 }
 
+// isPassing tells whether connections may be accepted again later: the process had no descriptor left, or the caller was gone already.
+func isPassing(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
 func (s *Server) forget(c *conn) {
 	s.mutex.Lock()
 	delete(s.conns, c)
