A near control host that lost its disk does not keep entry hosts waiting

Ruled out: lists, which all control hosts read by themselves within half a second. Change: probes are answered with the version; before there is a leader a near control host is taken only if it holds no older version, and any that holds a newer one. A host that has nothing asks others after 0.5 s.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -216,15 +216,21 @@
 	}
 }
 
-// considerSwitch changes to a control host that hears the leader when it is nearer than the current one, or when that hears none.
+// considerSwitch changes to a control host that hears the leader when it is nearer than the current one, or when that hears none. Before there is a leader, one that has lost its disk is no better for being near.
 func (e *Entry) considerSwitch(now core.Millis, from string, u *Update, out *core.Effects) {
 	nearer := e.rank(e.hostNamed(from)) < e.rank(e.hostNamed(e.current))
-	if !e.follows(u) || !nearer && !(e.unled && u.LeaderHeard) {
+	reason := ""
+	switch {
+	case nearer && (u.LeaderHeard || !e.led && u.Version >= e.document.Version):
+		reason = "is nearer"
+	case e.unled && u.LeaderHeard:
+		reason = "hears the leader"
+	case !e.led && u.Version > e.document.Version:
+		reason = "holds a newer version"
+	default:
 		return
 	}
-	reason := "is nearer"
 	if !nearer {
-		reason = "hears the leader"
 		e.avoid[e.current] = now + avoidFor
 	}
 	out.Logf("control", "Reports to %s, which %s, in place of %s.", from, reason, e.current)
@@ -239,13 +245,13 @@
 		e.askAt, e.askWait = now, unledAskFirst
 		if e.index == 0 {
 			// A deployment that starts has no leader yet, and all its hosts know the same few control hosts.
-			e.askAt = now + controlSilent
+			e.askAt = now + strangeSilent
 		}
 	}
 	e.unled = !u.LeaderHeard
 }
 
-// askOthers asks some other control hosts whether they hear the leader.
+// askOthers asks some other control hosts whether they hear the leader, and which version they hold.
 func (e *Entry) askOthers(now core.Millis, out *core.Effects) {
 	e.askAt = now + e.askWait
 	e.askWait = min(2*e.askWait, unledAskMost)
