Keepers observe Retry-After of endpoints

Cause: an endpoint that answers 503 with Retry-After was taken for one that shed a request and got the next one after 0.5 s. Change: the dispatcher passes the time on with the result, and the keeper grants no slot of the endpoint until it is over, an hour at most; overlapping times end with the latest. The field is new in slots.Result; older hosts ignore it.

TestEndpointAsksForNoRequests (core/model) failed before with 5 requests between 0.5 s and 2.9 s after an endpoint asked for none for 3 s (2 allowed), and passes. A keeper that takes over does not know of it.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -219,6 +219,7 @@
 	a.headReceived = true
 	a.report = h.Report
 	a.shed = h.NotRun
+	a.retryAfter = h.RetryAfter
 	c := a.call
 	if c.answered || c.callerGone && !c.keyed {
 		d.abort(a, out)
@@ -299,7 +300,7 @@
 func (d *Dispatcher) result(a *attempt, e End) slots.Result {
 	failed := a.expired || e.Ending != Whole && !a.aborted
 	return slots.Result{
-		Latency: e.Latency, Report: a.report, Shed: a.shed,
+		Latency: e.Latency, Report: a.report, Shed: a.shed, RetryAfter: a.retryAfter,
 		Failed: failed, Unused: a.aborted && !a.headReceived && !a.expired, Aborted: a.aborted || e.Ending == Broken || e.Ending == Truncated,
 	}
 }
--- a/core/call/dispatcher.go
+++ b/core/call/dispatcher.go
@@ -52,6 +52,8 @@
 	// NotRun reports whether the endpoint says that it did not start the request.
 	NotRun bool
 	Report *core.Report
+	// RetryAfter is how long the endpoint asks for no requests; 0 means that it does not ask.
+	RetryAfter core.Millis
 }
 
 // Ending says how an attempt ended.
@@ -133,9 +135,11 @@
 	startedAt    core.Millis
 	headReceived bool
 	// shed reports whether the endpoint answered that it did not start the request.
-	shed    bool
-	report  *core.Report
-	aborted bool
+	shed   bool
+	report *core.Report
+	// retryAfter is how long the endpoint asked for no requests.
+	retryAfter core.Millis
+	aborted    bool
 	// expired reports whether the deadline passed before the answer's head arrived.
 	expired bool
 }
--- a/core/model/keeper_test.go
+++ b/core/model/keeper_test.go
@@ -108,3 +108,35 @@
 	}
 	s.CheckNoDuplicateRuns()
 }
+
+// TestEndpointAsksForNoRequests lets one endpoint of a busy service refuse a request and ask for no further ones for
+// 3 s: it gets none but those that were under way, and the others serve its share.
+func TestEndpointAsksForNoRequests(t *testing.T) {
+	s, load := busyDeployment(t, 2)
+	s.ServiceTime = func() core.Millis { return 40 }
+	s.RunFor(4 * core.Second)
+	resting := s.Upstream[s.View.Service(s.View.Zones[0].Name, "kapora").Endpoints[0]]
+	resting.Backoff = 3 * core.Second
+	for end := s.Now + 5*core.Second; resting.Refused == 0; {
+		if s.Now > end {
+			t.Fatal("the endpoint gets no request at all")
+		}
+		s.RunFor(10)
+	}
+	s.RunFor(500)
+	underWay := resting.Refused
+	s.RunFor(2400)
+	if got := resting.Refused - underWay; got > 2 {
+		t.Fatalf("the endpoint gets %d requests between 0.5 s and 2.9 s after it asked for none for 3 s, at most 2 are allowed", got)
+	}
+	resting.Backoff = 0
+	served := resting.Served
+	s.RunFor(4 * core.Second)
+	if resting.Served == served {
+		t.Fatal("the endpoint gets no requests after its time is over")
+	}
+	load.Stop()
+	s.RunFor(6 * core.Second)
+	s.CheckNoDuplicateRuns()
+	s.CheckAnswered()
+}
--- a/core/model/upstream.go
+++ b/core/model/upstream.go
@@ -19,6 +19,10 @@
 	ExtraServiceTime core.Millis
 	// ReportsIdle makes the endpoint always report that it is idle.
 	ReportsIdle bool
+	// Backoff makes the endpoint refuse each request and ask for no further ones for so long; Refused counts these
+	// requests.
+	Backoff core.Millis
+	Refused int
 }
 
 // attempt is an attempt at a simulated endpoint.
@@ -66,6 +70,11 @@
 		return
 	}
 	up := sent.up
+	if up.Backoff > 0 {
+		up.Refused++
+		s.At(s.Now+delay, func() { s.refuse(id, sent, startedAt) })
+		return
+	}
 	sent.running = true
 	up.InFlight++
 	up.Served++
@@ -112,6 +121,16 @@
 	s.end(id, call.End{Ending: call.Whole, Latency: s.Now - startedAt, Answer: answer})
 }
 
+func (s *Deployment) refuse(id attemptID, sent *attempt, startedAt core.Millis) {
+	if s.attempts[id] != sent {
+		return
+	}
+	s.Step(id.host, func(m *host.Machine) core.Effects {
+		return m.Head(s.Now, id.attempt, call.Head{Status: 503, NotRun: true, RetryAfter: sent.up.Backoff})
+	})
+	s.end(id, call.End{Ending: call.Whole, Latency: s.Now - startedAt, Answer: &core.StoredAnswer{Status: 503, Whole: true}})
+}
+
 func (s *Deployment) abort(name string, attempt uint64) {
 	id := attemptID{name, attempt}
 	sent := s.attempts[id]
--- a/core/slots/endpoint.go
+++ b/core/slots/endpoint.go
@@ -13,8 +13,10 @@
 	baseEjectionTime = 2 * core.Second
 	maxEjectionTime  = 30 * core.Second
 	shedBackOff      = 500 * core.Millisecond
-	reportFresh      = 3 * core.Second
-	ewmaWeight       = 0.1
+	// maxBackoff bounds the time for which an endpoint may ask for no requests.
+	maxBackoff  = core.Hour
+	reportFresh = 3 * core.Second
+	ewmaWeight  = 0.1
 	// reservedSlots is the number of slots of each endpoint that the first candidate of a lease
 	// may use after it has lost the lease.
 	reservedSlots = 1
@@ -77,11 +79,12 @@
 	if r.Report != nil {
 		e.recordReport(now, *r.Report)
 	}
+	e.shedUntil = max(e.shedUntil, now+min(r.RetryAfter, maxBackoff))
 	switch {
 	case r.Unused:
 		return
 	case r.Shed:
-		e.shedUntil = now + shedBackOff
+		e.shedUntil = max(e.shedUntil, now+shedBackOff)
 	case r.Failed:
 		e.recordFailure(now)
 	default:
--- a/core/slots/messages.go
+++ b/core/slots/messages.go
@@ -65,6 +65,8 @@
 	Aborted bool
 	Shed    bool
 	Report  *core.Report
+	// RetryAfter is how long the endpoint asked for no requests; 0 means that it did not ask.
+	RetryAfter core.Millis
 }
 
 // Done returns a slot; it is resent until it is acknowledged.
--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -196,10 +196,15 @@
 // Head returns the answer's status, whether the request did not run, and the load report.
 func (a *Attempt) Head() call.Head {
 	header := a.Response.Header
+	var retryAfter core.Millis
+	if a.Response.StatusCode == http.StatusServiceUnavailable {
+		// A value that can't be read asks for nothing.
+		retryAfter, _ = proto.ParseRetryAfter(header.Get("Retry-After"))
+	}
 	return call.Head{
 		Status: a.Response.StatusCode,
 		NotRun: a.Response.StatusCode == http.StatusServiceUnavailable && header.Get(proto.Ran) == string(core.RanNo),
-		Report: proto.ParseLoad(header.Get(proto.Load)),
+		Report: proto.ParseLoad(header.Get(proto.Load)), RetryAfter: retryAfter,
 	}
 }
 
