Entry hosts observe Server-Leaving and Retry-After of endpoints

Cause: nothing read either header; an endpoint that announced its leaving got requests until the list told of it, and one that asked for no requests got them after the next choice.

Change: io/pool reports the header of each answer, also of one that reaches no caller, with the instance it was sent to; core/pick keeps what endpoints say. Leaving lasts until the list shows the endpoint gone, or ready after it has drained; the list alone does not undo it for 30 s, because it may tell of the drain late. It survives a row that is missing for one reading, not a cold start under the same id. A time for which an endpoint wants no requests ends with the latest; hosts return spread over a quarter of it, with one request until that is answered; it is no failure. Both are checked again just before a request is sent. If all endpoints of a service asked, callers are refused at once with the time of the first end, spread, by priority. Values that can't be read are ignored, logged once per endpoint and counted.

Weighed: the notice as part of an attempt's result; late and skipped answers would have been missed.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -21,6 +21,8 @@
 	Tried []string
 	// Objective is the latency objective of the request; 0 means that it is not known.
 	Objective core.Millis
+	// Priority ranks the request; 0 is the most urgent.
+	Priority int
 	// FreeOnly requires an endpoint with a free slot.
 	FreeOnly bool
 }
@@ -61,7 +63,7 @@
 	s := t.service(r.Service)
 	best := t.chooseRegion(now, s, r, t.bestPerRegion(now, s, r))
 	if best.Endpoint == nil {
-		return best.Choice, core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", r.Service, len(s.endpoints))
+		return best.Choice, t.refuseUnavailable(now, s, r)
 	}
 	if maxWait := r.maxWait(s.objectiveShare, best.ServiceTime); best.Wait > maxWait {
 		refusal := core.Refuse(core.Overloaded, core.RanNo, "service %q: the shortest wait is %s before %s of work, the longest that is worth it is %s", r.Service, best.Wait, best.ServiceTime, maxWait)
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -47,9 +47,16 @@
 	Misled
 	// GivenUp means that the sender cancelled the attempt, which tells nothing about the endpoint.
 	GivenUp
+	// Withdrawn means that the endpoint became unavailable before the request was sent.
+	Withdrawn
 )
 
-var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Lost", "Misled", "GivenUp"}
+var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Lost", "Misled", "GivenUp", "Withdrawn"}
+
+// MayHaveRun reports whether the endpoint may have run the request.
+func (o Outcome) MayHaveRun() bool {
+	return o != Shed && o != Unreached && o != Misled && o != Withdrawn
+}
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
@@ -64,6 +71,7 @@
 	switch outcome {
 	case Good:
 		e.recordSuccess()
+		e.recordReopening(now - took)
 		e.recordReport(now, report)
 		t.updateServiceTime(e, took, report)
 		t.updateObjectiveShare(c, took)
@@ -71,13 +79,15 @@
 		e.recordReport(now, report)
 		t.recordFailure(now, e, outcome)
 	case Shed:
-		e.recordShed(now)
+		if !e.inBackoff(now) {
+			e.recordShed(now)
+		}
 	case Unreached, Lost:
 		t.recordFailure(now, e, outcome)
 	case Misled:
 		e.gone = true
 		t.logf("Endpoint %s of %s is no longer used: its address %s belongs to another endpoint.", e.ID, e.Service, e.Address)
-	case GivenUp:
+	case GivenUp, Withdrawn:
 	}
 }
 
--- a/core/pick/dump.go
+++ b/core/pick/dump.go
@@ -14,6 +14,10 @@
 	// FailureRate is the weighted share of recent attempts that failed.
 	FailureRate float64 `json:"Failing"`
 	Objects     int
+	// Leaving reports that the endpoint announced that it is leaving, Backoff for how much longer it asked for no
+	// requests.
+	Leaving bool
+	Backoff core.Millis
 }
 
 // Dump is a table's state for operators.
@@ -41,6 +45,7 @@
 			d.Endpoints = append(d.Endpoints, EndpointDump{
 				ID: e.ID, Service: e.Service, Zone: e.Zone, Usable: e.isUsable(now), Cold: e.isCold(now), InFlight: e.inFlight,
 				Load: e.load(now), FailureRate: e.failureRate, Objects: len(e.objects),
+				Leaving: e.leavingSince != 0, Backoff: max(0, e.backoffUntil-now),
 			})
 		}
 	}
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -29,6 +29,7 @@
 // Endpoint is one endpoint as this entry host sees it.
 type Endpoint struct {
 	roster.Entry
+	readiness
 	Region string
 
 	evacuated bool
@@ -76,12 +77,12 @@
 
 // isActive reports whether the endpoint takes part in its service.
 func (e *Endpoint) isActive() bool {
-	return !e.Draining && !e.evacuated && !e.gone
+	return !e.Draining && !e.evacuated && !e.gone && e.leavingSince == 0
 }
 
 // isUsable reports whether new requests may go to the endpoint now.
 func (e *Endpoint) isUsable(now core.Millis) bool {
-	return e.isActive() && now >= e.ejectedUntil
+	return e.isActive() && now >= e.ejectedUntil && e.isReopened(now)
 }
 
 func (e *Endpoint) isWarmFor(now core.Millis, object string) bool {
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -107,6 +107,10 @@
 	entries    fleet.EntryCounts
 	// maxHosts is the largest number of entry hosts seen.
 	maxHosts int
+	// removed holds the notices of endpoints that were removed lately, by id and address.
+	removed map[string]readiness
+	// Notices counts what endpoints said about themselves.
+	Notices NoticeCounts
 	// OnRemove is called with the address of an endpoint that is no longer used.
 	OnRemove func(address string)
 	// Log receives changes in this host's view of an endpoint; it may be nil.
@@ -144,6 +148,7 @@
 		if !listed[id] && view.ListKnown {
 			e.gone = true
 			delete(t.endpoints, id)
+			t.keepReadiness(now, e)
 			t.OnRemove(e.Address)
 		}
 	}
@@ -194,8 +199,9 @@
 func (t *Table) updateEndpoint(now, age core.Millis, entry roster.Entry) {
 	e := t.endpoints[entry.ID]
 	if e == nil || e.Address != entry.Address || e.Service != entry.Service {
-		e = &Endpoint{}
+		e = &Endpoint{Entry: entry}
 		t.endpoints[entry.ID] = e
+		t.restoreReadiness(now, e)
 	}
 	if entry.ColdFor > 0 {
 		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor)+coldGraceInterval)
@@ -203,6 +209,7 @@
 	if entry.Draining && !e.Draining {
 		t.logf("Endpoint %s of %s in %s is draining by a list read %s ago; it gets no new requests.", entry.ID, entry.Service, entry.Zone, age)
 	}
+	e.updateLeaving(now-age, entry.Draining)
 	e.Entry, e.Region = entry, t.RegionByZone[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
 	e.zoneColdUntil = 0
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -28,7 +28,7 @@
 )
 
 var dialect = proto.Dialect{
-	RequestID: "Id", Deadline: "Deadline", ObjectCookie: "object", Stamp: "Stamp", ExpectInstance: "Expect-Instance", Load: "Load", NotRun: "Not-Run",
+	RequestID: "Id", Deadline: "Deadline", ObjectCookie: "object", Stamp: "Stamp", ExpectInstance: "Expect-Instance", Load: "Load", NotRun: "Not-Run", Leaving: "Leaving",
 }
 
 // endpoint is a scripted upstream on loopback.
@@ -128,6 +128,7 @@
 		h.records = append(h.records, a)
 		h.mutex.Unlock()
 	}}
+	p.OnHeader = h.server.RecordHeader
 	h.server.Update(table, func(picks *pick.Table) { picks.Update(steady.Now(), view, table) })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"clementinelock/core"
@@ -157,7 +158,7 @@
 	service := route.Choose(rand.Float64())
 	record.Service = service
 	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult, max(1, route.MaxAttempts))}
-	t.pickRequest = pick.Request{Service: service, Regions: route.Regions, Objective: route.Objective}
+	t.pickRequest = pick.Request{Service: service, Regions: route.Regions, Objective: route.Objective, Priority: route.Priority}
 	if route.Affinity && x.object != "" {
 		t.pickRequest.Object = route.Prefix + x.object
 	}
@@ -203,6 +204,11 @@
 	s, e := t.server, choice.Endpoint
 	began := s.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration())}
+	target.Ready = func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return s.Picks.IsReady(s.Now(), choice)
+	}
 	result := s.Pool.Do(ctx, t.exchange.request, target)
 	outcome := s.classify(result)
 	if outcome == pick.GivenUp && errors.Is(context.Cause(ctx), errSuperseded) && s.Now()-began >= t.hedgeDelay {
@@ -290,29 +296,29 @@
 		t.record.NoRetryReason = ""
 		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer}
 	}
-	ran := attempt.outcome != pick.Shed && attempt.outcome != pick.Unreached && attempt.outcome != pick.Misled
-	t.mayHaveRun = t.mayHaveRun || ran
+	t.mayHaveRun = t.mayHaveRun || attempt.outcome.MayHaveRun()
 	if t.inFlight > 0 {
 		return nil
 	}
 	reason := t.noRetryReason(ctx, attempt.outcome)
+	retryAfter := core.Answers[core.Overloaded].RetryAfter
 	if reason == "" {
 		refusal := t.start(ctx)
 		if refusal == nil {
 			return nil
 		}
-		reason = NoneFree
+		reason, retryAfter = NoneFree, refusal.RetryAfter
 	}
 	// The reason why there was no hedged attempt is more specific than that the deadline has passed by now.
 	if reason != TimeOver || t.record.NoRetryReason == "" {
 		t.record.NoRetryReason = reason
 	}
-	return t.fail(ctx, attempt)
+	return t.fail(ctx, attempt, retryAfter)
 }
 
 // spendRetry spends an extra attempt from the budget; a retry of an attempt that reached no endpoint is free.
 func (t *attempts) spendRetry(outcome pick.Outcome) bool {
-	if outcome == pick.Unreached {
+	if outcome == pick.Unreached || outcome == pick.Withdrawn {
 		return true
 	}
 	t.server.mutex.Lock()
@@ -320,6 +326,35 @@
 	return t.server.Picks.SpendRetry(t.pickRequest.Service)
 }
 
+// RecordHeader applies what the header of an endpoint's answer says about the endpoint.
+func (s *Server) RecordHeader(endpoint string, status int, header http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		// Another endpoint answered.
+		return
+	}
+	notice := s.noticeOf(status, header)
+	if notice == (pick.Notice{}) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Picks.RecordNotice(s.Now(), endpoint, notice)
+}
+
+func (s *Server) noticeOf(status int, header http.Header) pick.Notice {
+	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header)}
+	texts := header.Values("Retry-After")
+	if status != http.StatusServiceUnavailable || len(texts) == 0 {
+		return notice
+	}
+	retryAfter, err := proto.ParseRetryAfter(texts[0])
+	if err != nil {
+		notice.InvalidRetryAfter = strconv.Quote(texts[0])
+	}
+	notice.RetryAfter = retryAfter
+	return notice
+}
+
 // classify returns what a result says about the endpoint and about whether the request has run.
 func (s *Server) classify(result pool.Result) pick.Outcome {
 	switch result.Ending {
@@ -327,6 +362,8 @@
 		return pick.Unreached
 	case pool.Cancelled:
 		return pick.GivenUp
+	case pool.Withdrawn:
+		return pick.Withdrawn
 	case pool.Answered:
 	default:
 		return pick.Lost
@@ -346,15 +383,18 @@
 	return pick.Good
 }
 
-// fail ends a request whose last attempt brought no answer that may be forwarded.
-func (t *attempts) fail(ctx context.Context, attempt attemptResult) *reply {
+// fail ends a request whose last attempt brought no answer that may be forwarded; a caller whose request has not run
+// may return after retryAfter.
+func (t *attempts) fail(ctx context.Context, attempt attemptResult, retryAfter core.Millis) *reply {
 	record := t.record
 	switch {
 	case attempt.outcome == pick.Failed:
 		// The endpoint's error response is forwarded as the answer.
 		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer}
 	case !t.mayHaveRun:
-		return refuse(record, core.Refuse(core.Overloaded, core.RanNo, "no endpoint accepted the request: %s", attempt.result.Detail))
+		refusal := core.Refuse(core.Overloaded, core.RanNo, "no endpoint accepted the request: %s", attempt.result.Detail)
+		refusal.RetryAfter = retryAfter
+		return refuse(record, refusal)
 	case ctx.Err() != nil:
 		return refuse(record, core.Refuse(core.DeadlinePassed, core.RanUnknown, "deadline passed after %d attempts: %s", record.Attempts, attempt.result.Detail))
 	}
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"clementinelock/core/pick"
 	"clementinelock/io/entry"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,7 @@
 	{"clementinelock_entry_request_seconds", "Time from a request's arrival to its answer, by service."},
 	{"clementinelock_log_dropped_total", "Log lines that were dropped because the output was slow."},
 	{"clementinelock_peer_bytes_sent_total", "Bytes to other hosts."},
+	{"clementinelock_entry_notices_total", "Answers in which endpoints said something about themselves, by notice: Leaving, Backoff (503 with Retry-After) or Invalid (Retry-After that can't be read)."},
 }
 
 // MetricNames returns the names and help texts of the metrics, for the docs.
@@ -52,6 +54,20 @@
 	return m
 }
 
+// observeNotices registers the counters of endpoints' notices, which read reads.
+func (m *metrics) observeNotices(read func() pick.NoticeCounts) {
+	counters := map[string]func(pick.NoticeCounts) uint64{
+		"Leaving": func(c pick.NoticeCounts) uint64 { return c.Leaving },
+		"Backoff": func(c pick.NoticeCounts) uint64 { return c.Backoff },
+		"Invalid": func(c pick.NoticeCounts) uint64 { return c.Invalid },
+	}
+	for name, field := range counters {
+		options := counterOpts(5)
+		options.ConstLabels = prometheus.Labels{"notice": name}
+		m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(field(read())) }))
+	}
+}
+
 func (m *metrics) count(record entry.RequestRecord) {
 	m.requests.WithLabelValues(record.Service, strconv.Itoa(record.Status), string(record.Kind)).Inc()
 	m.attempts.WithLabelValues(record.Service).Add(float64(record.Attempts))
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -31,9 +31,10 @@
 
 // exchange is the request whose answer a connection waits for.
 type exchange struct {
-	id     string
-	method string
-	result chan Result
+	id       string
+	endpoint string
+	method   string
+	result   chan Result
 	// written is closed when the whole request is written.
 	written chan struct{}
 	// bodyDone is closed when a streamed body has been read or abandoned.
@@ -59,6 +60,20 @@
 	return true
 }
 
+// unuse returns a connection on which nothing was sent to the pool.
+func (c *connection) unuse() {
+	c.mutex.Lock()
+	c.busy = false
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	open := !c.closed
+	c.mutex.Unlock()
+	if open {
+		c.pool.put(c)
+	}
+}
+
 func (c *connection) close() {
 	c.mutex.Lock()
 	c.closed = true
@@ -70,7 +85,7 @@
 
 // roundTrip sends a request and waits for its answer or the context's end.
 func (c *connection) roundTrip(ctx context.Context, r *Request, t Target) Result {
-	e := &exchange{id: r.ID, method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{})}
+	e := &exchange{id: r.ID, endpoint: t.ID, method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{})}
 	c.mutex.Lock()
 	if c.closed {
 		c.mutex.Unlock()
@@ -197,6 +212,9 @@
 	if response.StatusCode < http.StatusOK {
 		return true
 	}
+	if c.pool.OnHeader != nil {
+		c.pool.OnHeader(e.endpoint, response.StatusCode, response.Header)
+	}
 	if got := response.Header.Get(c.pool.Dialect.RequestID); got != e.id {
 		return c.skipAnswer(e, response, got)
 	}
@@ -243,7 +261,7 @@
 	now := time.Now()
 	c.idleSince = now
 	c.applyKeepAlive(now, response)
-	keep := written && !response.Close && !c.closed && !c.expiresAt.Before(now) && c.reader.Buffered() == 0
+	keep := written && !response.Close && !c.pool.Dialect.IsLeaving(response.Header) && !c.closed && !c.expiresAt.Before(now) && c.reader.Buffered() == 0
 	c.closed = c.closed || !keep
 	c.mutex.Unlock()
 	if keep {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +38,9 @@
 // Pool keeps persistent connections to endpoints. Set the exported fields before use.
 type Pool struct {
 	Dialect proto.Dialect
+	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller; it may be
+	// nil.
+	OnHeader func(endpoint string, status int, header http.Header)
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -60,6 +64,10 @@
 		}
 		return Result{Ending: NotSent, Detail: err.Error()}
 	}
+	if t.Ready != nil && !t.Ready() {
+		c.unuse()
+		return Result{Ending: Withdrawn, Detail: "endpoint became unavailable before the request was sent"}
+	}
 	result := c.roundTrip(ctx, r, t)
 	result.Reused = reused
 	return result
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -33,6 +33,9 @@
 	Address string
 	// Deadline is when the endpoint is to stop; it is sent to the endpoint as the time that remains.
 	Deadline time.Time
+	// Ready reports whether the endpoint still takes requests; it is called just before the request is sent, and may
+	// be nil.
+	Ready func() bool
 }
 
 // Answer is an endpoint's answer to the request.
@@ -66,9 +69,11 @@
 	Silent
 	// Cancelled means that the caller of Do cancelled the request.
 	Cancelled
+	// Withdrawn means that the endpoint was no longer ready when the request was about to be sent.
+	Withdrawn
 )
 
-var endingNames = []string{"Answered", "NotSent", "Broken", "Spoiled", "Silent", "Cancelled"}
+var endingNames = []string{"Answered", "NotSent", "Broken", "Spoiled", "Silent", "Cancelled", "Withdrawn"}
 
 // String returns the ending's name.
 func (e Ending) String() string {
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -123,8 +124,28 @@
 	Load string
 	// NotRun reports that the endpoint did not run the request.
 	NotRun string
+	// Leaving reports that the endpoint is about to stop.
+	Leaving string
 }
 
+// IsLeaving reports whether an answer's header says that its endpoint is about to stop.
+func (d Dialect) IsLeaving(header http.Header) bool {
+	return d.Leaving != "" && header.Get(d.Leaving) == "1"
+}
+
+// ParseRetryAfter parses the seconds of a Retry-After header, which may have a fraction; it returns an error when the
+// text is not a positive number.
+func ParseRetryAfter(text string) (core.Millis, error) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0, fmt.Errorf("header Retry-After: %q is not a positive number of seconds", text)
+	}
+	return core.Millis(math.Ceil(min(seconds, maxRetryAfterSeconds) * float64(core.Second))), nil
+}
+
+// maxRetryAfterSeconds bounds Retry-After; it is a day.
+const maxRetryAfterSeconds = 86400
+
 // ParseDialectLoad parses a load report from the value of the header Dialect.Load: the numbers of running requests,
 // waiting requests and slots, separated by commas. It ignores the slots, and returns nil when the text is malformed.
 func ParseDialectLoad(text string) *core.Report {
