Shares of the regions are bounded by what runs, over the windows of the rule

Cause: the limit on shifts gave each region a share of the requests that came; in a burst a full region turns most of its share away, so that the other regions' share of what runs jumps.

Change: a host counts what it sent to each region in bins of 0.1 s, takes back what an endpoint turned away, and compares the requests since each moment of the last 2 s with those of the 2 s before that moment, so that a window that begins at any moment keeps the bound also if traffic falls after it has begun. Repeats and hedges are under the limit too. The bound is a setting (MaxShift). Where no region may take a request, one that can be answered at home stays there, others are refused.

The model counts where requests run, not where they are sent.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -110,35 +110,48 @@
 	return found
 }
 
-// chooseRegion chooses between the regions, which are sorted by cost, so that requests shift between regions
-// no faster than the limit.
+// chooseRegion chooses between the regions, which are sorted by cost: the cheapest one that can answer in time and to
+// which requests may shift. If the limit on shifts excludes all that can, a request stays in the local region if that
+// can answer in time, and is refused otherwise.
 func (t *Table) chooseRegion(now core.Millis, s *service, r Request, found []candidate) candidate {
 	if len(found) == 0 {
 		return candidate{}
 	}
+	t.shift.observe(now, found[0].Endpoint.Region)
 	local := slices.IndexFunc(found, func(c candidate) bool { return c.Endpoint.Region == t.Region })
-	if local < 0 || len(found) == 1 || len(r.Tried) > 0 {
+	switch {
+	case r.FreeOnly && t.shift.excess(now, found[0].Endpoint.Region) > 0:
+		return candidate{}
+	case local < 0 || len(found) == 1:
 		return found[0]
 	}
-	t.shift.observe(now, found[0].Endpoint.Region)
-	chosen := found[local]
+	least, leastExcess := -1, math.Inf(1)
 	for i, c := range found {
-		// A request that the limit keeps out of the cheapest region goes only where it can be answered in
-		// time.
-		inTime := i == 0 || c.Wait <= r.maxWait(s.objectiveShare, c.ServiceTime)
-		if inTime && t.shift.allows(now, c.Endpoint.Region) {
-			chosen = c
-			break
+		if c.Wait > r.maxWait(s.objectiveShare, c.ServiceTime) {
+			continue
 		}
+		excess := t.shift.excess(now, c.Endpoint.Region)
+		if excess == 0 {
+			return c
+		}
+		if excess < leastExcess {
+			least, leastExcess = i, excess
+		}
+	}
+	switch {
+	case least < 0:
+		return found[0]
+	case found[local].Wait > r.maxWait(s.objectiveShare, found[local].ServiceTime):
+		return found[local]
 	}
-	t.shift.record(chosen.Endpoint.Region)
-	return chosen
+	return found[least]
 }
 
 // addInFlight counts a request at its endpoint.
 func (t *Table) addInFlight(now core.Millis, r Request, c Choice) {
 	e := c.Endpoint
 	e.inFlight++
+	t.shift.record(e.Region)
 	if c.Cold {
 		e.coldSentAt = append(e.coldSentAt, now)
 	}
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -68,6 +68,9 @@
 func (t *Table) Done(now core.Millis, c Choice, outcome Outcome, took core.Millis, report *core.Report) {
 	e := c.Endpoint
 	e.inFlight--
+	if !outcome.MayHaveRun() {
+		t.shift.withdraw(now-took, e.Region)
+	}
 	switch outcome {
 	case Good:
 		e.recordSuccess()
--- a/core/pick/dump.go
+++ b/core/pick/dump.go
@@ -22,7 +22,7 @@
 
 // Dump is a table's state for operators.
 type Dump struct {
-	// Share is the share of the requests that may go to each region, Demand the share whose best endpoint is
+	// Share is the share of the latest requests that went to each region, Demand the share whose best endpoint is
 	// there.
 	Share  map[string]float64
 	Demand map[string]float64 `json:"Wished"`
@@ -36,8 +36,12 @@
 // Dump returns the table's state.
 func (t *Table) Dump(now core.Millis) Dump {
 	d := Dump{Share: map[string]float64{}, Demand: map[string]float64{}, ServiceTime: map[string]core.Millis{}, ObjectiveShare: map[string]float64{}}
+	requests := 0
 	for _, p := range t.shift.regions {
-		d.Share[p.region], d.Demand[p.region] = p.share, p.demand
+		requests += p.recent
+	}
+	for _, p := range t.shift.regions {
+		d.Share[p.region], d.Demand[p.region] = float64(p.recent)/float64(max(1, requests)), p.demand
 	}
 	for name, s := range t.services {
 		d.ServiceTime[name], d.ObjectiveShare[name] = core.Millis(s.serviceTime), s.objectiveShare
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"clementinelock/core"
@@ -268,3 +269,43 @@
 		t.Fatalf("%d extra attempts are made after a start of all hosts, expected at most half of the slack of %d", extra, slack)
 	}
 }
+
+// TestShiftInBursts lets callers of all regions come 1.5 to 5 times as often at any moment, to deployments whose
+// regions have any share of the endpoints, with few hosts or many. Of the requests of a region that run, no more than
+// 0.15 may change their region from one window of 2 s to the next.
+func TestShiftInBursts(t *testing.T) {
+	const (
+		seeds   = 12
+		allowed = 0.15
+		length  = 3 * core.Second
+		end     = 18 * core.Second
+	)
+	served, sent := 0, 0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		counts := [3]int{4 + random.IntN(8), 8 + random.IntN(24), 8 + random.IntN(24)}
+		all := 2 * (counts[0] + counts[1] + counts[2])
+		load := 0.4 + 0.5*random.Float64()
+		x := 1.5 + 3.5*random.Float64()
+		first := 4*core.Second + core.Millis(random.IntN(3000))
+		base := load * float64(all*3) / serviceTime * 1000 / 6
+		rate := func(_ int, at core.Millis) float64 {
+			for _, start := range []core.Millis{first, first + 2*length} {
+				if at >= start && at < start+length {
+					return x * base
+				}
+			}
+			return base
+		}
+		w := newSimulation(100+seed, 3, counts, workload{"s", serviceTime, objective, timeout, rate})
+		w.addHosts(random.IntN(6))
+		w.run(end)
+		served, sent = served+w.tally.onTime, sent+w.tally.sent
+		largest := w.largestShift(1)
+		t.Logf("seed %d: endpoints %v, %d hosts, load %.2f, burst of %.1f at %s: %v, largest shift %.3f", seed, counts, w.hosts(), load, x, first, w.tally, largest)
+		if largest > allowed {
+			t.Errorf("seed %d: %.3f of a region's requests changed their region within 2 s, at most %.2f is allowed", seed, largest, allowed)
+		}
+	}
+	t.Logf("on time %.3f", float64(served)/float64(sent))
+}
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -38,6 +38,8 @@
 
 // modelRequest is one request at an endpoint.
 type modelRequest struct {
+	// zone is the caller's availability zone.
+	zone     string
 	object   string
 	arrived  core.Millis
 	deadline core.Millis
@@ -221,13 +223,12 @@
 		return
 	}
 	e := choice.Endpoint
-	w.countRegion(w.zones[zone], e.Region)
 	delay := core.Millis(1)
 	if e.Region != t.Region {
 		delay = 20
 	}
 	w.schedule(w.now+delay, func() {
-		w.deliver(e.ID, &modelRequest{object, w.now, sentAt + l.timeout, func(outcome pick.Outcome, report *core.Report) {
+		w.deliver(e.ID, &modelRequest{w.zones[zone], object, w.now, sentAt + l.timeout, func(outcome pick.Outcome, report *core.Report) {
 			w.schedule(w.now+delay, func() {
 				t.Done(w.now, choice, outcome, w.now-sentAt, report)
 				w.finish(zone, l, object, first, mayRetry, outcome)
@@ -269,6 +270,7 @@
 		j.done(pick.Shed, nil)
 		return
 	}
+	w.countRegion(j.zone, p.Zone[:2])
 	if p.running >= p.Slots {
 		p.waiting = append(p.waiting, j)
 		return
@@ -318,7 +320,8 @@
 	}
 }
 
-// countRegion counts in which region the requests of an availability zone's callers run, in windows of 2 s.
+// countRegion counts in which region the requests of an availability zone's callers run, in windows of 2 s; requests
+// that an endpoint turns away do not run.
 func (w *simulation) countRegion(zone, region string) {
 	window := int(w.now / (2 * core.Second))
 	from := zone[:2]
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -84,6 +85,9 @@
 	// a number.
 	RetryRatio float64
 	RetrySlack float64
+	// MaxShift is the share of a region's requests that may change their region from one window of 2 s to the next; 0
+	// means 0.15.
+	MaxShift float64
 }
 
 // Table is one entry host's view of all endpoints. Set the exported fields before use; calls must not overlap.
@@ -136,6 +140,7 @@
 	if table != nil {
 		t.configured = table.Services
 	}
+	t.shift.maxShift = cmp.Or(t.Bounds.MaxShift, defaultMaxShift)
 	t.entries = view.Entries
 	t.maxHosts = max(t.maxHosts, view.Entries.All)
 	t.updateEvacuations(now, view)
