Look-ups name as many entry hosts of a zone as its load needs

Change: entry hosts report their requests per second and, from the settings Cores and LinkMbps, how many they serve with a reserve; control hosts share the sums by zone and name as many hosts as the load needs, the first by address, three at least; more at once, one fewer every 2 s. Hosts without these settings are all named. The new fields of Report and Share are ignored by older hosts.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -66,6 +66,9 @@
 	// ready caches the entry hosts that serve; readyCached is false after a change.
 	ready       []EntryHost
 	readyCached bool
+	// named holds how many entry hosts of each availability zone look-ups name; it is updated at namedAt.
+	named   map[string]namedCount
+	namedAt core.Millis
 	// controlsNumber numbers the list of control hosts; it starts again with each process.
 	controlsNumber uint64
 	// leaderSince is the time from which this host has heard a leader without a break, 0 while it hears none.
@@ -107,7 +110,9 @@
 	entries       []EntryHost
 	// ackNumber is the number of this host's entry hosts that the other host has acknowledged.
 	ackNumber uint64
-	list      roster.Replica
+	// rates holds the requests of the other host's entry hosts.
+	rates []ZoneRate
+	list  roster.Replica
 	// deltaBase is the process and number of this host's list that the other host holds or was sent last;
 	// listDueAt is until when a delta may be in transit.
 	deltaBase [2]uint64
@@ -144,6 +149,9 @@
 		if now >= c.shareAt {
 			c.sendShares(now, out)
 		}
+		if now >= c.namedAt {
+			c.updateNamed(now)
+		}
 		c.resend(now, out)
 	})
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -18,6 +18,8 @@
 	// reportInterval keeps a control host with 66 entry hosts, its part of 1,200, within 1.2% of a core and 30
 	// KB/s; changes are sent at once.
 	reportInterval = 800 * core.Millisecond
+	// minRateInterval is the shortest time over which requests are counted.
+	minRateInterval = 700 * core.Millisecond
 	// maxUpdateTimeout is more than two report intervals.
 	maxUpdateTimeout = 2 * core.Second
 	// initialUpdateTimeout applies until a control host has answered: a few round trips between regions, with a
@@ -46,8 +48,15 @@
 	Rand *rand.Rand
 	// Seeds names the control hosts that are known at the start.
 	Seeds []string
+	// Requests is the number of requests that the host has got; the driver updates it.
+	Requests uint64
 
-	controls []ControlHost
+	// rate is the number of requests per second between the latest reports, countedAt and counted are the time and the
+	// number of requests at the latest one.
+	rate      float64
+	countedAt core.Millis
+	counted   uint64
+	controls  []ControlHost
 	// controlsProcess and controlsNumber identify the list of control hosts that is held: its sender's process,
 	// and its number.
 	controlsProcess uint64
@@ -156,9 +165,19 @@
 	out.Send(to, &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
 		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsProcess: e.controlsProcess, ControlsNumber: e.controlsNumber, Probe: probe,
+		Rate: e.currentRate(now),
 	})
 }
 
+// currentRate returns the requests per second since a moment at least minRateInterval ago.
+func (e *Entry) currentRate(now core.Millis) uint32 {
+	if elapsed := now - e.countedAt; elapsed >= minRateInterval {
+		e.rate = float64(e.Requests-e.counted) * float64(core.Second) / float64(elapsed)
+		e.countedAt, e.counted = now, e.Requests
+	}
+	return uint32(e.rate)
+}
+
 // probeNearer probes a nearer control host, which becomes the current one when it answers.
 func (e *Entry) probeNearer(now core.Millis, out *core.Effects) {
 	e.nearerProbeAt = now + nearerProbeInterval
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -20,6 +20,9 @@
 	Process uint64 `cbor:"5,keyasint"`
 	// Ready is false until the host can serve, and from the beginning of a planned stop.
 	Ready bool `cbor:"6,keyasint,omitempty"`
+	// Capacity is the number of requests per second that the host serves with a reserve for bursts; 0 means that it is
+	// not known.
+	Capacity uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Report goes from an entry host to its control host and identifies the state that the entry host holds.
@@ -39,6 +42,8 @@
 	// Left is set when the entry host reports to another control host from now on; it needs no more updates
 	// from this one.
 	Left bool `cbor:"17,keyasint,omitempty"`
+	// Rate is the number of requests per second that the entry host gets.
+	Rate uint32 `cbor:"18,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -97,6 +102,8 @@
 	Endpoints   *roster.Delta `cbor:"12,keyasint,omitempty"`
 	// ListInterval is how often the sender reads the list, if it does.
 	ListInterval core.Millis `cbor:"13,keyasint,omitempty"`
+	// Rates holds the requests of the sender's entry hosts.
+	Rates []ZoneRate `cbor:"14,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"slices"
-
 	"clementinelock/core"
 )
 
@@ -163,7 +161,7 @@
 }
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
-	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber}
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Rates: c.zoneRates()}
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
@@ -205,7 +203,7 @@
 	if other.ControlHost != m.ControlHost {
 		c.controlsNumber++
 	}
-	other.ControlHost, other.heardAt = m.ControlHost, now
+	other.ControlHost, other.heardAt, other.rates = m.ControlHost, now, m.Rates
 	if m.Full {
 		other.entries, other.entriesNumber = m.Entries, m.Number
 		c.readyCached = false
@@ -282,26 +280,3 @@
 	}
 	return out
 }
-
-// Directory lists the addresses of the entry hosts that a client in the availability zone should use: those of
-// the zone, of the region if the zone has fewer than two, and all if the region has fewer than two as well.
-func (c *Control) Directory(region, zone string) []string {
-	all := c.readyEntries()
-	for _, near := range []func(EntryHost) bool{
-		func(e EntryHost) bool { return e.Zone == zone },
-		func(e EntryHost) bool { return e.Region == region },
-		func(EntryHost) bool { return true },
-	} {
-		var addresses []string
-		for _, e := range all {
-			if near(e) {
-				addresses = append(addresses, e.Address)
-			}
-		}
-		if len(addresses) >= min(2, len(all)) {
-			slices.Sort(addresses)
-			return addresses
-		}
-	}
-	return nil
-}
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -108,6 +108,7 @@
 func (c *conn) enqueue(x *exchange) {
 	c.open.Add(1)
 	c.server.active.Add(1)
+	c.server.arrived.Add(1)
 	select {
 	case c.queue <- x:
 	case <-c.writerDone:
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -50,6 +50,7 @@
 	table    atomic.Pointer[routes.Table]
 	stopping atomic.Bool
 	active   atomic.Int64
+	arrived  atomic.Uint64
 	conns    map[*conn]bool
 	listener net.Listener
 }
@@ -122,6 +123,11 @@
 	return int(s.active.Load())
 }
 
+// Arrived returns how many requests have arrived.
+func (s *Server) Arrived() uint64 {
+	return s.arrived.Load()
+}
+
 // BeginShutdown makes every answer from now on close its connection.
 func (s *Server) BeginShutdown() {
 	s.stopping.Store(true)
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -80,7 +80,7 @@
 	e.server.Now = e.clock.Now
 	now := e.clock.Now()
 	e.machine = &fleet.Entry{
-		EntryHost: fleet.EntryHost{Name: s.Host, Region: s.Region, Zone: s.Zone, Address: s.Callers, Process: uint64(now)},
+		EntryHost: fleet.EntryHost{Name: s.Host, Region: s.Region, Zone: s.Zone, Address: s.Callers, Process: uint64(now), Capacity: s.capacity()},
 		Rand:      newRand(), Seeds: s.seedHosts(),
 	}
 	e.machine.Start(now)
@@ -94,7 +94,7 @@
 		}
 	}()
 	go e.pool.Sweep(ctx)
-	go every(ctx, fleet.EntryTickInterval, func() { e.step(e.machine.Tick) })
+	go every(ctx, fleet.EntryTickInterval, func() { e.step(e.tick) })
 	if err := e.listen(s.Readiness, e.Platform.ReadinessHandler(e.isReady)); err != nil {
 		return err
 	}
@@ -126,6 +126,11 @@
 	e.sendAndLog(input(e.clock.Now()))
 }
 
+func (e *Entry) tick(now core.Millis) core.Effects {
+	e.machine.Requests = e.server.Arrived()
+	return e.machine.Tick(now)
+}
+
 func (e *Entry) receive(from string, message core.Message) {
 	e.step(func(now core.Millis) core.Effects {
 		changed, effects := e.machine.Receive(now, from, message)
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -39,8 +39,12 @@
 	StopMillis int64
 	// LookupSeconds is the time for which callers may cache the response to a look-up, in seconds.
 	LookupSeconds float64
-	Regions       map[string]string
-	Bounds        pick.Bounds
+	// Cores is the part of a processor core that the host may use, LinkMbps the bandwidth of its link in megabits per
+	// second; 0 means that it is not known.
+	Cores    float64
+	LinkMbps float64
+	Regions  map[string]string
+	Bounds   pick.Bounds
 }
 
 // ReadSettings reads a settings file; it returns an error if the file is not TOML or a required setting is missing.
@@ -94,6 +98,21 @@
 	return hosts
 }
 
+// Requests per second for which look-ups name one more entry host. A third of what a host can serve, so that a burst of
+// three times the traffic fits until more hosts are named.
+const (
+	requestsPerCore = 400
+	requestsPerMbps = 30
+)
+
+// capacity returns the requests per second that the host serves with a reserve for bursts; 0 if it is not known.
+func (s *Settings) capacity() uint32 {
+	if s.Cores <= 0 || s.LinkMbps <= 0 {
+		return 0
+	}
+	return uint32(max(1, min(requestsPerCore*s.Cores, requestsPerMbps*s.LinkMbps)))
+}
+
 func (s *Settings) stopTimeout() core.Millis {
 	return core.Millis(s.StopMillis)
 }
