A long list is read by availability zone at once

Cause: a control host read the pages of the platform's list one after another until a read had failed.

TestLongListIsReadInParts failed before.

--- a/io/fleet/list_test.go
+++ b/io/fleet/list_test.go
@@ -22,7 +22,7 @@
 	asked []string
 }
 
-func (l *pagedList) ReadList(_ context.Context, _, zone string) (entries []roster.Entry, calls int, err error) {
+func (l *pagedList) ReadList(_ context.Context, _, zone string, most int) (entries []roster.Entry, calls int, err error) {
 	l.mutex.Lock()
 	l.asked = append(l.asked, zone)
 	l.mutex.Unlock()
@@ -37,19 +37,23 @@
 		}
 	}
 	calls = max(1, (len(entries)+49)/50)
-	if calls > l.maxPages {
+	switch {
+	case min(calls, most) > l.maxPages:
 		return nil, l.maxPages, context.DeadlineExceeded
+	case calls > most:
+		return nil, most, ErrListTooLong
 	}
 	return entries, calls, nil
 }
 
 // TestLongListIsReadInParts checks that a list of 60 pages, of which only 20 can be read sequentially before the
-// time-out, is read by availability zone, and that a list that has become short is read as a whole again.
+// time-out, is read by availability zone in the first read already, and that a list that has become short is read as a
+// whole again.
 func TestLongListIsReadInParts(t *testing.T) {
 	list := &pagedList{inZone: map[string]int{"a": 1000, "b": 1000, "c": 1000}, maxPages: 20}
 	r := &listReader{platform: list, zones: []string{"a", "b", "c"}}
-	if _, _, err := r.read(context.Background()); !errors.Is(err, context.DeadlineExceeded) {
-		t.Fatalf("the first reading ends with %v", err)
+	if entries, calls, err := r.read(context.Background()); err != nil || len(entries) != 3000 || calls != 64 {
+		t.Fatalf("%d endpoints were read in %d calls at first, %v", len(entries), calls, err)
 	}
 	entries, calls, err := r.read(context.Background())
 	if err != nil || len(entries) != 3000 || calls != 60 {
--- a/io/fleet/platform.go
+++ b/io/fleet/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"clementinelock/core"
@@ -26,6 +27,9 @@
 	EntryHosts(region, zone string) []string
 }
 
+// ErrListTooLong means that the list has more pages than were to be read.
+var ErrListTooLong = errors.New("the list has more pages than are read")
+
 // Platform is the adapter to a platform.
 type Platform interface {
 	// Dialect returns the names of the headers of callers and endpoints.
@@ -33,8 +37,8 @@
 	// Decode returns the routes of a document; it returns an error for a document that is not valid.
 	Decode(document routes.Document) (*routes.Table, error)
 	// ReadList reads the list of endpoints of an availability zone, or of all if zone is empty. calls is the
-	// number of requests to the platform.
-	ReadList(ctx context.Context, address, zone string) (entries []roster.Entry, calls int, err error)
+	// number of requests to the platform; a list of more than maxPages pages gives ErrListTooLong.
+	ReadList(ctx context.Context, address, zone string, maxPages int) (entries []roster.Entry, calls int, err error)
 	// OperatorHandler returns the handler of operators' calls.
 	OperatorHandler(o Operator) http.Handler
 	// DirectoryHandler returns the handler of look-ups; callers may cache a response for ttlSeconds.
