A host of which all requests run in one region counts as far from its initial shares

Cause: the limit allowed a request that leaves the distance between two windows as it is; with all requests in one region one more there never changes it, so that a short region's hosts kept all work at home in the first seconds (236 of 242 in the model of many endpoints with long queues).

Change: only a request that brings the shares closer is allowed beyond the bound. The model now counts a request where and when it begins to run.

--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -309,3 +309,35 @@
 	}
 	t.Logf("on time %.3f", float64(served)/float64(sent))
 }
+
+// TestShiftInBurstsOfLongRequests is the same for many endpoints with long queues, requests that take longer than
+// their objective and hosts that hardly know of each other's requests: those that queue at home run later than those
+// that leave.
+func TestShiftInBurstsOfLongRequests(t *testing.T) {
+	const allowed = 0.15
+	for seed := range uint64(3) {
+		base := 1100.0 / 6
+		rate := func(_ int, at core.Millis) float64 {
+			if at >= 6*core.Second && at < 11*core.Second {
+				return 3 * base
+			}
+			return base
+		}
+		w := newSimulation(200+seed, 9, [3]int{12, 36, 48}, workload{"s", 2016, 1200, 8 * core.Second, rate})
+		w.objects = 1000
+		w.addHosts(int(4 + 2*seed))
+		w.run(16 * core.Second)
+		// Callers stop at 16 s.
+		for from, windows := range w.regionCounts {
+			w.regionCounts[from] = windows[:8]
+		}
+		largest := w.largestShift(0)
+		t.Logf("seed %d: %d hosts: %v, largest shift %.3f", seed, w.hosts(), w.tally, largest)
+		for from, windows := range w.regionCounts {
+			t.Log(from, windows)
+		}
+		if largest > allowed {
+			t.Errorf("seed %d: %.3f of a region's requests changed their region within 2 s, at most %.2f is allowed", seed, largest, allowed)
+		}
+	}
+}
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -270,7 +270,6 @@
 		j.done(pick.Shed, nil)
 		return
 	}
-	w.countRegion(j.zone, p.Zone[:2])
 	if p.running >= p.Slots {
 		p.waiting = append(p.waiting, j)
 		return
@@ -282,6 +281,7 @@
 func (w *simulation) start(p *modelEndpoint, j *modelRequest, l workload) {
 	p.running++
 	p.started++
+	w.countRegion(j.zone, p.Zone[:2])
 	work := l.serviceTime * p.slowdown
 	if slices.Contains(p.objects, j.object) {
 		work *= modelWarmFactor
--- a/core/pick/shift.go
+++ b/core/pick/shift.go
@@ -183,7 +183,7 @@
 		}
 		before, _ := l.distance("")
 		after, requests := l.distance(region)
-		if after > before {
+		if after >= before {
 			largest = math.Max(largest, after*requests-math.Max(minShiftRequests, shiftMargin*l.maxShift*requests))
 		}
 	}
