A connection is back in the pool before its answer is passed on

Change: the connection goes back first, but for a request that is still being written while its answer comes.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -39,7 +39,8 @@
 	written chan struct{}
 	// bodyDone is closed when a streamed body has been read or abandoned.
 	bodyDone chan struct{}
-	whole    bool
+	// streamed is set if the request is written while its answer may arrive already.
+	streamed bool
 }
 
 func newConnection(p *Pool, address string, conn net.Conn) *connection {
@@ -85,7 +86,7 @@
 
 // roundTrip sends a request and waits for its answer or the context's end.
 func (c *connection) roundTrip(ctx context.Context, r *Request, t Target) Result {
-	e := &exchange{id: r.ID, endpoint: t.ID, method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{})}
+	e := &exchange{id: r.ID, endpoint: t.ID, method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{}), streamed: r.Rest != nil || r.Length < 0}
 	c.mutex.Lock()
 	if c.closed {
 		c.mutex.Unlock()
@@ -93,7 +94,7 @@
 	}
 	c.pending = e
 	c.mutex.Unlock()
-	if r.Rest == nil && r.Length >= 0 {
+	if !e.streamed {
 		if sent, err := c.write(r, t); err != nil && sent == 0 {
 			c.close()
 			return Result{Ending: NotSent, Detail: err.Error()}
@@ -229,9 +230,16 @@
 		return c.streamAnswer(e, response, answer)
 	}
 	answer.Whole = true
-	e.result <- Result{Answer: answer}
+	if e.streamed {
+		e.result <- Result{Answer: answer}
+		c.release(e, response)
+		return c.isOpen()
+	}
+	// The caller's next request may follow the answer at once, and must find the connection in the pool.
 	c.release(e, response)
-	return c.isOpen()
+	open := c.isOpen()
+	e.result <- Result{Answer: answer}
+	return open
 }
 
 // skipAnswer discards the answer to an earlier request; the connection is not reused afterwards.
