Control hosts without entry hosts don't read the list

The first read of a long list still timed out (4 pages one after another, then new connections by zone).

Change: a host that does not lead reads the list only while entry hosts report to it; the first read goes on by zone after one page and may take 1.5 s. TestHostsWithoutEntryHostsReadNoList failed before (a read at once).

--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -75,6 +75,10 @@
 	if now < c.nextListReadAt {
 		return false
 	}
+	if !c.quorum.IsLeader() && len(c.entries) == 0 {
+		// No entry host needs the list of this host.
+		return false
+	}
 	stale := max(minListInterval, c.readerInterval) + listGracePeriod + c.stagger()
 	if !c.quorum.IsLeader() && c.list.Loaded() && c.list.Age(now) < stale {
 		return false
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -20,6 +20,8 @@
 
 const (
 	listReadTimeout = 900 * time.Millisecond
+	// firstListReadTimeout allows for connections that are not open yet.
+	firstListReadTimeout = 1500 * time.Millisecond
 	// handoverDelay gives a successor time to be elected before a leader stops.
 	handoverDelay     = 400 * time.Millisecond
 	diskRetryInterval = 200 * time.Millisecond
@@ -198,7 +200,11 @@
 // readList reads the platform's list once and passes it to the state machine.
 func (c *Control) readList(ctx context.Context) {
 	askedAt := c.clock.Now()
-	readCtx, cancel := context.WithTimeout(ctx, listReadTimeout)
+	timeout := listReadTimeout
+	if !c.list.known {
+		timeout = firstListReadTimeout
+	}
+	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	entries, calls, err := c.list.read(readCtx)
 	if err != nil && ctx.Err() == nil {
--- a/io/fleet/list.go
+++ b/io/fleet/list.go
@@ -13,7 +13,7 @@
 	// maxSequentialPages keeps a read within its time-out: a page takes 45 ms from another region.
 	maxSequentialPages = 12
 	// firstSequentialPages applies while the length of the list is not known.
-	firstSequentialPages = 4
+	firstSequentialPages = 1
 	// maxZonePages is more pages than an availability zone's part has in any deployment.
 	maxZonePages = 200
 )
