Look-ups name hosts by their load in requests and bytes, ten of a zone at least

Change: entry hosts report their load in thousandths of what they should have, the larger of requests and bytes; ten hosts are named at least. Settings that make no sense are refused (Cores, LinkMbps, MaxShift).

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -110,8 +110,8 @@
 	entries       []EntryHost
 	// ackNumber is the number of this host's entry hosts that the other host has acknowledged.
 	ackNumber uint64
-	// rates holds the requests of the other host's entry hosts.
-	rates []ZoneRate
+	// loads holds the load of the other host's entry hosts.
+	loads []ZoneLoad
 	list  roster.Replica
 	// deltaBase is the process and number of this host's list that the other host holds or was sent last;
 	// listDueAt is until when a delta may be in transit.
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -11,20 +11,23 @@
 
 // Parameters of how many entry hosts of an availability zone look-ups name.
 const (
-	// minNamed is the smallest number that is named where a zone has as many.
-	minNamed = 3
+	// minNamed is the smallest number that is named where a zone has as many, so that a host that falls or stands
+	// still concerns a tenth of the zone's callers.
+	minNamed = 10
 	// initialNamedFraction of a zone's hosts is named before its load is known.
 	initialNamedFraction = 0.4
 	namedInterval        = 500 * core.Millisecond
+	// fullLoad is the load that a host should have at most.
+	fullLoad = 1000
 	// lowerInterval is the time between two reductions by one host, so that callers don't move to and fro when the
 	// load varies.
 	lowerInterval = 2 * core.Second
 )
 
-// ZoneRate is the number of requests per second that a control host's entry hosts in one availability zone get.
-type ZoneRate struct {
+// ZoneLoad is the sum of the loads of a control host's entry hosts in one availability zone.
+type ZoneLoad struct {
 	Zone string `cbor:"1,keyasint"`
-	Rate uint32 `cbor:"2,keyasint"`
+	Load uint32 `cbor:"2,keyasint"`
 }
 
 // namedCount is the number of a zone's entry hosts that look-ups name.
@@ -37,28 +40,29 @@
 // each reuse their connections to endpoints and know the endpoints' load. The number rises at once and falls slowly.
 func (c *Control) updateNamed(now core.Millis) {
 	c.namedAt = now + namedInterval
-	rates := map[string]uint32{}
-	add := func(each []ZoneRate) {
-		for _, r := range each {
-			rates[r.Zone] += r.Rate
+	loads := map[string]uint32{}
+	add := func(each []ZoneLoad) {
+		for _, l := range each {
+			loads[l.Zone] += l.Load
 		}
 	}
-	add(c.zoneRates())
+	add(c.zoneLoads())
 	for _, other := range c.controls {
-		add(other.rates)
+		add(other.loads)
 	}
-	ready, capacity := map[string]int{}, map[string]int{}
+	ready, reporting := map[string]int{}, map[string]int{}
 	for _, e := range c.readyEntries() {
 		ready[e.Zone]++
-		capacity[e.Zone] += int(e.Capacity)
+		if e.ReportsLoad {
+			reporting[e.Zone]++
+		}
 	}
 	next := make(map[string]namedCount, len(ready))
 	for zone, hosts := range ready {
-		if capacity[zone] == 0 {
+		if reporting[zone] < hosts {
 			continue
 		}
-		perHost := float64(capacity[zone]) / float64(hosts)
-		needed := max(minNamed, int(math.Ceil(float64(rates[zone])/perHost)))
+		needed := max(minNamed, int(math.Ceil(float64(loads[zone])/fullLoad)))
 		n, known := c.named[zone]
 		switch {
 		case !known:
@@ -74,17 +78,17 @@
 	c.named = next
 }
 
-// zoneRates returns the requests per second of the entry hosts that report here, by availability zone.
-func (c *Control) zoneRates() []ZoneRate {
-	rates := map[string]uint32{}
+// zoneLoads returns the load of the entry hosts that report here, by availability zone.
+func (c *Control) zoneLoads() []ZoneLoad {
+	loads := map[string]uint32{}
 	for _, e := range c.entries {
 		if !e.Left {
-			rates[e.Zone] += e.Rate
+			loads[e.Zone] += e.Load
 		}
 	}
-	out := make([]ZoneRate, 0, len(rates))
-	for _, zone := range slices.Sorted(maps.Keys(rates)) {
-		out = append(out, ZoneRate{zone, rates[zone]})
+	out := make([]ZoneLoad, 0, len(loads))
+	for _, zone := range slices.Sorted(maps.Keys(loads)) {
+		out = append(out, ZoneLoad{zone, loads[zone]})
 	}
 	return out
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -18,8 +18,10 @@
 	// reportInterval keeps a control host with 66 entry hosts, its part of 1,200, within 1.2% of a core and 30
 	// KB/s; changes are sent at once.
 	reportInterval = 800 * core.Millisecond
-	// minRateInterval is the shortest time over which requests are counted.
-	minRateInterval = 700 * core.Millisecond
+	// maxReportJitter keeps the reports of many hosts that heard of a change at the same time from staying in step.
+	maxReportJitter = 100 * core.Millisecond
+	// minLoadInterval is the shortest time over which the load is measured.
+	minLoadInterval = 600 * core.Millisecond
 	// maxUpdateTimeout is more than two report intervals.
 	maxUpdateTimeout = 2 * core.Second
 	// initialUpdateTimeout applies until a control host has answered: a few round trips between regions, with a
@@ -48,15 +50,19 @@
 	Rand *rand.Rand
 	// Seeds names the control hosts that are known at the start.
 	Seeds []string
-	// Requests is the number of requests that the host has got; the driver updates it.
-	Requests uint64
+	// RequestCapacity and ByteCapacity are the traffic per second that the host should have at most in order to bear a
+	// burst; 0 means that it is not known.
+	RequestCapacity float64
+	ByteCapacity    float64
+	// Traffic is what callers and this host have sent each other so far; the driver updates it.
+	Traffic Traffic
 
-	// rate is the number of requests per second between the latest reports, countedAt and counted are the time and the
-	// number of requests at the latest one.
-	rate      float64
-	countedAt core.Millis
-	counted   uint64
-	controls  []ControlHost
+	// load is the load between the latest reports, measuredAt and measured are the time and the traffic at the latest
+	// one.
+	load       uint32
+	measuredAt core.Millis
+	measured   Traffic
+	controls   []ControlHost
 	// controlsProcess and controlsNumber identify the list of control hosts that is held: its sender's process,
 	// and its number.
 	controlsProcess uint64
@@ -84,12 +90,20 @@
 	counts            EntryCounts
 }
 
+// Traffic counts requests of callers, and the bytes of requests and answers.
+type Traffic struct {
+	Requests uint64
+	Bytes    uint64
+}
+
 // Start selects the first control host.
 func (e *Entry) Start(now core.Millis) {
 	e.retryAt = map[string]core.Millis{}
 	for _, name := range e.Seeds {
 		e.controls = append(e.controls, ControlHost{Name: name})
 	}
+	e.ReportsLoad = e.RequestCapacity > 0 && e.ByteCapacity > 0
+	e.measuredAt = now
 	e.nearerProbeAt = now + nearerProbeInterval
 	e.updateTimeout = initialUpdateTimeout
 	e.selectControl(now, "")
@@ -157,7 +171,7 @@
 // report sends a control host a report of this host and of the state that it holds.
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	if !probe {
-		e.reportAt = now + reportInterval
+		e.reportAt = now + reportInterval - core.Millis(e.Rand.Int64N(int64(maxReportJitter)))
 	}
 	if to == "" {
 		return
@@ -165,17 +179,21 @@
 	out.Send(to, &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
 		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsProcess: e.controlsProcess, ControlsNumber: e.controlsNumber, Probe: probe,
-		Rate: e.currentRate(now),
+		Load: e.currentLoad(now),
 	})
 }
 
-// currentRate returns the requests per second since a moment at least minRateInterval ago.
-func (e *Entry) currentRate(now core.Millis) uint32 {
-	if elapsed := now - e.countedAt; elapsed >= minRateInterval {
-		e.rate = float64(e.Requests-e.counted) * float64(core.Second) / float64(elapsed)
-		e.countedAt, e.counted = now, e.Requests
-	}
-	return uint32(e.rate)
+// currentLoad returns the load since a moment at least minLoadInterval ago, in thousandths of the capacity.
+func (e *Entry) currentLoad(now core.Millis) uint32 {
+	elapsed := float64(now-e.measuredAt) / float64(core.Second)
+	if !e.ReportsLoad || now-e.measuredAt < minLoadInterval {
+		return e.load
+	}
+	requests := float64(e.Traffic.Requests-e.measured.Requests) / elapsed / e.RequestCapacity
+	bytes := float64(e.Traffic.Bytes-e.measured.Bytes) / elapsed / e.ByteCapacity
+	e.load = uint32(fullLoad * max(requests, bytes))
+	e.measuredAt, e.measured = now, e.Traffic
+	return e.load
 }
 
 // probeNearer probes a nearer control host, which becomes the current one when it answers.
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -20,9 +20,8 @@
 	Process uint64 `cbor:"5,keyasint"`
 	// Ready is false until the host can serve, and from the beginning of a planned stop.
 	Ready bool `cbor:"6,keyasint,omitempty"`
-	// Capacity is the number of requests per second that the host serves with a reserve for bursts; 0 means that it is
-	// not known.
-	Capacity uint32 `cbor:"7,keyasint,omitempty"`
+	// ReportsLoad is set if the host knows its capacity and reports its load.
+	ReportsLoad bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Report goes from an entry host to its control host and identifies the state that the entry host holds.
@@ -42,8 +41,8 @@
 	// Left is set when the entry host reports to another control host from now on; it needs no more updates
 	// from this one.
 	Left bool `cbor:"17,keyasint,omitempty"`
-	// Rate is the number of requests per second that the entry host gets.
-	Rate uint32 `cbor:"18,keyasint,omitempty"`
+	// Load is the entry host's traffic in thousandths of what it should have at most in order to bear a burst.
+	Load uint32 `cbor:"18,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -102,8 +101,8 @@
 	Endpoints   *roster.Delta `cbor:"12,keyasint,omitempty"`
 	// ListInterval is how often the sender reads the list, if it does.
 	ListInterval core.Millis `cbor:"13,keyasint,omitempty"`
-	// Rates holds the requests of the sender's entry hosts.
-	Rates []ZoneRate `cbor:"14,keyasint,omitempty"`
+	// Loads holds the load of the sender's entry hosts.
+	Loads []ZoneLoad `cbor:"14,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -161,7 +161,7 @@
 }
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
-	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Rates: c.zoneRates()}
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
@@ -203,7 +203,7 @@
 	if other.ControlHost != m.ControlHost {
 		c.controlsNumber++
 	}
-	other.ControlHost, other.heardAt, other.rates = m.ControlHost, now, m.Rates
+	other.ControlHost, other.heardAt, other.loads = m.ControlHost, now, m.Loads
 	if m.Full {
 		other.entries, other.entriesNumber = m.Entries, m.Number
 		c.readyCached = false
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -52,12 +52,33 @@
 func newConn(parent context.Context, s *Server, accepted net.Conn) *conn {
 	ctx, cancel := context.WithCancel(parent)
 	c := &conn{server: s, conn: accepted, ctx: ctx, cancel: cancel, queue: make(chan *exchange, maxPipelined), writerDone: make(chan struct{})}
-	c.limit.R = accepted
+	counted := &countedConn{accepted, &s.bytes}
+	c.limit.R = counted
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
-	c.writer = bufio.NewWriterSize(accepted, writeBufferBytes)
+	c.writer = bufio.NewWriterSize(counted, writeBufferBytes)
 	return c
 }
 
+// countedConn counts the bytes that are read and written.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Read reads from the connection.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
+
 // run serves the connection until either side ends it.
 func (c *conn) run() {
 	defer c.server.removeConn(c)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -51,6 +51,7 @@
 	stopping atomic.Bool
 	active   atomic.Int64
 	arrived  atomic.Uint64
+	bytes    atomic.Uint64
 	conns    map[*conn]bool
 	listener net.Listener
 }
@@ -123,9 +124,9 @@
 	return int(s.active.Load())
 }
 
-// Arrived returns how many requests have arrived.
-func (s *Server) Arrived() uint64 {
-	return s.arrived.Load()
+// Traffic returns how many requests have arrived, and the number of bytes of requests and answers.
+func (s *Server) Traffic() (requests, bytes uint64) {
+	return s.arrived.Load(), s.bytes.Load()
 }
 
 // BeginShutdown makes every answer from now on close its connection.
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -80,8 +80,8 @@
 	e.server.Now = e.clock.Now
 	now := e.clock.Now()
 	e.machine = &fleet.Entry{
-		EntryHost: fleet.EntryHost{Name: s.Host, Region: s.Region, Zone: s.Zone, Address: s.Callers, Process: uint64(now), Capacity: s.capacity()},
-		Rand:      newRand(), Seeds: s.seedHosts(),
+		EntryHost: fleet.EntryHost{Name: s.Host, Region: s.Region, Zone: s.Zone, Address: s.Callers, Process: uint64(now)},
+		Rand:      newRand(), Seeds: s.seedHosts(), RequestCapacity: requestsPerCore * s.Cores, ByteCapacity: bytesPerMbps * s.LinkMbps,
 	}
 	e.machine.Start(now)
 	listener, err := net.Listen("tcp", s.Callers)
@@ -127,7 +127,7 @@
 }
 
 func (e *Entry) tick(now core.Millis) core.Effects {
-	e.machine.Requests = e.server.Arrived()
+	e.machine.Traffic.Requests, e.machine.Traffic.Bytes = e.server.Traffic()
 	return e.machine.Tick(now)
 }
 
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -73,6 +73,10 @@
 		missing = "Seeds"
 	case s.StopMillis <= 0:
 		missing = "StopMillis"
+	case s.Cores < 0 || s.LinkMbps < 0:
+		missing = "Cores and LinkMbps (not negative)"
+	case s.Bounds.MaxShift < 0 || s.Bounds.MaxShift > 1:
+		missing = "MaxShift (a share from 0 to 1)"
 	}
 	if missing != "" {
 		return fmt.Errorf("settings %q: missing or invalid %s", path, missing)
@@ -98,21 +102,13 @@
 	return hosts
 }
 
-// Requests per second for which look-ups name one more entry host. A third of what a host can serve, so that a burst of
-// three times the traffic fits until more hosts are named.
+// Traffic per second that an entry host should have at most: a fraction of what it can serve, so that it bears a burst
+// until look-ups name more hosts.
 const (
 	requestsPerCore = 400
-	requestsPerMbps = 30
+	bytesPerMbps    = 30_000
 )
 
-// capacity returns the requests per second that the host serves with a reserve for bursts; 0 if it is not known.
-func (s *Settings) capacity() uint32 {
-	if s.Cores <= 0 || s.LinkMbps <= 0 {
-		return 0
-	}
-	return uint32(max(1, min(requestsPerCore*s.Cores, requestsPerMbps*s.LinkMbps)))
-}
-
 func (s *Settings) stopTimeout() core.Millis {
 	return core.Millis(s.StopMillis)
 }
--- a/io/fleet/settings_test.go
+++ b/io/fleet/settings_test.go
@@ -29,6 +29,8 @@
 		{"no port", strings.Replace(valid, `PeerPort = 7620`, ``, 1), "PeerPort"},
 		{"no seeds", strings.Replace(valid, `Seeds = ["10.1.0.15:8649"]`, ``, 1), "Seeds"},
 		{"no stop time", strings.Replace(valid, `StopMillis = 6000`, ``, 1), "StopMillis"},
+		{"negative link", "LinkMbps = -1.0\n" + valid, "LinkMbps"},
+		{"shift over 1", valid + "[Bounds]\nMaxShift = 15.0\n", "MaxShift"},
 		{"no TOML", "Host: x", "settings"},
 	}
 	for _, c := range cases {
