Requests that an endpoint turned away are taken back from the bin in which they were counted

Cause: the limit on shifts took them from the bin of now less the attempt's duration, which begins a moment after the choice; at the edge of a bin the count stayed, or a count of 4 s ago was taken. Found by reading.

Change: a choice keeps its time.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -55,6 +55,8 @@
 	Affinity Affinity
 	// LoadAge is the age of the endpoint's report that Load is based on; -1 without a report.
 	LoadAge core.Millis
+	// chosenAt is when the endpoint was chosen.
+	chosenAt core.Millis
 }
 
 // Choose returns the endpoint that is expected to answer the request first, within the limit on shifts between
@@ -70,6 +72,7 @@
 		refusal.RetryAfter = t.retryAfter(best.Wait)
 		return best.Choice, refusal
 	}
+	best.chosenAt = now
 	t.addInFlight(now, r, best.Choice)
 	return best.Choice, nil
 }
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -69,7 +69,7 @@
 	e := c.Endpoint
 	e.inFlight--
 	if !outcome.MayHaveRun() {
-		t.shift.withdraw(now-took, e.Region)
+		t.shift.withdraw(c.chosenAt, e.Region)
 	}
 	switch outcome {
 	case Good:
--- a/core/pick/shift.go
+++ b/core/pick/shift.go
@@ -224,9 +224,9 @@
 	p.recent++
 }
 
-// withdraw takes back the count of a request that was sent to the region and did not run there.
-func (l *shiftLimiter) withdraw(sentAt core.Millis, region string) {
-	bin := int(sentAt / shiftBin)
+// withdraw takes back the count of a request that was recorded at that time and did not run.
+func (l *shiftLimiter) withdraw(recordedAt core.Millis, region string) {
+	bin := int(recordedAt / shiftBin)
 	if l.bin-bin >= shiftBins {
 		return
 	}
