A request that is cancelled after its answer was complete leaves the connection open

Cause: since a connection goes back to the pool before its answer is passed on, a request whose caller left or whose time ended at that moment closed a connection that another request used already. Found by reading.

Change: the connection is closed only while it waits for that request's answer; else the answer is delivered.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -112,6 +112,10 @@
 		return result
 	case <-ctx.Done():
 	}
+	if !c.isPending(e) {
+		// The answer is complete, and another request may use the connection already.
+		return <-e.result
+	}
 	c.close()
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return Result{Ending: Silent, Detail: "no answer before the deadline"}
@@ -119,6 +123,13 @@
 	return Result{Ending: Cancelled, Detail: "request cancelled"}
 }
 
+// isPending reports whether the connection still waits for the answer to the request.
+func (c *connection) isPending(e *exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pending == e
+}
+
 func (c *connection) write(r *Request, t Target) (int, error) {
 	now := time.Now()
 	_ = c.conn.SetWriteDeadline(t.Deadline)
