--- a/core/pick/notice_test.go
+++ b/core/pick/notice_test.go
@@ -221,3 +221,41 @@
 		t.Fatalf("%d log lines and a count of %d, expected 1 and 2", len(f.lines), f.table.Notices.Invalid)
 	}
 }
+
+// TestAddressIsUsedAgain gives the address of an endpoint that is leaving, or that asked for no requests, to another
+// instance: that one gets requests at once.
+func TestAddressIsUsedAgain(t *testing.T) {
+	for _, notice := range []pick.Notice{{Leaving: true}, {RetryAfter: 20 * core.Second}} {
+		f := newNoticeFixture(t, 2)
+		f.table.RecordNotice(f.now, "i-0", notice)
+		f.now += core.Second
+		f.view.Endpoints[0].ID = "i-9"
+		f.update(100)
+		if got := f.targets(12); got["i-9"] == 0 || got["i-0"] != 0 {
+			t.Fatalf("after %+v of the former instance the requests go to %v", notice, got)
+		}
+		// A late answer of the former instance is not about the new one.
+		f.table.RecordNotice(f.now, "i-0", pick.Notice{Leaving: true})
+		if got := f.targets(12); got["i-9"] == 0 {
+			t.Fatal("a notice of the former instance takes the new one out of the choice")
+		}
+	}
+}
+
+// TestNoticesOutlastAFreeze lets the host stand still while an endpoint is leaving and another asked for no requests:
+// afterwards the first still gets nothing, and the second as soon as its time is over.
+func TestNoticesOutlastAFreeze(t *testing.T) {
+	f := newNoticeFixture(t, 3)
+	f.table.RecordNotice(f.now, "i-0", pick.Notice{Leaving: true})
+	f.table.RecordNotice(f.now, "i-1", pick.Notice{RetryAfter: 8 * core.Second})
+	f.now += 6 * core.Second
+	f.update(7 * core.Second)
+	if got := f.targets(12); got["i-0"] != 0 || got["i-1"] != 0 {
+		t.Fatalf("the requests go to %v during the notices", got)
+	}
+	f.now += 4 * core.Second
+	f.update(100)
+	if got := f.targets(12); got["i-0"] != 0 || got["i-1"] == 0 {
+		t.Fatalf("the requests go to %v after the time of i-1 is over", got)
+	}
+}
