--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -17,8 +17,6 @@
 	// initialNamedFraction of a zone's hosts is named before its load is known.
 	initialNamedFraction = 0.4
 	namedInterval        = 500 * core.Millisecond
-	// fullLoad is the load that a host should have at most.
-	fullLoad = 1000
 	// lowerInterval is the time between two reductions by one host, so that callers don't move to and fro when the
 	// load varies.
 	lowerInterval = 2 * core.Second
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -20,8 +20,6 @@
 	reportInterval = 800 * core.Millisecond
 	// maxReportJitter keeps the reports of many hosts that heard of a change at the same time from staying in step.
 	maxReportJitter = 100 * core.Millisecond
-	// minLoadInterval is the shortest time over which the load is measured.
-	minLoadInterval = 600 * core.Millisecond
 	// maxUpdateTimeout is more than two report intervals.
 	maxUpdateTimeout = 2 * core.Second
 	// initialUpdateTimeout applies until a control host has answered: a few round trips between regions, with a
@@ -90,12 +88,6 @@
 	counts            EntryCounts
 }
 
-// Traffic counts requests of callers, and the bytes of requests and answers.
-type Traffic struct {
-	Requests uint64
-	Bytes    uint64
-}
-
 // Start selects the first control host.
 func (e *Entry) Start(now core.Millis) {
 	e.retryAt = map[string]core.Millis{}
@@ -183,19 +175,6 @@
 	})
 }
 
-// currentLoad returns the load since a moment at least minLoadInterval ago, in thousandths of the capacity.
-func (e *Entry) currentLoad(now core.Millis) uint32 {
-	elapsed := float64(now-e.measuredAt) / float64(core.Second)
-	if !e.ReportsLoad || now-e.measuredAt < minLoadInterval {
-		return e.load
-	}
-	requests := float64(e.Traffic.Requests-e.measured.Requests) / elapsed / e.RequestCapacity
-	bytes := float64(e.Traffic.Bytes-e.measured.Bytes) / elapsed / e.ByteCapacity
-	e.load = uint32(fullLoad * max(requests, bytes))
-	e.measuredAt, e.measured = now, e.Traffic
-	return e.load
-}
-
 // probeNearer probes a nearer control host, which becomes the current one when it answers.
 func (e *Entry) probeNearer(now core.Millis, out *core.Effects) {
 	e.nearerProbeAt = now + nearerProbeInterval
--- /dev/null
+++ b/io/entry/notice.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"clementinelock/core/pick"
+	"clementinelock/io/proto"
+)
+
+// RecordHeader applies what the header of an endpoint's answer says about the endpoint.
+func (s *Server) RecordHeader(endpoint string, status int, header http.Header) {
+	if status == http.StatusMisdirectedRequest {
+		// Another endpoint answered.
+		return
+	}
+	notice := s.noticeOf(status, header)
+	if notice == (pick.Notice{}) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Picks.RecordNotice(s.Now(), endpoint, notice)
+}
+
+// noticeOf reads what an answer says about its endpoint.
+func (s *Server) noticeOf(status int, header http.Header) pick.Notice {
+	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header)}
+	texts := header.Values("Retry-After")
+	if status != http.StatusServiceUnavailable || len(texts) == 0 {
+		return notice
+	}
+	retryAfter, err := proto.ParseRetryAfter(texts[0])
+	if err != nil {
+		notice.InvalidRetryAfter = strconv.Quote(texts[0])
+	}
+	notice.RetryAfter = retryAfter
+	return notice
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"clementinelock/core"
@@ -326,35 +325,6 @@
 	return t.server.Picks.SpendRetry(t.pickRequest.Service)
 }
 
-// RecordHeader applies what the header of an endpoint's answer says about the endpoint.
-func (s *Server) RecordHeader(endpoint string, status int, header http.Header) {
-	if status == http.StatusMisdirectedRequest {
-		// Another endpoint answered.
-		return
-	}
-	notice := s.noticeOf(status, header)
-	if notice == (pick.Notice{}) {
-		return
-	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.Picks.RecordNotice(s.Now(), endpoint, notice)
-}
-
-func (s *Server) noticeOf(status int, header http.Header) pick.Notice {
-	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header)}
-	texts := header.Values("Retry-After")
-	if status != http.StatusServiceUnavailable || len(texts) == 0 {
-		return notice
-	}
-	retryAfter, err := proto.ParseRetryAfter(texts[0])
-	if err != nil {
-		notice.InvalidRetryAfter = strconv.Quote(texts[0])
-	}
-	notice.RetryAfter = retryAfter
-	return notice
-}
-
 // classify returns what a result says about the endpoint and about whether the request has run.
 func (s *Server) classify(result pool.Result) pick.Outcome {
 	switch result.Ending {
