--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -114,8 +114,8 @@
 }
 
 // chooseRegion chooses between the regions, which are sorted by cost: the cheapest one that can answer in time and to
-// which requests may shift. If the limit on shifts excludes all that can, a request stays in the local region if that
-// can answer in time, and is refused otherwise.
+// which requests may shift. If the limit on shifts excludes all that can, a request goes where it exceeds the limit
+// least, provided that the local region can answer in time, and is refused otherwise.
 func (t *Table) chooseRegion(now core.Millis, s *service, r Request, found []candidate) candidate {
 	if len(found) == 0 {
 		return candidate{}
--- a/core/pick/shift.go
+++ b/core/pick/shift.go
@@ -68,7 +68,7 @@
 	bins [shiftBins]int
 	// recent counts the requests of the latest window.
 	recent int
-	// since counts the requests since the moment that allows looks at, before those of the window before it.
+	// since and before are working values of excess: the requests since a moment, and those of the window before it.
 	since  int
 	before int
 	// initial is the share that a host starts with.
