Hosts log when the list shows an endpoint to be cold

An overloaded cold endpoint could not be told apart by its cause: no line said when a host learned that the endpoint is cold, whether the host used it before, and by how many entry hosts it divides the endpoint's rate.

--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -203,12 +203,16 @@
 
 func (t *Table) updateEndpoint(now, age core.Millis, entry roster.Entry) {
 	e := t.endpoints[entry.ID]
-	if e == nil || e.Address != entry.Address || e.Service != entry.Service {
+	added := e == nil || e.Address != entry.Address || e.Service != entry.Service
+	if added {
 		e = &Endpoint{Entry: entry}
 		t.endpoints[entry.ID] = e
 		t.restoreReadiness(now, e)
 	}
 	if entry.ColdFor > 0 {
+		if !e.isCold(now) {
+			t.logColdStart(entry, age, added)
+		}
 		e.coldUntil = max(e.coldUntil, now+entry.ColdFor-min(age, entry.ColdFor)+coldGraceInterval)
 	}
 	if entry.Draining && !e.Draining {
@@ -223,6 +227,16 @@
 	}
 }
 
+// logColdStart logs that the list shows an endpoint to be cold, with the share of its rate that this host may use.
+func (t *Table) logColdStart(entry roster.Entry, age core.Millis, added bool) {
+	known := "it was in use before"
+	if added {
+		known = "it is new"
+	}
+	t.logf("Endpoint %s of %s in %s is cold for %s by a list read %s ago; %s. This host counts %d entry hosts in its availability zone.",
+		entry.ID, entry.Service, entry.Zone, entry.ColdFor, age, known, t.entries.Zone)
+}
+
 func (t *Table) groupByService() {
 	for _, s := range t.services {
 		s.endpoints = s.endpoints[:0]
