Hosts divide a cold endpoint's rate by the largest number of hosts of late

Callers saw nothing; a cold endpoint could get a multiple of the rate that it tolerates. Cause: the rate was divided by the entry hosts of the zone that report at the moment. Hosts that are cut off from the control hosts go on sending by the number they were told before, while the rest divides by what is left, and hosts that start or come back divide by 1, 2, 3 and so on. A local count of live members is no divisor for a limit that all share.

Now a control host names the largest number of the last minute, which the control hosts tell each other with its age, so that one that starts anew with its zone knows it from the others; until it has heard from one, or for the 2.5 s in which all entry hosts report, it calls its count pending, and a new entry host leaves cold endpoints to others. An entry host keeps the largest number that it was told. Fields 12 of Update and 15 of Share are new; processes before this change ignore them.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -63,6 +63,11 @@
 	controls map[string]*controlState
 	// entriesNumber numbers the changes of the entry hosts that report here.
 	entriesNumber uint64
+	// peaks holds the largest number of entry hosts of each availability zone; peaksHeard is set once another control
+	// host has told its own.
+	peaks      map[string]peak
+	peaksHeard bool
+	startedAt  core.Millis
 	// ready caches the entry hosts that serve; readyCached is false after a change.
 	ready       []EntryHost
 	readyCached bool
@@ -124,6 +129,7 @@
 	out := &core.Effects{}
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
+	c.peaks, c.startedAt = map[string]peak{}, now
 	c.entriesNumber, c.controlsNumber = 1, 1
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
--- a/core/fleet/count_test.go
+++ b/core/fleet/count_test.go
@@ -20,7 +20,10 @@
 		name   string
 		strike func(s *site, zone, controls []string)
 	}{
-		{"control host restarts", func(s *site, _, _ []string) { s.crash("control-0", false); s.At(s.Now+800, func() { s.startHost("control-0") }) }},
+		{"control host restarts", func(s *site, _, _ []string) {
+			s.crash("control-0", false)
+			s.At(s.Now+800, func() { s.startHost("control-0") })
+		}},
 		{"zone lost", func(s *site, zone, _ []string) {
 			for _, name := range append([]string{"control-0"}, zone...) {
 				s.crash(name, true)
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -86,6 +86,8 @@
 	evacuationEndedAt core.Millis
 	list              roster.Replica
 	counts            EntryCounts
+	// zonePeak is the largest number of entry hosts of the zone that this process was told, 0 while none is known.
+	zonePeak int
 }
 
 // Start selects the first control host.
@@ -311,7 +313,7 @@
 		changed = true
 		out.Logf("config", "Applied version %d, evacuated %v, index %d from %s.", e.document.Version, e.evacuated, e.index, from)
 	}
-	e.counts = u.Entries
+	e.applyCounts(u)
 	if u.Endpoints == nil {
 		return changed
 	}
@@ -343,12 +345,21 @@
 	Entries   EntryCounts
 }
 
+// applyCounts takes over the numbers of entry hosts. A host that is cut off from its control host divides by the number
+// that it was told before, so that the others must not divide by the rest.
+func (e *Entry) applyCounts(u *Update) {
+	e.counts = u.Entries
+	if !u.CountsPending {
+		e.zonePeak = max(e.zonePeak, u.Entries.Zone, 1)
+	}
+}
+
 // View returns the state in force at this host.
 func (e *Entry) View(now core.Millis) View {
 	return View{
 		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
-		Entries: EntryCounts{Zone: max(1, e.counts.Zone), Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
+		Entries: EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
 	}
 }
 
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -65,10 +65,12 @@
 	Controls       []ControlHost `cbor:"9,keyasint,omitempty"`
 	ControlsNumber uint64        `cbor:"10,keyasint,omitempty"`
 	Entries        EntryCounts   `cbor:"11,keyasint"`
+	// CountsPending is set while the sender has just started and can't have heard of all entry hosts.
+	CountsPending bool `cbor:"12,keyasint,omitempty"`
 }
 
-// EntryCounts counts the ready entry hosts of the receiver's availability zone, of its region and of the
-// deployment.
+// EntryCounts counts the ready entry hosts of the receiver's region and of the deployment now, and the largest number
+// of late of its availability zone; Zone is 0 where it is not known.
 type EntryCounts struct {
 	Zone   int `cbor:"1,keyasint"`
 	Region int `cbor:"2,keyasint"`
@@ -103,6 +105,8 @@
 	ListInterval core.Millis `cbor:"13,keyasint,omitempty"`
 	// Loads holds the load of the sender's entry hosts.
 	Loads []ZoneLoad `cbor:"14,keyasint,omitempty"`
+	// Peaks holds the largest numbers of entry hosts that the sender has seen or heard of lately.
+	Peaks []ZonePeak `cbor:"15,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -79,15 +79,7 @@
 	c.addControls(&e.Report, u)
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
-	for _, each := range c.readyEntries() {
-		u.Entries.All++
-		if each.Region == e.Region {
-			u.Entries.Region++
-		}
-		if each.Zone == e.Zone {
-			u.Entries.Zone++
-		}
-	}
+	u.Entries, u.CountsPending = c.countEntries(now, e.Region, e.Zone)
 	out.Send(e.Name, u)
 }
 
@@ -161,7 +153,7 @@
 }
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
-	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads(), Peaks: c.zonePeaks(now)}
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
@@ -204,6 +196,7 @@
 		c.controlsNumber++
 	}
 	other.ControlHost, other.heardAt, other.loads = m.ControlHost, now, m.Loads
+	c.applyPeaks(now, m.Peaks)
 	if m.Full {
 		other.entries, other.entriesNumber = m.Entries, m.Number
 		c.readyCached = false
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -191,14 +191,14 @@
 // fetchCost is the cost of fetching an object's data by affinity, in units of the service time.
 var fetchCost = map[Affinity]float64{First: 0, Second: secondFetchCost, Known: knownFetchCost, Other: otherFetchCost}
 
-// mayUseCold reports whether this host may send one more request to a cold endpoint. Only hosts of the
-// endpoint's availability zone may, each within its share of the endpoint's rate.
+// mayUseCold reports whether this host may send one more request to a cold endpoint. Only hosts of the endpoint's
+// availability zone may, each within its share of the endpoint's rate, and once they know how many they are.
 func (t *Table) mayUseCold(now core.Millis, e *Endpoint) bool {
-	if e.Zone != t.Zone {
+	if e.Zone != t.Zone || t.entries.Zone == 0 {
 		return false
 	}
 	rate := t.configured[e.Service].ColdRequestsPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
-	hosts := float64(max(1, t.entries.Zone))
+	hosts := float64(t.entries.Zone)
 	quota := coldRateFraction * rate / hosts
 	window := coldWindow
 	if quota < 1 {
