A request that waited while its endpoint turned cold is chosen again

One that was chosen for a warm endpoint was sent all the same after the list had shown the endpoint to be cold, beside its rate. It is now withdrawn before it is sent and chosen again, without cost to the retry budget, as after a notice of the endpoint. First attempts, second ones and hedges all pass this check; there are no probes.

TestRequestChosenBeforeTheColdStart failed before (the waiting request may still be sent) and passes now.

--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -70,9 +70,10 @@
 	return !e.inBackoff(now) && (!e.reopening || e.inFlight == 0)
 }
 
-// IsReady reports whether an endpoint that was chosen still takes requests.
+// IsReady reports whether an endpoint that was chosen still takes the request, which may have waited for a connection.
 func (t *Table) IsReady(now core.Millis, c Choice) bool {
-	return c.Endpoint.isActive() && !c.Endpoint.inBackoff(now)
+	e := c.Endpoint
+	return e.isActive() && !e.inBackoff(now) && (c.Cold || !e.isCold(now))
 }
 
 // RecordNotice applies what an endpoint's answer says about the endpoint; answers to requests that were cancelled or
