--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -28,6 +28,7 @@
 	roster.Entry
 	running   int
 	waiting   []*modelRequest
+	inProcess map[*modelRequest]bool
 	objects   []string
 	coldUntil core.Millis
 	shedRate  float64
@@ -294,7 +295,16 @@
 	if ends > j.deadline {
 		ends, outcome = max(j.deadline, w.now), pick.Lost
 	}
+	if p.inProcess == nil {
+		p.inProcess = map[*modelRequest]bool{}
+	}
+	p.inProcess[j] = true
 	w.schedule(ends, func() {
+		if !p.inProcess[j] {
+			// The endpoint has crashed meanwhile.
+			return
+		}
+		delete(p.inProcess, j)
 		p.running--
 		if outcome == pick.Good {
 			p.warmObject(j.object)
@@ -376,3 +386,24 @@
 	}
 	return most
 }
+
+// crash ends an endpoint's process: its requests are lost at once, and new ones do not reach it until it restarts.
+func (w *simulation) crash(id string) {
+	p := w.endpoints[id]
+	delete(w.endpoints, id)
+	lost := p.waiting
+	for j := range p.inProcess {
+		lost = append(lost, j)
+	}
+	p.running, p.waiting, p.objects, p.inProcess = 0, nil, nil, nil
+	slices.SortFunc(lost, func(a, b *modelRequest) int { return int(a.arrived - b.arrived) })
+	for _, j := range lost {
+		j.done(pick.Lost, nil)
+	}
+}
+
+// restart starts a crashed endpoint's process again, cold, under its id.
+func (w *simulation) restart(p *modelEndpoint) {
+	p.coldUntil = w.now + modelColdStart
+	w.endpoints[p.ID] = p
+}
