Entry hosts keep to the limit of requests that an endpoint names

Callers saw little: an endpoint in need, which names how many requests a second it takes from all hosts together, got as many as before. Cause: nothing read the limit; the rate in the record does not change at 8 s, when it is named (7.5 and 5.9 a second before, 8.6 and 4.7 after). Class: what an endpoint says of itself in its answers is not followed at all places that send to it.

A host that was told sends one request an interval: the interval divides the limit among the hosts of the endpoint's region, by the largest numbers seen, and a tenth of it among all for endpoints of other regions. Where a request of every host at once stays within what the endpoint bears, nine tenths of the limit are used, else half, so that the sum of hosts that do not know of each other stays within it. First moments are spread. First attempts, second ones and hedges are chosen by it; what was chosen before and waits for a connection is withdrawn and chosen again. If no endpoint of a service takes a request now, callers are refused at once with the time of the next one. An answer without a limit to a request that was chosen after it was named last ends it.

TestLimitBegins and TestLimitEnds cover queued requests and the end.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -154,6 +154,7 @@
 func (t *Table) addInFlight(now core.Millis, r Request, c Choice) {
 	e := c.Endpoint
 	e.inFlight++
+	t.spendLimit(now, e)
 	t.shift.record(e.Region)
 	if c.Cold {
 		e.coldSentAt = append(e.coldSentAt, now)
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -71,6 +71,9 @@
 	if !outcome.MayHaveRun() {
 		t.shift.withdraw(c.chosenAt, e.Region)
 	}
+	if outcome == Good || outcome == Failed || outcome == Shed {
+		t.recordNoLimit(e, c.chosenAt)
+	}
 	switch outcome {
 	case Good:
 		e.recordSuccess()
--- a/core/pick/dump.go
+++ b/core/pick/dump.go
@@ -18,6 +18,8 @@
 	// requests.
 	Leaving bool
 	Backoff core.Millis
+	// Limit is how many requests per second it takes from all hosts together, 0 if it named none.
+	Limit float64
 }
 
 // Dump is a table's state for operators.
@@ -49,7 +51,7 @@
 			d.Endpoints = append(d.Endpoints, EndpointDump{
 				ID: e.ID, Service: e.Service, Zone: e.Zone, Usable: e.isUsable(now), Cold: e.isCold(now), InFlight: e.inFlight,
 				Load: e.load(now), FailureRate: e.failureRate, Objects: len(e.objects),
-				Leaving: e.leavingSince != 0, Backoff: max(0, e.backoffUntil-now),
+				Leaving: e.leavingSince != 0, Backoff: max(0, e.backoffUntil-now), Limit: e.limit,
 			})
 		}
 	}
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -82,7 +82,7 @@
 
 // isUsable reports whether new requests may go to the endpoint now.
 func (e *Endpoint) isUsable(now core.Millis) bool {
-	return e.isActive() && now >= e.ejectedUntil && e.isReopened(now)
+	return e.isActive() && now >= e.ejectedUntil && e.isReopened(now) && !e.isHeldBack(now)
 }
 
 func (e *Endpoint) isWarmFor(now core.Millis, object string) bool {
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -34,17 +34,24 @@
 	RetryAfter core.Millis
 	// InvalidRetryAfter is the endpoint's text for RetryAfter, quoted, if it can't be read.
 	InvalidRetryAfter string
+	// Limit is how many requests per second the endpoint takes from all hosts together; it holds if LimitNamed is set.
+	Limit      float64
+	LimitNamed bool
+	// InvalidLimit is the endpoint's text for Limit, quoted, if it can't be read.
+	InvalidLimit string
 }
 
 // NoticeCounts counts the notices that endpoints gave.
 type NoticeCounts struct {
 	Leaving uint64
 	Backoff uint64
+	Limit   uint64
 	Invalid uint64
 }
 
 // readiness is what an endpoint has said about itself.
 type readiness struct {
+	pace
 	// leavingSince is when the endpoint first announced that it is leaving; 0 means that it did not.
 	leavingSince core.Millis
 	// drainListed is set once the list has called the leaving endpoint draining.
@@ -73,7 +80,7 @@
 // IsReady reports whether an endpoint that was chosen still takes the request, which may have waited for a connection.
 func (t *Table) IsReady(now core.Millis, c Choice) bool {
 	e := c.Endpoint
-	return e.isActive() && !e.inBackoff(now) && (c.Cold || !e.isCold(now))
+	return e.isActive() && !e.inBackoff(now) && (c.Cold || !e.isCold(now)) && e.isWithinLimit(c.chosenAt)
 }
 
 // RecordNotice applies what an endpoint's answer says about the endpoint; answers to requests that were cancelled or
@@ -88,11 +95,14 @@
 		t.recordLeaving(now, e)
 	}
 	if n.InvalidRetryAfter != "" {
-		t.Notices.Invalid++
-		if !e.invalidLogged {
-			e.invalidLogged = true
-			t.logf("Endpoint %s of %s in %s sent the invalid Retry-After %.40s; ignored.", e.ID, e.Service, e.Zone, n.InvalidRetryAfter)
-		}
+		t.recordInvalid(e, "Retry-After", n.InvalidRetryAfter)
+	}
+	if n.InvalidLimit != "" {
+		t.recordInvalid(e, "limit", n.InvalidLimit)
+	}
+	if n.LimitNamed {
+		t.Notices.Limit++
+		t.recordLimit(now, e, n.Limit)
 	}
 	if n.RetryAfter > 0 {
 		t.Notices.Backoff++
@@ -100,6 +110,14 @@
 	}
 }
 
+func (t *Table) recordInvalid(e *Endpoint, name, text string) {
+	t.Notices.Invalid++
+	if !e.invalidLogged {
+		e.invalidLogged = true
+		t.logf("Endpoint %s of %s in %s sent the invalid %s %.40s; ignored.", e.ID, e.Service, e.Zone, name, text)
+	}
+}
+
 func (t *Table) recordLeaving(now core.Millis, e *Endpoint) {
 	if e.leavingSince != 0 {
 		return
@@ -152,7 +170,7 @@
 			delete(t.removed, id)
 		}
 	}
-	if e.leavingSince == 0 && e.reopenAt <= now {
+	if e.leavingSince == 0 && e.reopenAt <= now && !e.named {
 		return
 	}
 	e.removedAt = now
@@ -170,19 +188,19 @@
 	}
 }
 
-// refuseUnavailable refuses a request for which no endpoint is available. If endpoints only asked for no requests,
-// callers may return after the first of them takes requests again, spread, the more urgent first.
+// refuseUnavailable refuses a request for which no endpoint is available. If endpoints only asked for no requests or
+// for few, callers may return after the first of them takes requests again, spread, the more urgent first.
 func (t *Table) refuseUnavailable(now core.Millis, s *service, r Request) *core.Refusal {
 	earliest := core.Millis(math.MaxInt64)
 	for _, e := range s.endpoints {
-		if e.isActive() && e.inBackoff(now) && regionAllowed(r.Regions, e.Region) && !slices.Contains(r.Tried, e.ID) {
-			earliest = min(earliest, e.reopenAt)
+		if at := e.opensAt(now); at > 0 && e.isActive() && regionAllowed(r.Regions, e.Region) && !slices.Contains(r.Tried, e.ID) {
+			earliest = min(earliest, at)
 		}
 	}
 	if earliest == math.MaxInt64 {
 		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", r.Service, len(s.endpoints))
 	}
-	refusal := core.Refuse(core.Overloaded, core.RanNo, "all endpoints of service %q asked for no requests, the first for another %s", r.Service, earliest-now)
+	refusal := core.Refuse(core.Overloaded, core.RanNo, "all endpoints of service %q asked for no or few requests, the first takes one in %s", r.Service, earliest-now)
 	refusal.RetryAfter = earliest - now + core.Millis(r.Priority)*callerSpacing + core.Millis(t.Rand.Int64N(int64(callerSpacing)))
 	return refusal
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -109,8 +109,9 @@
 	// localSlots holds the slots of the local region by service.
 	localSlots map[string]int
 	entries    fleet.EntryCounts
-	// maxHosts is the largest number of entry hosts seen.
-	maxHosts int
+	// maxHosts is the largest number of entry hosts seen, maxRegionHosts that of the local region.
+	maxHosts       int
+	maxRegionHosts int
 	// removed holds the notices of endpoints that were removed lately, by id and address.
 	removed map[string]readiness
 	// Notices counts what endpoints said about themselves.
@@ -143,6 +144,7 @@
 	t.shift.maxShift = cmp.Or(t.Bounds.MaxShift, defaultMaxShift)
 	t.entries = view.Entries
 	t.maxHosts = max(t.maxHosts, view.Entries.All)
+	t.maxRegionHosts = max(t.maxRegionHosts, view.Entries.Region)
 	t.updateEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -26,6 +26,11 @@
 // noticeOf reads what an answer says about its endpoint.
 func (s *Server) noticeOf(status int, header http.Header) pick.Notice {
 	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header)}
+	limit, named, err := s.Dialect.ParseLimit(header)
+	if err != nil {
+		notice.InvalidLimit = strconv.Quote(header.Get(s.Dialect.Limit))
+	}
+	notice.Limit, notice.LimitNamed = limit, named
 	texts := header.Values("Retry-After")
 	if status != http.StatusServiceUnavailable || len(texts) == 0 {
 		return notice
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -26,7 +26,7 @@
 	{"clementinelock_entry_request_seconds", "Time from a request's arrival to its answer, by service."},
 	{"clementinelock_log_dropped_total", "Log lines that were dropped because the output was slow."},
 	{"clementinelock_peer_bytes_sent_total", "Bytes to other hosts."},
-	{"clementinelock_entry_notices_total", "Answers in which endpoints said something about themselves, by notice: Leaving, Backoff (503 with Retry-After) or Invalid (Retry-After that can't be read)."},
+	{"clementinelock_entry_notices_total", "Answers in which endpoints said something about themselves, by notice: Leaving, Backoff (503 with Retry-After), Limit (of requests from all hosts together) or Invalid (a Retry-After or limit that can't be read)."},
 }
 
 // MetricNames returns the names and help texts of the metrics, for the docs.
@@ -59,6 +59,7 @@
 	counters := map[string]func(pick.NoticeCounts) uint64{
 		"Leaving": func(c pick.NoticeCounts) uint64 { return c.Leaving },
 		"Backoff": func(c pick.NoticeCounts) uint64 { return c.Backoff },
+		"Limit":   func(c pick.NoticeCounts) uint64 { return c.Limit },
 		"Invalid": func(c pick.NoticeCounts) uint64 { return c.Invalid },
 	}
 	for name, field := range counters {
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -126,6 +126,8 @@
 	NotRun string
 	// Leaving reports that the endpoint is about to stop.
 	Leaving string
+	// Limit holds how many requests per second the endpoint takes from all hosts together.
+	Limit string
 }
 
 // IsLeaving reports whether an answer's header says that its endpoint is about to stop.
@@ -133,6 +135,20 @@
 	return d.Leaving != "" && header.Get(d.Leaving) == "1"
 }
 
+// ParseLimit returns the limit that an answer's header names, in requests per second; it returns an error when the text
+// is not a number of 0 or more.
+func (d Dialect) ParseLimit(header http.Header) (perSecond float64, named bool, err error) {
+	if d.Limit == "" || len(header.Values(d.Limit)) == 0 {
+		return 0, false, nil
+	}
+	text := header.Get(d.Limit)
+	perSecond, err = strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return 0, false, fmt.Errorf("header %s: %q is not a number of requests per second", d.Limit, text)
+	}
+	return perSecond, true, nil
+}
+
 // ParseRetryAfter parses the seconds of a Retry-After header, which may have a fraction; it returns an error when the
 // text is not a positive number.
 func ParseRetryAfter(text string) (core.Millis, error) {
