Keepers keep to the limit of requests that an endpoint names

If all endpoints are held back by their limits, asks are refused at once with the time of the next slot. An answer without a limit ends it, if its slot was granted after the limit was named last. Load probes of the tree's interface are no requests and go on.

TestEndpointNamesALimit (core/model) failed before with 33 requests in 4 s at a limit of 2.5 a second, 11 allowed, and passes. The fields are new in slots.Result; older hosts ignore them.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -220,6 +220,7 @@
 	a.report = h.Report
 	a.shed = h.NotRun
 	a.retryAfter = h.RetryAfter
+	a.limit, a.limitNamed = h.Limit, h.LimitNamed
 	c := a.call
 	if c.answered || c.callerGone && !c.keyed {
 		d.abort(a, out)
@@ -301,6 +302,7 @@
 	failed := a.expired || e.Ending != Whole && !a.aborted
 	return slots.Result{
 		Latency: e.Latency, Report: a.report, Shed: a.shed, RetryAfter: a.retryAfter,
+		Answered: a.headReceived, Limit: a.limit, LimitNamed: a.limitNamed,
 		Failed: failed, Unused: a.aborted && !a.headReceived && !a.expired, Aborted: a.aborted || e.Ending == Broken || e.Ending == Truncated,
 	}
 }
--- a/core/call/dispatcher.go
+++ b/core/call/dispatcher.go
@@ -54,6 +54,9 @@
 	Report *core.Report
 	// RetryAfter is how long the endpoint asks for no requests; 0 means that it does not ask.
 	RetryAfter core.Millis
+	// Limit is how many requests per second the endpoint takes from all hosts together; it holds if LimitNamed is set.
+	Limit      float64
+	LimitNamed bool
 }
 
 // Ending says how an attempt ended.
@@ -139,6 +142,9 @@
 	report *core.Report
 	// retryAfter is how long the endpoint asked for no requests.
 	retryAfter core.Millis
+	// limit is how many requests per second the endpoint takes, if limitNamed is set.
+	limit      float64
+	limitNamed bool
 	aborted    bool
 	// expired reports whether the deadline passed before the answer's head arrived.
 	expired bool
--- a/core/model/keeper_test.go
+++ b/core/model/keeper_test.go
@@ -140,3 +140,41 @@
 	s.CheckNoDuplicateRuns()
 	s.CheckAnswered()
 }
+
+// TestEndpointNamesALimit lets one endpoint of a busy service name a limit of requests per second in its answers: it
+// gets no more than that, the others serve its share, and it gets as much as before when it names none.
+func TestEndpointNamesALimit(t *testing.T) {
+	const (
+		window = 4 * core.Second
+		limit  = 2.5
+	)
+	s, load := busyDeployment(t, 3)
+	s.ServiceTime = func() core.Millis { return 40 }
+	s.RunFor(4 * core.Second)
+	limited := s.Upstream[s.View.Service(s.View.Zones[0].Name, "kapora").Endpoints[0]]
+	countSince := func(from core.Millis) (n int) {
+		for _, at := range limited.StartedAt {
+			if at >= from {
+				n++
+			}
+		}
+		return n
+	}
+	before := countSince(s.Now - window)
+	limited.Limit = limit
+	s.RunFor(core.Second)
+	s.RunFor(window)
+	if got, allowed := countSince(s.Now-window), limit*window.Duration().Seconds()+1; float64(got) > allowed || got == 0 {
+		t.Errorf("the endpoint gets %d requests in 4 s after it named a limit of %v a second, %.0f are allowed", got, limit, allowed)
+	}
+	limited.Limit = 0
+	s.RunFor(2 * core.Second)
+	s.RunFor(window)
+	if got := countSince(s.Now - window); got < before/2 {
+		t.Errorf("the endpoint gets %d requests in 4 s after its limit ended, %d before it", got, before)
+	}
+	load.Stop()
+	s.RunFor(6 * core.Second)
+	s.CheckNoDuplicateRuns()
+	s.CheckAnswered()
+}
--- a/core/model/upstream.go
+++ b/core/model/upstream.go
@@ -23,6 +23,10 @@
 	// requests.
 	Backoff core.Millis
 	Refused int
+	// Limit is how many requests per second the endpoint takes, as it says in its answers; 0 means that it names none.
+	Limit float64
+	// StartedAt holds when the endpoint started each request.
+	StartedAt []core.Millis
 }
 
 // attempt is an attempt at a simulated endpoint.
@@ -78,6 +82,7 @@
 	sent.running = true
 	up.InFlight++
 	up.Served++
+	up.StartedAt = append(up.StartedAt, s.Now)
 	up.Peak = max(up.Peak, up.InFlight)
 	if up.InFlight > up.Slots {
 		s.Fail("seed %d: %d requests in flight on an endpoint with %d slots in zone %s at %d ms", s.Seed, up.InFlight, up.Slots, up.Zone, s.Now)
@@ -115,7 +120,7 @@
 		return
 	}
 	s.Step(id.host, func(m *host.Machine) core.Effects {
-		return m.Head(s.Now, id.attempt, call.Head{Status: 200, Report: sent.up.reported()})
+		return m.Head(s.Now, id.attempt, call.Head{Status: 200, Report: sent.up.reported(), Limit: sent.up.Limit, LimitNamed: sent.up.Limit > 0})
 	})
 	answer := &core.StoredAnswer{Status: 200, Whole: true, Body: []byte(sent.runID)}
 	s.end(id, call.End{Ending: call.Whole, Latency: s.Now - startedAt, Answer: answer})
--- a/core/slots/endpoint.go
+++ b/core/slots/endpoint.go
@@ -36,6 +36,7 @@
 	ejections    int
 	ejectedUntil core.Millis
 	shedUntil    core.Millis
+	pace         pace
 	warmUpStart  core.Millis
 	report       core.Report
 	reportAt     core.Millis
@@ -74,8 +75,9 @@
 	}
 }
 
-// recordResult updates the endpoint with the result of an attempt.
-func (e *endpoint) recordResult(now core.Millis, r Result) {
+// recordResult updates the endpoint with the result of an attempt whose slot was granted at that time.
+func (e *endpoint) recordResult(now, grantedAt core.Millis, r Result) {
+	e.pace.record(now, grantedAt, r)
 	if r.Report != nil {
 		e.recordReport(now, *r.Report)
 	}
@@ -153,7 +155,7 @@
 
 // usable reports whether an endpoint may get new requests.
 func (k *keeper) usable(now core.Millis, e *endpoint, ejected map[string]bool) bool {
-	return !ejected[e.address] && now >= e.shedUntil && !k.leaving(e.address)
+	return !ejected[e.address] && now >= e.shedUntil && e.pace.admits(now) && !k.leaving(e.address)
 }
 
 func (k *keeper) leaving(address string) bool {
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -31,6 +31,8 @@
 	from     string
 	ask      askID
 	until    core.Millis
+	// grantedAt is when this keeper granted the slot, 0 if another one did.
+	grantedAt core.Millis
 }
 
 // askID identifies an ask among those of all hosts.
@@ -195,6 +197,9 @@
 func (k *keeper) enqueue(now core.Millis, from string, m *Ask, out *core.Effects) {
 	expected := k.expectedWait(now)
 	switch {
+	case k.capacity(now) == 0 && k.paceOpensIn(now) > 0:
+		k.refuse(now, from, m, core.Overloaded, k.paceOpensIn(now), false, out)
+		return
 	case k.capacity(now) == 0:
 		k.refuse(now, from, m, core.NoUpstream, 0, false, out)
 		return
@@ -264,7 +269,8 @@
 	e.inUse++
 	e.lastUsed = k.uses
 	core.Assert(e.used(now) <= k.settings.Slots || e.unknown > 0, "endpoint %s has %d slots in use; expected at most %d", e.address, e.used(now), k.settings.Slots)
-	k.slots[token] = &grantedSlot{token: token, endpoint: e.address, from: from, ask: id, until: now + m.Remaining + tokenGrace}
+	k.slots[token] = &grantedSlot{token: token, endpoint: e.address, from: from, ask: id, until: now + m.Remaining + tokenGrace, grantedAt: now}
+	e.pace.spend(now)
 	k.byAsk[id] = token
 	k.sendGrant(now, from, m, token, e.address, out)
 }
@@ -311,7 +317,7 @@
 		k.release(g)
 	}
 	if e := k.endpoints[g.endpoint]; e != nil {
-		e.recordResult(now, m.Result)
+		e.recordResult(now, g.grantedAt, m.Result)
 	}
 	if !m.Result.Unused && !m.Result.Failed && !m.Result.Shed {
 		k.recordServiceTime(m.Result.Latency)
--- a/core/slots/messages.go
+++ b/core/slots/messages.go
@@ -67,6 +67,11 @@
 	Report  *core.Report
 	// RetryAfter is how long the endpoint asked for no requests; 0 means that it did not ask.
 	RetryAfter core.Millis
+	// Answered means that the head of an answer arrived. Limit is how many requests per second the endpoint takes from
+	// all hosts together; it holds if LimitNamed is set.
+	Answered   bool
+	Limit      float64
+	LimitNamed bool
 }
 
 // Done returns a slot; it is resent until it is acknowledged.
--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -201,8 +201,10 @@
 		// A value that can't be read asks for nothing.
 		retryAfter, _ = proto.ParseRetryAfter(header.Get("Retry-After"))
 	}
+	// A value that can't be read names no limit.
+	limit, named, _ := proto.ParseLimit(header, proto.Limit)
 	return call.Head{
-		Status: a.Response.StatusCode,
+		Status: a.Response.StatusCode, Limit: limit, LimitNamed: named,
 		NotRun: a.Response.StatusCode == http.StatusServiceUnavailable && header.Get(proto.Ran) == string(core.RanNo),
 		Report: proto.ParseLoad(header.Get(proto.Load)), RetryAfter: retryAfter,
 	}
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -23,6 +23,7 @@
 	Stored         = "Clementinelock-Stored"
 	ServedBy       = "Clementinelock-Host"
 	Load           = "Clementinelock-Load"
+	Limit          = "Clementinelock-Limit"
 )
 
 // Paths of the callers' and the upstreams' protocols.
@@ -138,13 +139,18 @@
 // ParseLimit returns the limit that an answer's header names, in requests per second; it returns an error when the text
 // is not a number of 0 or more.
 func (d Dialect) ParseLimit(header http.Header) (perSecond float64, named bool, err error) {
-	if d.Limit == "" || len(header.Values(d.Limit)) == 0 {
+	return ParseLimit(header, d.Limit)
+}
+
+// ParseLimit returns the limit in the header of that name, as Dialect.ParseLimit does; no name means that there is none.
+func ParseLimit(header http.Header, name string) (perSecond float64, named bool, err error) {
+	if name == "" || len(header.Values(name)) == 0 {
 		return 0, false, nil
 	}
-	text := header.Get(d.Limit)
+	text := header.Get(name)
 	perSecond, err = strconv.ParseFloat(strings.TrimSpace(text), 64)
 	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
-		return 0, false, fmt.Errorf("header %s: %q is not a number of requests per second", d.Limit, text)
+		return 0, false, fmt.Errorf("header %s: %q is not a number of requests per second", name, text)
 	}
 	return perSecond, true, nil
 }
