A planned stop takes requests for half of its time, and refuses what is read after that

Requests of a connection with others under way were started until the end.

TestRequestsAtTheEndOfAStop failed before (the request ran, Attempts 1) and passes. Ruled out: the endpoint's own time (it was at work) and the deadline (both longer).

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -518,3 +518,32 @@
 		t.Fatalf("OnAcceptError was called %d times, expected 2", len(acceptErrors))
 	}
 }
+
+// TestRequestsAtTheEndOfAStop guards against requests that begin so late in a planned stop that the host ends before
+// their endpoints have answered: they are refused as not run.
+func TestRequestsAtTheEndOfAStop(t *testing.T) {
+	h := startHost(t, 1)
+	release := make(chan bool)
+	h.setAnswer(func(conn net.Conn, request *http.Request, body []byte) bool {
+		<-release
+		return echo(conn, request, body)
+	})
+	c := h.dial(t)
+	c.send("GET", "/read/a", "one", "")
+	for h.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.server.BeginShutdown()
+	left := make(chan int)
+	go func() { left <- h.server.FinishShutdown(5 * time.Second) }()
+	time.Sleep(100 * time.Millisecond)
+	c.send("GET", "/read/b", "two", "")
+	if r := h.record(t, "two"); r.Kind != core.NotReady || r.Attempts != 0 {
+		t.Errorf("a request at the end of the stop has the record %+v, expected a refusal without an attempt", r)
+	}
+	close(release)
+	c.expect("one", 200, "GET /read/a ")
+	if n := <-left; n != 0 || h.runs() != 1 {
+		t.Errorf("%d requests are left and %d ran, expected 0 and 1", n, h.runs())
+	}
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -88,6 +88,12 @@
 		return refuse(record, core.Refuse(core.NotReady, core.RanNo, "no routes received yet"))
 	}
 	record.Version = table.Version
+	if s.finishing.Load() {
+		refusal := core.Refuse(core.NotReady, core.RanNo, "this host is stopping")
+		// Other hosts take the request at once.
+		refusal.RetryAfter = 0
+		return refuse(record, refusal)
+	}
 	route := table.Find(hostOf(x.request.Host), x.path)
 	if route == nil {
 		return refuse(record, core.Refuse(core.UnknownService, core.RanNo, "no route for host %q and path %q", x.request.Host, x.path))
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -49,11 +49,13 @@
 	mutex    sync.Mutex
 	table    atomic.Pointer[routes.Table]
 	stopping atomic.Bool
-	active   atomic.Int64
-	arrived  atomic.Uint64
-	bytes    atomic.Uint64
-	conns    map[*conn]bool
-	listener net.Listener
+	// finishing is set once a planned stop takes no more requests.
+	finishing atomic.Bool
+	active    atomic.Int64
+	arrived   atomic.Uint64
+	bytes     atomic.Uint64
+	conns     map[*conn]bool
+	listener  net.Listener
 }
 
 // Update applies changes to the endpoint table and, unless table is nil, replaces the routes.
@@ -139,9 +141,10 @@
 	return s.stopping.Load()
 }
 
-// FinishShutdown closes the listener and idle connections, waits until no request is in flight or the timeout is over,
+// FinishShutdown closes the listener and idle connections, refuses requests that are still read, waits until no request is in flight or the timeout is over,
 // and returns how many requests are left.
 func (s *Server) FinishShutdown(timeout time.Duration) (left int) {
+	s.finishing.Store(true)
 	s.mutex.Lock()
 	if s.listener != nil {
 		// Serve returns because of it; no one could handle an error here.
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -19,8 +19,9 @@
 
 // Fractions of the time that a planned stop may take.
 const (
-	// drainFraction is the part in which the host still serves while callers learn that it stops.
-	drainFraction   = 0.55
+	// drainFraction is the part in which the host still takes requests while callers learn that it stops; the rest
+	// is for those under way.
+	drainFraction   = 0.5
 	maxStopFraction = 0.9
 )
 
