An isolated host keeps to its part of an endpoint's cold rate

Its endpoints turn cold before the end of the evacuation, of which the isolated hosts do not know; they find the endpoints idle and send more than before: 16 requests in one second, 15.6 allowed, at two endpoints.

A host without an update for 2 s, earlier than an evacuated endpoint turns cold, sends an endpoint at most its part of the cold rate, divided as if two thirds of the hosts were isolated. Where that is less than one request a second for each host, first moments are spread and 0.6 of the rate is used.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -67,6 +67,8 @@
 	controlsNumber  uint64
 	currentControl  string
 	heardAt         core.Millis
+	// contactAt is when the latest update came from a control host that this host reported to.
+	contactAt core.Millis
 	// updateTimeout is how long the current control host may be silent.
 	updateTimeout core.Millis
 	// leaderless is set while the current control host hears no leader. Others are probed at leaderProbeAt, and
@@ -219,6 +221,7 @@
 	}
 	if from == e.currentControl {
 		e.heardAt, e.updateTimeout = now, maxUpdateTimeout
+		e.contactAt = now
 		e.recordLeader(now, u)
 	}
 	if u.ProbeAnswer {
@@ -354,6 +357,11 @@
 	}
 }
 
+// InContact reports whether an update of the current control host has come just now.
+func (e *Entry) InContact(now core.Millis) bool {
+	return e.contactAt == now
+}
+
 // View returns the state in force at this host.
 func (e *Entry) View(now core.Millis) View {
 	return View{
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -91,7 +91,7 @@
 		if !e.isUsable(now) || !regionAllowed(r.Regions, e.Region) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
-		if e.isCold(now) && !t.mayUseCold(now, e) {
+		if !t.isWithinColdRate(now, e) {
 			continue
 		}
 		cost, wait := t.cost(now, s, e, r.Object, prefs)
@@ -156,7 +156,7 @@
 	e.inFlight++
 	t.spendLimit(now, e)
 	t.shift.record(e.Region)
-	if c.Cold {
+	if c.Cold || t.isIsolated(now) {
 		e.coldSentAt = append(e.coldSentAt, now)
 	}
 	e.recordObject(now, r.Object)
@@ -191,26 +191,3 @@
 
 // fetchCost is the cost of fetching an object's data by affinity, in units of the service time.
 var fetchCost = map[Affinity]float64{First: 0, Second: secondFetchCost, Known: knownFetchCost, Other: otherFetchCost}
-
-// mayUseCold reports whether this host may send one more request to a cold endpoint. Only hosts of the endpoint's
-// availability zone may, each within its share of the endpoint's rate, and once they know how many they are.
-func (t *Table) mayUseCold(now core.Millis, e *Endpoint) bool {
-	if e.Zone != t.Zone || t.entries.Zone == 0 {
-		return false
-	}
-	rate := t.configured[e.Service].ColdRequestsPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
-	hosts := float64(t.entries.Zone)
-	quota := coldRateFraction * rate / hosts
-	window := coldWindow
-	if quota < 1 {
-		if hosts > maxColdHostsPerRate*rate {
-			return false
-		}
-		// Each host sends one request per longer window; even if all send theirs in the same second, they stay
-		// within the rate.
-		window = core.Millis(float64(window) / quota)
-		quota = 1
-	}
-	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at >= window })
-	return len(e.coldSentAt) < int(quota)
-}
--- /dev/null
+++ b/core/pick/cold.go
@@ -0,0 +1,109 @@
+package pick
+
+import (
+	"slices"
+
+	"clementinelock/core"
+)
+
+// A cold endpoint bears few requests a second from all hosts together. Hosts divide its rate by their numbers, as no
+// host knows what the others send.
+const (
+	// coldWindow is the second in which a cold endpoint's requests are counted, with room for the network
+	// delay.
+	coldWindow = 1100 * core.Millisecond
+	// coldRateFraction is the part of a cold endpoint's rate that is used; the rest is for delayed requests of
+	// other hosts.
+	coldRateFraction = 0.7
+	// maxColdHostsPerRate is the number of hosts per unit of the rate up to which each host of the zone may
+	// send one request at any moment.
+	maxColdHostsPerRate = 0.9
+	// isolationTimeout is the time without an update from a control host after which a host counts as isolated: more
+	// than two reports. An evacuated endpoint turns cold later than that after its evacuation began.
+	isolationTimeout = 2 * core.Second
+	// maxIsolatedHosts is the part of the hosts that may be isolated at once.
+	maxIsolatedHosts = 2.0 / 3
+	// isolatedFraction is the part of the cold rate that the isolated hosts of an endpoint's region use,
+	// isolatedSparseFraction that where each sends less than one request a second, so that many may send at once, and
+	// isolatedRemoteFraction that of the others for an endpoint of another region.
+	isolatedFraction       = 0.85
+	isolatedSparseFraction = 0.6
+	isolatedRemoteFraction = 0.1
+)
+
+// RecordContact records that a control host has sent an update.
+func (t *Table) RecordContact(now core.Millis) {
+	t.contactAt = now
+}
+
+// isIsolated reports whether the host has had no contact with a control host for so long that an endpoint may have been
+// evacuated and turned cold without its knowledge.
+func (t *Table) isIsolated(now core.Millis) bool {
+	return t.contactAt != 0 && now-t.contactAt > isolationTimeout
+}
+
+// isWithinColdRate reports whether this host may send one more request to an endpoint that is cold, or that may be
+// without this host's knowledge; any other endpoint has no such limit.
+func (t *Table) isWithinColdRate(now core.Millis, e *Endpoint) bool {
+	switch {
+	case e.isCold(now):
+		return t.mayUseCold(now, e)
+	case t.isIsolated(now):
+		return t.mayUseIsolated(now, e)
+	}
+	return true
+}
+
+// coldRate returns how many requests per second a cold endpoint may get from all hosts together.
+func (t *Table) coldRate(e *Endpoint) float64 {
+	return t.configured[e.Service].ColdRequestsPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
+}
+
+// mayUseCold reports whether this host may send one more request to a cold endpoint. Only hosts of the endpoint's
+// availability zone may, each within its share of the endpoint's rate, and once they know how many they are.
+func (t *Table) mayUseCold(now core.Millis, e *Endpoint) bool {
+	if e.Zone != t.Zone || t.entries.Zone == 0 {
+		return false
+	}
+	hosts, rate := float64(t.entries.Zone), t.coldRate(e)
+	quota := coldRateFraction * rate / hosts
+	if quota < 1 && hosts > maxColdHostsPerRate*rate {
+		return false
+	}
+	// Hosts whose quota is below 1 stay within the rate even if all send theirs in the same second.
+	return e.isWithinQuota(now, quota)
+}
+
+// mayUseIsolated reports whether an isolated host may send one more request to an endpoint that the host takes for warm.
+func (t *Table) mayUseIsolated(now core.Millis, e *Endpoint) bool {
+	rate := t.coldRate(e)
+	if rate == 0 {
+		return true
+	}
+	hosts, fraction := max(1, maxIsolatedHosts*float64(t.maxRegionHosts)), isolatedFraction
+	if e.Region != t.Region {
+		hosts, fraction = max(1, maxIsolatedHosts*float64(t.maxHosts)), isolatedRemoteFraction
+	}
+	if fraction*rate < hosts {
+		fraction = min(fraction, isolatedSparseFraction)
+	}
+	quota := fraction * rate / hosts
+	if e.isolatedSince != t.contactAt {
+		e.isolatedSince = t.contactAt
+		// Hosts that are cut off at the same time begin at different moments.
+		e.coldSentAt = append(e.coldSentAt, now-core.Millis(t.Rand.Int64N(1+int64(float64(coldWindow)/min(1, quota)))))
+	}
+	return e.isWithinQuota(now, quota)
+}
+
+// isWithinQuota reports whether this host has sent the endpoint fewer requests than a quota per second; for a quota below
+// 1 it may send one request per longer time.
+func (e *Endpoint) isWithinQuota(now core.Millis, quota float64) bool {
+	window := coldWindow
+	if quota < 1 {
+		window = core.Millis(float64(window) / quota)
+		quota = 1
+	}
+	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at >= window })
+	return len(e.coldSentAt) < int(quota)
+}
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -46,8 +46,11 @@
 	coldUntil       core.Millis
 	// zoneColdUntil is until when the endpoint counts as cold after the evacuation of its zone.
 	zoneColdUntil core.Millis
-	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold.
+	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold, or could be without
+	// this host's knowledge.
 	coldSentAt []core.Millis
+	// isolatedSince is the host's last contact with a control host before it was isolated when it last used the endpoint.
+	isolatedSince core.Millis
 	// objects holds when this host last sent the endpoint a request for each object.
 	objects map[string]core.Millis
 }
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -145,6 +145,11 @@
 
 // updateTables applies the current state to the tables of all entry hosts.
 func (w *simulation) updateTables() {
+	w.updateTablesExcept(nil)
+}
+
+// updateTablesExcept applies the current state to the tables of all entry hosts but some.
+func (w *simulation) updateTablesExcept(isolated map[*pick.Table]bool) {
 	w.view = fleet.View{ListKnown: true, Entries: fleet.EntryCounts{Region: w.hosts() / 3, All: w.hosts()}, Evacuated: w.view.Evacuated}
 	ids := make([]string, 0, len(w.endpoints))
 	for id := range w.endpoints {
@@ -159,7 +164,9 @@
 	for _, zone := range w.zones {
 		w.view.Entries.Zone = len(w.tables[zone])
 		for _, t := range w.tables[zone] {
-			t.Update(w.now, w.view, w.table)
+			if !isolated[t] {
+				t.Update(w.now, w.view, w.table)
+			}
 		}
 	}
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -40,15 +40,6 @@
 	increaseWeight = 0.03
 	// initialServiceTime is assumed until the first answers arrive.
 	initialServiceTime = 150 * core.Millisecond
-	// coldWindow is the second in which a cold endpoint's requests are counted, with room for the network
-	// delay.
-	coldWindow = 1100 * core.Millisecond
-	// coldRateFraction is the part of a cold endpoint's rate that is used; the rest is for delayed requests of
-	// other hosts.
-	coldRateFraction = 0.7
-	// maxColdHostsPerRate is the number of hosts per unit of the rate up to which each host of the zone may
-	// send one request at any moment.
-	maxColdHostsPerRate = 0.9
 	// coldGraceInterval keeps the limit for one more second, because the bound holds for every second in which
 	// an endpoint was cold.
 	coldGraceInterval = 1200 * core.Millisecond
@@ -112,6 +103,8 @@
 	// maxHosts is the largest number of entry hosts seen, maxRegionHosts that of the local region.
 	maxHosts       int
 	maxRegionHosts int
+	// contactAt is when a control host sent the latest update, 0 before the first.
+	contactAt core.Millis
 	// removed holds the notices of endpoints that were removed lately, by id and address.
 	removed map[string]readiness
 	// Notices counts what endpoints said about themselves.
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -135,6 +135,9 @@
 func (e *Entry) receive(from string, message core.Message) {
 	e.step(func(now core.Millis) core.Effects {
 		changed, effects := e.machine.Receive(now, from, message)
+		if e.machine.InContact(now) {
+			e.server.Update(nil, func(p *pick.Table) { p.RecordContact(now) })
+		}
 		if !changed {
 			return effects
 		}
