A stopping host refuses by the kind Stopping; the fields of an endpoint's limit say what they hold

The refusal at the end of a planned stop used NotReady, and its text was changed for it, although the list of kinds has Stopping; the texts of NotReady are as before. No other change of behaviour.

--- a/core/kinds.go
+++ b/core/kinds.go
@@ -67,7 +67,7 @@
 	NoUpstream:      {503, 1000, "No upstream of the service can be reached from here."},
 	UpstreamFailed:  {502, 200, "The upstream's answer broke off or never came."},
 	CallerGone:      {499, 0, "The caller closed its connection."},
-	NotReady:        {503, 1000, "This host has no configuration yet, or is stopping; ask another entry host."},
+	NotReady:        {503, 1000, "This host has no configuration yet; ask another entry host."},
 	Stopping:        {503, 200, "This host is stopping; ask another entry host."},
 	Invalid:         {422, 0, "The edit or setting is not valid; the detail names the place and what was expected."},
 	VersionConflict: {409, 0, "The edit was made against an older version; the difference is in the answer."},
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -19,7 +19,7 @@
 	// send one request at any moment.
 	maxColdHostsPerRate = 0.9
 	// isolationTimeout is the time without an update from a control host after which a host counts as isolated: more
-	// than two reports. An evacuated endpoint turns cold later than that after its evacuation began.
+	// than two of its reports.
 	isolationTimeout = 2 * core.Second
 	// maxIsolatedHosts is the part of the hosts that may be isolated at once.
 	maxIsolatedHosts = 2.0 / 3
--- a/core/pick/limit.go
+++ b/core/pick/limit.go
@@ -23,49 +23,49 @@
 
 // pace is the rate at which this host sends requests to an endpoint that named a limit.
 type pace struct {
-	// limit is the endpoint's limit in requests per second; it holds if named is set.
-	limit float64
-	named bool
-	// since is when the endpoint first named a limit, namedAt when it did last.
-	since   core.Millis
-	namedAt core.Millis
-	// nextAt is when this host may send the next request.
-	nextAt core.Millis
+	// limit is the endpoint's limit in requests per second; it holds if limited is set.
+	limit   float64
+	limited bool
+	// limitedSince is when the endpoint first named a limit, limitNamedAt when it did last.
+	limitedSince core.Millis
+	limitNamedAt core.Millis
+	// nextSendAt is when this host may send the next request.
+	nextSendAt core.Millis
 }
 
 // isHeldBack reports whether the endpoint's limit admits no request of this host now.
 func (e *Endpoint) isHeldBack(now core.Millis) bool {
-	return e.named && now < e.nextAt
+	return e.limited && now < e.nextSendAt
 }
 
 // isWithinLimit reports whether a request that was chosen at that time may still be sent: one that was chosen before the
 // endpoint named its limit is not counted in it.
 func (e *Endpoint) isWithinLimit(chosenAt core.Millis) bool {
-	return !e.named || chosenAt >= e.since
+	return !e.limited || chosenAt >= e.limitedSince
 }
 
 // recordLimit applies the limit that an answer named.
 func (t *Table) recordLimit(now core.Millis, e *Endpoint, limit float64) {
-	first := !e.named
-	if changed := first || limit != e.limit; !changed {
-		e.namedAt = now
+	first := !e.limited
+	e.limitNamedAt = now
+	if !first && limit == e.limit {
 		return
 	}
-	e.named, e.limit, e.namedAt = true, limit, now
+	e.limited, e.limit = true, limit
 	interval := t.limitInterval(e)
 	t.logf("Endpoint %s of %s in %s takes %g requests a second from all hosts; this host sends one in %s.", e.ID, e.Service, e.Zone, limit, interval)
 	if first {
-		e.since = now
-		e.nextAt = now + core.Millis(t.Rand.Int64N(int64(interval)+1))
+		e.limitedSince = now
+		e.nextSendAt = now + core.Millis(t.Rand.Int64N(int64(interval)+1))
 		return
 	}
-	e.nextAt = min(e.nextAt, now+interval)
+	e.nextSendAt = min(e.nextSendAt, now+interval)
 }
 
 // recordNoLimit ends the limit with an answer that names none, to a request that was chosen after the limit was named
 // last.
 func (t *Table) recordNoLimit(e *Endpoint, chosenAt core.Millis) {
-	if !e.named || chosenAt <= e.namedAt {
+	if !e.limited || chosenAt <= e.limitNamedAt {
 		return
 	}
 	e.pace = pace{}
@@ -100,8 +100,8 @@
 
 // spendLimit counts a request that is sent to an endpoint that named a limit.
 func (t *Table) spendLimit(now core.Millis, e *Endpoint) {
-	if e.named {
-		e.nextAt = now + t.limitInterval(e)
+	if e.limited {
+		e.nextSendAt = now + t.limitInterval(e)
 	}
 }
 
@@ -112,7 +112,7 @@
 		at = e.reopenAt
 	}
 	if e.isHeldBack(now) {
-		at = max(at, e.nextAt)
+		at = max(at, e.nextSendAt)
 	}
 	return at
 }
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -170,7 +170,7 @@
 			delete(t.removed, id)
 		}
 	}
-	if e.leavingSince == 0 && e.reopenAt <= now && !e.named {
+	if e.leavingSince == 0 && e.reopenAt <= now && !e.limited {
 		return
 	}
 	e.removedAt = now
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -89,7 +89,7 @@
 	}
 	record.Version = table.Version
 	if s.finishing.Load() {
-		refusal := core.Refuse(core.NotReady, core.RanNo, "this host is stopping")
+		refusal := core.Refuse(core.Stopping, core.RanNo, "this host takes no more requests")
 		// Other hosts take the request at once.
 		refusal.RetryAfter = 0
 		return refuse(record, refusal)
