--- a/core/fleet/count_test.go
+++ b/core/fleet/count_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"clementinelock/core"
+	"clementinelock/core/fleet"
 )
 
 // TestHostsDivideByAllOfTheirZone guards against an overload of cold endpoints after a zone's hosts were lost or cut
@@ -69,3 +70,26 @@
 		}
 	}
 }
+
+// TestSteadySharesTellNoPeaks guards against shares between control hosts that grow with the zones: the largest numbers
+// of entry hosts go to a host that has just started, and with changes of the entry hosts, but not all the time.
+func TestSteadySharesTellNoPeaks(t *testing.T) {
+	s := newSite(t, 3)
+	s.RunFor(10 * core.Second)
+	told := map[string]int{}
+	s.OnSend = func(_, to string, message core.Message) {
+		if share, ok := message.(*fleet.Share); ok && len(share.Peaks) > 0 {
+			told[to]++
+		}
+	}
+	s.RunFor(5 * core.Second)
+	if len(told) != 0 {
+		t.Errorf("shares in steady state tell the largest numbers of entry hosts: %v", told)
+	}
+	s.crash("control-4", false)
+	s.startHost("control-4")
+	s.RunFor(2 * core.Second)
+	if told["control-4"] == 0 {
+		t.Error("a control host that has just started is not told the largest numbers of entry hosts")
+	}
+}
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -105,7 +105,7 @@
 	ListInterval core.Millis `cbor:"13,keyasint,omitempty"`
 	// Loads holds the load of the sender's entry hosts.
 	Loads []ZoneLoad `cbor:"14,keyasint,omitempty"`
-	// Peaks holds the largest numbers of entry hosts that the sender has seen or heard of lately.
+	// Peaks holds the largest numbers of entry hosts that the sender has seen or heard of lately, if Full is set.
 	Peaks []ZonePeak `cbor:"15,keyasint,omitempty"`
 }
 
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -153,7 +153,7 @@
 }
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
-	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads(), Peaks: c.zonePeaks(now)}
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
@@ -171,6 +171,7 @@
 		s.Full = true
 	}
 	if s.Full {
+		s.Peaks = c.zonePeaks(now)
 		for _, entry := range sortedNames(c.entries) {
 			s.Entries = append(s.Entries, c.entries[entry].EntryHost)
 		}
