Stop only hosts that have started in the test of acknowledged edits

Cause: the test starts the killed leader again, asks for the history and the confirmed version, which need only the other hosts, and signals all hosts in the order of a map. If the new process is the first of them and the machine is busy, SIGTERM meets a process whose main has not begun, and its default action ends it. Nothing is open at that moment, so no state is at stake.

Change: the test waits (10 s at most) until a host takes operators' connections, after the first start of all and before each SIGTERM. It checks more than before: each restarted host must start.

--- a/cmd/clementinelockd/kill_test.go
+++ b/cmd/clementinelockd/kill_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -59,6 +60,9 @@
 		addresses = append(addresses, host.Settings.OperatorAddress)
 		c.start(host.Name)
 	}
+	for _, host := range hosts {
+		c.awaitStarted(host.Name)
+	}
 	keys := d.OperatorKeys()
 	c.flags = []string{"--hosts", strings.Join(addresses, ","), "--certificate", keys.Certificate, "--key", keys.Key, "--authority", keys.Authority}
 	t.Cleanup(func() {
@@ -92,6 +96,23 @@
 	delete(c.running, name)
 }
 
+// awaitStarted waits until a host takes operators' connections; before that, SIGTERM may end the process at once.
+func (c *cluster) awaitStarted(name string) {
+	c.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		connection, err := net.Dial("tcp", c.hosts[name].Settings.OperatorAddress)
+		if err == nil {
+			_ = connection.Close()
+			return
+		}
+		if time.Now().After(deadline) {
+			c.t.Fatalf("host %s has not started: %v", name, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // runVerb runs a verb, and retries it while the cluster can't be reached, as an operator would.
 func (c *cluster) runVerb(verb string, args ...string) string {
 	c.t.Helper()
@@ -133,6 +154,7 @@
 	}
 	c.runVerb("watch")
 	for name := range c.hosts {
+		c.awaitStarted(name)
 		host := c.running[name]
 		_ = host.Process.Signal(syscall.SIGTERM)
 		if err := host.Wait(); err != nil {
