Entry hosts keep their seeds when a control host's list lacks them

Cause: an entry host that starts adopts the list of control hosts of the first one that answers, also of one that hears no leader. One that is cut off from the others removes them after 4 s, and its list then holds itself alone. The entry host has nothing left to probe, and stays with the old version until the cut ends; it has nothing left to turn to either where that control host ends too.

Ruled out: lists of leaderless control hosts that add to the one held, at once.

Change: an entry host adds the seeds of its settings to its list from the second probe for a leader on, and when its control host falls silent.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -148,6 +148,7 @@
 	out := &core.Effects{}
 	if now-e.heardAt > e.updateTimeout {
 		failed := e.currentControl
+		e.recallSeeds()
 		e.selectControl(now, failed)
 		out.Logf("control", "Control host %s not heard for more than %s; now reporting to %s.", failed, e.updateTimeout, e.currentControl)
 		e.updateTimeout = min(2*e.updateTimeout, maxUpdateTimeout)
@@ -288,6 +289,9 @@
 
 // probeOthers probes some other control hosts: whether they hear the leader, and which version they hold.
 func (e *Entry) probeOthers(now core.Millis, out *core.Effects) {
+	if e.leaderProbeDelay > initialLeaderProbeDelay {
+		e.recallSeeds()
+	}
 	e.leaderProbeAt = now + e.leaderProbeDelay
 	e.leaderProbeDelay = min(2*e.leaderProbeDelay, maxLeaderProbeDelay)
 	probed := 0
@@ -374,13 +378,19 @@
 // AddSeeds adds control hosts that changed settings name.
 func (e *Entry) AddSeeds(_ core.Millis, names []string) core.Effects {
 	out := &core.Effects{}
-	for _, name := range names {
+	e.Seeds = append(slices.Clone(e.Seeds), names...)
+	e.recallSeeds()
+	out.Logf("host", "Settings reloaded: added seeds %v.", names)
+	return *out
+}
+
+// recallSeeds adds the seeds that a control host's list lacks: one that is cut off from the others lists only itself.
+func (e *Entry) recallSeeds() {
+	for _, name := range e.Seeds {
 		if !slices.ContainsFunc(e.controls, func(c ControlHost) bool { return c.Name == name }) {
 			e.controls = append(slices.Clone(e.controls), ControlHost{Name: name})
 		}
 	}
-	out.Logf("host", "Settings reloaded: added seeds %v.", names)
-	return *out
 }
 
 // SetReady sets whether this host serves, and reports a change to the control host at once.
