Requests that the cheapest region can't answer in time are refused again

Cause: not the limit. Under overload it takes a slot there that serves others, and is often late or lost.

--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -114,23 +114,25 @@
 }
 
 // chooseRegion chooses between the regions, which are sorted by cost: the cheapest one that can answer in time and to
-// which requests may shift. If the limit on shifts excludes all that can, a request goes where it exceeds the limit
-// least, provided that the local region can answer in time, and is refused otherwise.
+// which requests may shift. A request that the cheapest of all can't answer in time is refused, because a dearer one
+// would answer fewer others in its place. If the limit on shifts excludes all that can, a request goes where it exceeds
+// the limit least, provided that the local region can answer in time, and is refused otherwise.
 func (t *Table) chooseRegion(now core.Millis, s *service, r Request, found []candidate) candidate {
 	if len(found) == 0 {
 		return candidate{}
 	}
 	t.shift.observe(now, found[0].Endpoint.Region)
 	local := slices.IndexFunc(found, func(c candidate) bool { return c.Endpoint.Region == t.Region })
+	inTime := func(c candidate) bool { return c.Wait <= r.maxWait(s.objectiveShare, c.ServiceTime) }
 	switch {
 	case r.FreeOnly && t.shift.excess(now, found[0].Endpoint.Region) > 0:
 		return candidate{}
-	case local < 0 || len(found) == 1:
+	case local < 0, len(found) == 1, !inTime(found[0]):
 		return found[0]
 	}
 	least, leastExcess := -1, math.Inf(1)
 	for i, c := range found {
-		if c.Wait > r.maxWait(s.objectiveShare, c.ServiceTime) {
+		if !inTime(c) {
 			continue
 		}
 		excess := t.shift.excess(now, c.Endpoint.Region)
@@ -141,10 +143,7 @@
 			least, leastExcess = i, excess
 		}
 	}
-	switch {
-	case least < 0:
-		return found[0]
-	case found[local].Wait > r.maxWait(s.objectiveShare, found[local].ServiceTime):
+	if !inTime(found[local]) {
 		return found[local]
 	}
 	return found[least]
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// TestOverloadInWaves guards against requests that go to a dearer region because the cheapest one can't answer in time:
+// they take the slots of others and end without an answer. The load of the regions varies out of phase and is twice what
+// the endpoints could serve if every object had to be fetched. The bounds are what hosts reached when they refused such
+// requests.
+func TestOverloadInWaves(t *testing.T) {
+	const scale = 4
+	var all tally
+	for seed := range uint64(4) {
+		w := newSimulation(20+seed, 3, [3]int{scale, 2 * scale, 3 * scale}, workload{"s", serviceTime, objective, timeout, sineRate(2 * coldRate / 6 * scale)})
+		w.objects = 400 * scale
+		w.run(24 * core.Second)
+		all.sent, all.refused, all.failed = all.sent+w.tally.sent, all.refused+w.tally.refused, all.failed+w.tally.failed
+		all.onTime, all.late = all.onTime+w.tally.onTime, all.late+w.tally.late
+	}
+	t.Log(all)
+	if failed := float64(all.failed) / float64(all.sent); failed > 0.1 {
+		t.Errorf("%.3f of the requests are accepted and not answered, expected at most 0.1", failed)
+	}
+	if answered := float64(all.onTime+all.late) / float64(all.sent); answered < 0.58 {
+		t.Errorf("%.3f of the requests are answered, expected 0.58", answered)
+	}
+}
+
 // TestShiftStaysUnderItsCap applies the same load with many callers, a start with no object at hand and a
 // burst in one region: the share of a region's requests that changes region must stay under the cap.
 func TestShiftStaysUnderItsCap(t *testing.T) {
