--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -61,6 +61,8 @@
 	measuredAt core.Millis
 	measured   Traffic
 	controls   []ControlHost
+	// currentSeeds are the seeds of the current settings.
+	currentSeeds []string
 	// controlsProcess and controlsNumber identify the list of control hosts that is held: its sender's process,
 	// and its number.
 	controlsProcess uint64
@@ -95,9 +97,8 @@
 // Start selects the first control host.
 func (e *Entry) Start(now core.Millis) {
 	e.retryAt = map[string]core.Millis{}
-	for _, name := range e.Seeds {
-		e.controls = append(e.controls, ControlHost{Name: name})
-	}
+	e.currentSeeds = e.Seeds
+	e.restoreSeeds()
 	e.ReportsLoad = e.RequestCapacity > 0 && e.ByteCapacity > 0
 	e.measuredAt = now
 	e.nearerProbeAt = now + nearerProbeInterval
@@ -148,7 +149,7 @@
 	out := &core.Effects{}
 	if now-e.heardAt > e.updateTimeout {
 		failed := e.currentControl
-		e.recallSeeds()
+		e.restoreSeeds()
 		e.selectControl(now, failed)
 		out.Logf("control", "Control host %s not heard for more than %s; now reporting to %s.", failed, e.updateTimeout, e.currentControl)
 		e.updateTimeout = min(2*e.updateTimeout, maxUpdateTimeout)
@@ -290,7 +291,7 @@
 // probeOthers probes some other control hosts: whether they hear the leader, and which version they hold.
 func (e *Entry) probeOthers(now core.Millis, out *core.Effects) {
 	if e.leaderProbeDelay > initialLeaderProbeDelay {
-		e.recallSeeds()
+		e.restoreSeeds()
 	}
 	e.leaderProbeAt = now + e.leaderProbeDelay
 	e.leaderProbeDelay = min(2*e.leaderProbeDelay, maxLeaderProbeDelay)
@@ -340,53 +341,19 @@
 	return changed || now-e.evacuationEndedAt < zoneReturnPeriod
 }
 
-// View is the state by which an entry host decides on its requests.
-type View struct {
-	Index     uint64
-	Document  routes.Document
-	Evacuated []string
-	Endpoints []roster.Entry
-	// ListKnown is false before the first list.
-	ListKnown bool
-	ListAge   core.Millis
-	Entries   EntryCounts
-}
-
-// applyCounts takes over the numbers of entry hosts. A host that is cut off from its control host divides by the number
-// that it was told before, so that the others must not divide by the rest.
-func (e *Entry) applyCounts(u *Update) {
-	e.counts = u.Entries
-	if !u.CountsPending {
-		e.zonePeak = max(e.zonePeak, u.Entries.Zone, 1)
-	}
-}
-
-// InContact reports whether an update of the current control host has come just now.
-func (e *Entry) InContact(now core.Millis) bool {
-	return e.contactAt == now
-}
-
-// View returns the state in force at this host.
-func (e *Entry) View(now core.Millis) View {
-	return View{
-		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
-		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
-		Entries: EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
-	}
-}
-
 // AddSeeds adds control hosts that changed settings name.
 func (e *Entry) AddSeeds(_ core.Millis, names []string) core.Effects {
 	out := &core.Effects{}
-	e.Seeds = append(slices.Clone(e.Seeds), names...)
-	e.recallSeeds()
+	e.currentSeeds = append(slices.Clone(e.currentSeeds), names...)
+	e.restoreSeeds()
 	out.Logf("host", "Settings reloaded: added seeds %v.", names)
 	return *out
 }
 
-// recallSeeds adds the seeds that a control host's list lacks: one that is cut off from the others lists only itself.
-func (e *Entry) recallSeeds() {
-	for _, name := range e.Seeds {
+// restoreSeeds adds the seeds that the list of control hosts lacks: one that is cut off from the others lists only
+// itself.
+func (e *Entry) restoreSeeds() {
+	for _, name := range e.currentSeeds {
 		if !slices.ContainsFunc(e.controls, func(c ControlHost) bool { return c.Name == name }) {
 			e.controls = append(slices.Clone(e.controls), ControlHost{Name: name})
 		}
--- /dev/null
+++ b/core/fleet/view.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"clementinelock/core"
+	"clementinelock/core/roster"
+	"clementinelock/core/routes"
+)
+
+// View is the state by which an entry host decides on its requests.
+type View struct {
+	Index     uint64
+	Document  routes.Document
+	Evacuated []string
+	Endpoints []roster.Entry
+	// ListKnown is false before the first list.
+	ListKnown bool
+	ListAge   core.Millis
+	Entries   EntryCounts
+}
+
+// applyCounts takes over the numbers of entry hosts. A host that is cut off from its control host divides by the number
+// that it was told before, so that the others must not divide by the rest.
+func (e *Entry) applyCounts(u *Update) {
+	e.counts = u.Entries
+	if !u.CountsPending {
+		e.zonePeak = max(e.zonePeak, u.Entries.Zone, 1)
+	}
+}
+
+// InContact reports whether an update of the current control host has come just now.
+func (e *Entry) InContact(now core.Millis) bool {
+	return e.contactAt == now
+}
+
+// View returns the state in force at this host.
+func (e *Entry) View(now core.Millis) View {
+	return View{
+		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
+		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
+		Entries: EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
+	}
+}
