--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -114,9 +114,10 @@
 }
 
 // chooseRegion chooses between the regions, which are sorted by cost: the cheapest one that can answer in time and to
-// which requests may shift. A request that the cheapest of all can't answer in time is refused, because a dearer one
-// would answer fewer others in its place. If the limit on shifts excludes all that can, a request goes where it exceeds
-// the limit least, provided that the local region can answer in time, and is refused otherwise.
+// which requests may shift. If the limit on shifts excludes all that can, a request goes where it exceeds the limit
+// least, provided that the local region can answer in time, and is refused otherwise. A request that the cheapest region
+// of all can't answer in time is refused too: under overload a dearer one takes slots from other requests for it, and
+// more of them end without an answer.
 func (t *Table) chooseRegion(now core.Millis, s *service, r Request, found []candidate) candidate {
 	if len(found) == 0 {
 		return candidate{}
--- a/core/pick/load_test.go
+++ b/core/pick/load_test.go
@@ -62,9 +62,9 @@
 }
 
 // TestOverloadInWaves guards against requests that go to a dearer region because the cheapest one can't answer in time:
-// they take the slots of others and end without an answer. The load of the regions varies out of phase and is twice what
-// the endpoints could serve if every object had to be fetched. The bounds are what hosts reached when they refused such
-// requests.
+// under overload they take the slots of others and end without an answer. The load of the regions varies out of phase
+// and is twice what the endpoints could serve if every object had to be fetched. The bounds are those that version
+// 1a82a7a kept, before requests went there.
 func TestOverloadInWaves(t *testing.T) {
 	const scale = 4
 	var all tally
