Request lines tell the caller's address and a digest of the request

Digest is a hash of caller, method, host, path, length and body (of a body over 128 KB the part that is buffered), so that copies are found in the logs of all hosts with one grep. The caller is its Authorization, or its address where it sends none. No decision depends on it yet.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/io/pool"
 )
 
@@ -41,6 +42,9 @@
 	timeout core.Millis
 	// object is the value of the caller's object cookie, by which an endpoint is preferred.
 	object string
+	// caller identifies the caller, and digest the request among those of all callers.
+	caller string
+	digest crash.Digest
 	closes bool
 	reply  chan *reply
 	// precedingWritten is closed when all preceding answers are written.
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -22,7 +22,7 @@
 	d := c.server.Dialect
 	x = &exchange{
 		path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
-		precedingWritten: make(chan struct{}),
+		precedingWritten: make(chan struct{}), caller: callerOf(c.conn, request.Header.Get("Authorization")),
 		request: &pool.Request{
 			ID: request.Header.Get(d.RequestID), Method: request.Method, Target: request.RequestURI, Host: request.Host,
 			Header: request.Header, Length: request.ContentLength,
@@ -34,7 +34,11 @@
 	if left, err := strconv.ParseInt(request.Header.Get(d.Deadline), 10, 64); err == nil && left > 0 {
 		x.timeout = core.Millis(left)
 	}
-	return c.readBody(x, request, maxBody)
+	accepted, refused := c.readBody(x, request, maxBody)
+	if accepted != nil {
+		accepted.digest = c.digestOf(accepted)
+	}
+	return accepted, refused
 }
 
 // readBody buffers a short body whole and leaves the rest of a long one to be streamed.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/pick"
 	"clementinelock/core/routes"
 	"clementinelock/io/pool"
@@ -61,12 +62,15 @@
 	Affinity      pick.Affinity
 	Latency       core.Millis
 	CallerTimeout core.Millis
+	// Caller is the caller's address; Digest is the same in all repetitions of the request by its caller.
+	Caller string
+	Digest crash.Digest
 }
 
 // serve handles one request and hands its reply to the writer.
 func (c *conn) serve(x *exchange) {
 	s := c.server
-	record := RequestRecord{RequestID: x.request.ID, CallerTimeout: x.timeout}
+	record := RequestRecord{RequestID: x.request.ID, CallerTimeout: x.timeout, Caller: addressOf(c.conn), Digest: x.digest}
 	r := s.handle(c.ctx, x, &record)
 	if x.bodyRead != nil {
 		if rest, ok := x.request.Rest.(*bodyRemainder); ok && !rest.complete {
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -207,6 +207,6 @@
 	e.Log.Line("request", "Answers.", logs.Fields{
 		"RequestID": record.RequestID, "Route": record.Route, "Service": record.Service, "Version": record.Version, "Attempts": record.Attempts, "Hedged": record.Hedged,
 		"Endpoint": record.Endpoint, "Zone": record.Zone, "Ending": record.Ending, "Status": record.Status, "Kind": record.Kind, "Detail": record.Detail, "NoMore": record.NoRetryReason,
-		"Wait": int64(record.Wait), "Load": record.Load, "LoadAge": int64(record.LoadAge), "Usable": record.Usable, "Cold": record.Cold, "Object": record.Object, "Place": record.Affinity, "Took": int64(record.Latency), "Patience": int64(record.CallerTimeout),
+		"Wait": int64(record.Wait), "Load": record.Load, "LoadAge": int64(record.LoadAge), "Usable": record.Usable, "Cold": record.Cold, "Object": record.Object, "Place": record.Affinity, "Took": int64(record.Latency), "Patience": int64(record.CallerTimeout), "Caller": record.Caller, "Digest": record.Digest.String(),
 	})
 }
