All hosts keep requests that crash endpoints from the others

Cause: a repetition is a new request to every host. Nothing related it to the endpoints that had ended under the earlier ones, on one host or on several.

Change: a request is identified by caller, method, host, path and body (core/crash). When a connection breaks before the answer, the entry host examines with one connection whether the endpoint refuses connections; if so it reports the request and the endpoint to its control host, and control hosts share the reports. Once three endpoints have ended under a request, the leader writes its quarantine (10 minutes, doubled each time, an hour at most) to the replicated log, which reaches every entry host as configurations do, also one that starts or returns. It is checked before each attempt is chosen and again just before it is sent; the request is refused as Quarantined, 503 with the time that is left.

Others don't pay: from the second crash on, hosts report answers of endpoints to the request, which clears it, ends its quarantine, and has 0.8 s before the leader decides; and what a quarantined request crashed no longer counts against the requests that were held beside it. A host that reaches no control host decides by its own crashes until it does. All state is bounded (512 requests, 64 quarantines, 64 reports in a message) and expires.

Ruled out: that each host stops alone (the record shows hosts that go on after three ends), and that only further attempts count (5 of 13 were first ones).

--- /dev/null
+++ b/core/crash/relay.go
@@ -0,0 +1,73 @@
+package crash
+
+import (
+	"slices"
+
+	"clementinelock/core"
+)
+
+const (
+	// repeatPeriod is how long a report is part of each message, since messages may be lost.
+	repeatPeriod = 2500 * core.Millisecond
+	// maxRelayed bounds the reports in a message.
+	maxRelayed = 64
+)
+
+// Relay holds the latest reports that a host passes on. The zero value is empty; calls must not overlap.
+type Relay struct {
+	crashes []relayed[Report]
+	served  []relayed[Served]
+}
+
+// relayed is a report with its time and until when it is passed on.
+type relayed[T any] struct {
+	report T
+	at     core.Millis
+	until  core.Millis
+}
+
+// AddCrash adds a report of a crash.
+func (r *Relay) AddCrash(now core.Millis, report Report) {
+	r.crashes = addRelayed(r.crashes, relayed[Report]{report, now - report.Age, now + repeatPeriod})
+}
+
+// AddServed adds a report of an answer.
+func (r *Relay) AddServed(now core.Millis, served Served) {
+	r.served = addRelayed(r.served, relayed[Served]{served, now - served.Age, now + repeatPeriod})
+}
+
+// addRelayed adds a report in place of the oldest one if there are too many.
+func addRelayed[T any](list []relayed[T], added relayed[T]) []relayed[T] {
+	if len(list) == maxRelayed {
+		list = list[1:]
+	}
+	return append(list, added)
+}
+
+// Reports returns the reports that are part of a message sent now.
+func (r *Relay) Reports(now core.Millis) (crashes []Report, served []Served) {
+	r.crashes, r.served = dropOld(now, r.crashes), dropOld(now, r.served)
+	for _, each := range r.crashes {
+		each.report.Age = now - each.at
+		crashes = append(crashes, each.report)
+	}
+	for _, each := range r.served {
+		each.report.Age = now - each.at
+		served = append(served, each.report)
+	}
+	return crashes, served
+}
+
+// Extend passes all reports on for as long as at their beginning, since no message has arrived for a while.
+func (r *Relay) Extend(now core.Millis) {
+	for i := range r.crashes {
+		r.crashes[i].until = now + repeatPeriod
+	}
+	for i := range r.served {
+		r.served[i].until = now + repeatPeriod
+	}
+}
+
+func dropOld[T any](now core.Millis, list []relayed[T]) []relayed[T] {
+	return slices.DeleteFunc(list, func(r relayed[T]) bool { return now >= r.until })
+}
--- /dev/null
+++ b/core/crash/table.go
@@ -0,0 +1,198 @@
+package crash
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+)
+
+// Parameters of the crashes that are remembered.
+const (
+	// crashesToQuarantine is how many endpoints have to end under a request before it is kept from the others.
+	crashesToQuarantine = 3
+	// crashesToSuspect is the number from which hosts are asked whether endpoints answer the request.
+	crashesToSuspect = 2
+	// answerDelay is the time that hosts have to report answers to a suspect.
+	answerDelay = 800 * core.Millisecond
+	// sameCrash is the time within which an endpoint can't end twice.
+	sameCrash      = core.Second
+	crashRetention = 30 * core.Minute
+	maxRequests    = 512
+	// maxCrashes is how many crashes of a request are remembered; further ones tell nothing new.
+	maxCrashes = 8
+)
+
+// Table holds the requests that endpoints have ended under. The zero value is empty; calls must not overlap.
+type Table struct {
+	requests map[Digest]*request
+}
+
+// request is a request with the crashes under it, in the order in which they were learned.
+type request struct {
+	digest  Digest
+	crashes []endpointCrash
+	// suspectAt is when the request became a suspect.
+	suspectAt core.Millis
+}
+
+// endpointCrash is the end of an endpoint.
+type endpointCrash struct {
+	endpoint string
+	at       core.Millis
+}
+
+func (c endpointCrash) isSame(other endpointCrash) bool {
+	return c.endpoint == other.endpoint && c.at-other.at < sameCrash && other.at-c.at < sameCrash
+}
+
+// Record adds a crash; it reports whether the crash is new under this request.
+func (t *Table) Record(now core.Millis, report Report) bool {
+	t.expire(now)
+	crash := endpointCrash{report.Endpoint, now - report.Age}
+	r := t.requests[report.Digest]
+	if r == nil {
+		if t.requests == nil {
+			t.requests = map[Digest]*request{}
+		}
+		r = &request{digest: report.Digest}
+		t.requests[report.Digest] = r
+	}
+	if slices.ContainsFunc(r.crashes, crash.isSame) {
+		return false
+	}
+	r.crashes = append(r.crashes, crash)
+	if len(r.crashes) > maxCrashes {
+		r.crashes = r.crashes[1:]
+	}
+	if len(r.crashes) == crashesToSuspect {
+		r.suspectAt = now
+	}
+	t.evict()
+	return true
+}
+
+// Clear forgets the crashes of a request that came before an answer to it: what endpoints answer does not crash them.
+// It reports whether there were any.
+func (t *Table) Clear(now core.Millis, served Served) bool {
+	r := t.requests[served.Digest]
+	if r == nil {
+		return false
+	}
+	count := len(r.crashes)
+	r.drop(func(c endpointCrash) bool { return c.at <= now-served.Age })
+	cleared := len(r.crashes) < count
+	t.removeEmpty(r)
+	return cleared
+}
+
+// drop removes the crashes for which the function returns true.
+func (r *request) drop(unwanted func(endpointCrash) bool) {
+	r.crashes = slices.DeleteFunc(r.crashes, unwanted)
+}
+
+func (t *Table) removeEmpty(r *request) {
+	if len(r.crashes) == 0 {
+		delete(t.requests, r.digest)
+	}
+}
+
+// Explain forgets the crashes of other requests at endpoints that ended under this one: they were only held there too.
+func (t *Table) Explain(digest Digest) {
+	cause := t.requests[digest]
+	if cause == nil {
+		return
+	}
+	for other, r := range t.requests {
+		if other != digest {
+			r.drop(func(c endpointCrash) bool { return slices.ContainsFunc(cause.crashes, c.isSame) })
+			t.removeEmpty(r)
+		}
+	}
+}
+
+// Suspects returns the requests that hosts watch for answers, sorted.
+func (t *Table) Suspects(now core.Millis) []Digest {
+	t.expire(now)
+	var out []Digest
+	for digest, r := range t.requests {
+		if len(r.crashes) >= crashesToSuspect {
+			out = append(out, digest)
+		}
+	}
+	slices.SortFunc(out, compareDigests)
+	return out
+}
+
+// Due returns the request that is to be quarantined now: the one that most endpoints ended under, once hosts have had
+// the time to report answers to it. It returns false if there is none.
+func (t *Table) Due(now core.Millis, quarantined []Quarantine) (Digest, bool) {
+	t.expire(now)
+	due := t.sorted()
+	due = slices.DeleteFunc(due, func(r *request) bool {
+		i := slices.IndexFunc(quarantined, func(q Quarantine) bool { return q.Digest == r.digest && !q.IsForgotten(now) })
+		if i >= 0 {
+			last := r.crashes[len(r.crashes)-1].at
+			return quarantined[i].Holds(now) || last < quarantined[i].Until
+		}
+		return len(r.crashes) < crashesToQuarantine || now-r.suspectAt < answerDelay
+	})
+	if len(due) == 0 {
+		return Digest{}, false
+	}
+	return due[0].digest, true
+}
+
+// Endpoints returns the endpoints that ended under a request.
+func (t *Table) Endpoints(digest Digest) []string {
+	var out []string
+	if r := t.requests[digest]; r != nil {
+		for _, c := range r.crashes {
+			out = append(out, c.endpoint)
+		}
+	}
+	return out
+}
+
+// sorted returns the requests, those with most crashes first.
+func (t *Table) sorted() []*request {
+	return slices.SortedFunc(maps.Values(t.requests), func(a, b *request) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.latest(), a.latest()), compareDigests(a.digest, b.digest))
+	})
+}
+
+func (r *request) latest() core.Millis {
+	latest := core.Millis(0)
+	for _, c := range r.crashes {
+		latest = max(latest, c.at)
+	}
+	return latest
+}
+
+func compareDigests(a, b Digest) int {
+	return slices.Compare(a[:], b[:])
+}
+
+// Len returns how many requests are remembered.
+func (t *Table) Len() int {
+	return len(t.requests)
+}
+
+// expire forgets old crashes.
+func (t *Table) expire(now core.Millis) {
+	for _, r := range t.requests {
+		r.drop(func(c endpointCrash) bool { return now-c.at > crashRetention })
+		t.removeEmpty(r)
+	}
+}
+
+// evict forgets the requests with the fewest and oldest crashes beyond the limit.
+func (t *Table) evict() {
+	if len(t.requests) <= maxRequests {
+		return
+	}
+	for _, r := range t.sorted()[maxRequests:] {
+		delete(t.requests, r.digest)
+	}
+}
--- a/core/edits/published.go
+++ b/core/edits/published.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"clementinelock/core/crash"
 	"clementinelock/core/routes"
 )
 
@@ -12,15 +13,20 @@
 	Active bool
 }
 
-// Published holds what operators publish outside the tree: a document of routes and the evacuated availability zones.
+// Published holds what is in force outside the tree: the document of routes and the evacuated availability zones that
+// operators publish, and the requests that are kept from endpoints.
 type Published struct {
 	// Index is the index of the log record that changed this last.
 	Index     uint64
 	Document  routes.Document
 	Evacuated []string
+	// Quarantined holds the requests that crash endpoints, and QuarantineIndex the index of the log record that changed
+	// it last.
+	Quarantined     []crash.Quarantine
+	QuarantineIndex uint64
 }
 
-// Published returns what operators have published.
+// Published returns what is in force outside the tree.
 func (s *Store) Published() Published {
 	return s.published
 }
--- a/core/edits/store.go
+++ b/core/edits/store.go
@@ -53,12 +53,14 @@
 	Replicas map[string]uint64
 }
 
-// Command is one record of the replicated log: an edit, a founding, a published document or an evacuation.
+// Command is one record of the replicated log: an edit, a founding, a published document, an evacuation or a change of a
+// quarantine.
 type Command struct {
 	Edit       *tree.Edit
 	Founding   *Founding
 	Publish    *routes.Document
 	Evacuation *Evacuation
+	Quarantine *QuarantineChange
 }
 
 // Checker returns why a change of the tree needs an override, or the empty string if it needs none.
@@ -116,6 +118,8 @@
 		s.published.publish(index, *c.Publish)
 	case c.Evacuation != nil:
 		s.published.evacuate(index, *c.Evacuation)
+	case c.Quarantine != nil:
+		s.published.quarantine(index, *c.Quarantine)
 	}
 }
 
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/edits"
 	"clementinelock/core/quorum"
 	"clementinelock/core/roster"
@@ -67,7 +68,14 @@
 	// host has told its own.
 	peaks      map[string]peak
 	peaksHeard bool
-	startedAt  core.Millis
+	// crashes holds the crashes that all entry hosts reported, relay the reports that came to this host lately.
+	crashes crash.Table
+	relay   crash.Relay
+	// suspectsChanged is set when the entry hosts have to learn of other suspects.
+	suspectsChanged bool
+	// quarantineProposedAt is when this host last proposed a change of a quarantine.
+	quarantineProposedAt core.Millis
+	startedAt            core.Millis
 	// ready caches the entry hosts that serve; readyCached is false after a change.
 	ready       []EntryHost
 	readyCached bool
@@ -152,6 +160,7 @@
 		c.expireHosts(now, out)
 		c.retryOrders(now, out)
 		c.removeSilentMember(now, out)
+		c.quarantineDue(now, out)
 		if now >= c.shareAt {
 			c.sendShares(now, out)
 		}
@@ -165,13 +174,18 @@
 // step handles one input and sends the changes that it made to the entry hosts.
 func (c *Control) step(now core.Millis, input func(out *core.Effects)) core.Effects {
 	out := &core.Effects{}
-	index, number := c.store.Published().Index, c.list.Number()
+	index, quarantineIndex, number := c.store.Published().Index, c.store.Published().QuarantineIndex, c.list.Number()
 	input(out)
 	c.finishOrders(now, out)
 	if c.store.Published().Index != index {
 		out.Logf("config", "Applied version %d, evacuated %v, index %d.", c.store.Published().Document.Version, c.store.Published().Evacuated, c.store.Published().Index)
 	}
-	if c.store.Published().Index != index || c.list.Number() != number {
+	if c.store.Published().QuarantineIndex != quarantineIndex {
+		out.Logf("crashes", "Applied %d quarantines, index %d.", len(c.store.Published().Quarantined), c.store.Published().QuarantineIndex)
+		c.explainCrashes()
+	}
+	if c.store.Published().Index != index || c.store.Published().QuarantineIndex != quarantineIndex || c.list.Number() != number || c.suspectsChanged {
+		c.suspectsChanged = false
 		for _, name := range sortedNames(c.entries) {
 			c.sendUpdate(now, c.entries[name], out)
 		}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
 )
@@ -92,6 +93,15 @@
 	counts            EntryCounts
 	// zonePeak is the largest number of entry hosts of the zone that this process was told, 0 while none is known.
 	zonePeak int
+	// quarantined and suspects are those of the control hosts; quarantineIndex identifies the former.
+	quarantined     []crash.Quarantine
+	quarantineIndex uint64
+	suspects        []crash.Digest
+	// relay holds the reports of crashes and answers that are sent, ownCrashes this host's crashes, and ownQuarantined
+	// what this host decided by them while it reached no control host.
+	relay          crash.Relay
+	ownCrashes     crash.Table
+	ownQuarantined []crash.Quarantine
 }
 
 // Start selects the first control host.
@@ -174,11 +184,15 @@
 	if to == "" {
 		return
 	}
-	out.Send(to, &Report{
+	r := &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
 		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsProcess: e.controlsProcess, ControlsNumber: e.controlsNumber, Probe: probe,
-		Load: e.currentLoad(now),
-	})
+		Load: e.currentLoad(now), QuarantineIndex: e.quarantineIndex,
+	}
+	if !probe {
+		r.Crashes, r.Served = e.relay.Reports(now)
+	}
+	out.Send(to, r)
 }
 
 // probeNearer probes a nearer control host, which becomes the current one when it answers.
@@ -308,7 +322,7 @@
 // apply applies the parts of an update that are newer than the state held here, and reports whether the View may
 // have changed. Versions and indexes never go back.
 func (e *Entry) apply(now core.Millis, from string, u *Update, out *core.Effects) bool {
-	changed := false
+	changed := e.applyQuarantines(u)
 	if u.Document != nil && u.Document.Version > e.document.Version {
 		e.document = *u.Document
 		changed = true
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/edits"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
@@ -43,6 +44,11 @@
 	Left bool `cbor:"17,keyasint,omitempty"`
 	// Load is the entry host's traffic in thousandths of what it should have at most in order to bear a burst.
 	Load uint32 `cbor:"18,keyasint,omitempty"`
+	// QuarantineIndex identifies the quarantines that are held.
+	QuarantineIndex uint64 `cbor:"19,keyasint,omitempty"`
+	// Crashes and Served hold what the entry host has seen lately of requests that may crash endpoints.
+	Crashes []crash.Report `cbor:"20,keyasint,omitempty"`
+	Served  []crash.Served `cbor:"21,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -67,6 +73,11 @@
 	Entries        EntryCounts   `cbor:"11,keyasint"`
 	// CountsPending is set while the sender has just started and can't have heard of all entry hosts.
 	CountsPending bool `cbor:"12,keyasint,omitempty"`
+	// Quarantined is left out when the entry host holds the quarantines of that index.
+	Quarantined     []crash.Quarantine `cbor:"13,keyasint,omitempty"`
+	QuarantineIndex uint64             `cbor:"14,keyasint,omitempty"`
+	// Suspects lists the requests whose answers the entry host reports.
+	Suspects []crash.Digest `cbor:"15,keyasint,omitempty"`
 }
 
 // EntryCounts counts the ready entry hosts of the receiver's region and of the deployment now, and the largest number
@@ -107,6 +118,9 @@
 	Loads []ZoneLoad `cbor:"14,keyasint,omitempty"`
 	// Peaks holds the largest numbers of entry hosts that the sender has seen or heard of lately, if Full is set.
 	Peaks []ZonePeak `cbor:"15,keyasint,omitempty"`
+	// Crashes and Served hold what the sender's entry hosts reported lately.
+	Crashes []crash.Report `cbor:"16,keyasint,omitempty"`
+	Served  []crash.Served `cbor:"17,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -37,6 +37,7 @@
 		c.readyCached = false
 		c.shareAt = min(c.shareAt, now+shareBatchDelay)
 	}
+	c.relayReports(now, m, out)
 	c.sendUpdate(now, e, out)
 }
 
@@ -79,6 +80,7 @@
 	c.addControls(&e.Report, u)
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
+	c.addQuarantines(now, e, u)
 	u.Entries, u.CountsPending = c.countEntries(now, e.Region, e.Zone)
 	out.Send(e.Name, u)
 }
@@ -154,6 +156,7 @@
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
 	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
+	s.Crashes, s.Served = c.relay.Reports(now)
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
@@ -198,6 +201,7 @@
 	}
 	other.ControlHost, other.heardAt, other.loads = m.ControlHost, now, m.Loads
 	c.applyPeaks(now, m.Peaks)
+	c.recordReports(now, m.Crashes, m.Served, out)
 	if m.Full {
 		other.entries, other.entriesNumber = m.Entries, m.Number
 		c.readyCached = false
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"slices"
+
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
 )
@@ -16,6 +19,9 @@
 	ListKnown bool
 	ListAge   core.Millis
 	Entries   EntryCounts
+	// Quarantined holds the requests that must not be sent to endpoints, Suspects those whose answers are reported.
+	Quarantined []crash.Quarantine
+	Suspects    []crash.Digest
 }
 
 // applyCounts takes over the numbers of entry hosts. A host that is cut off from its control host divides by the number
@@ -37,6 +43,7 @@
 	return View{
 		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
-		Entries: EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
+		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
+		Quarantined: slices.Concat(e.quarantined, e.ownQuarantined), Suspects: e.suspects,
 	}
 }
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -29,6 +29,7 @@
 	EditIDReused    Kind = "EditIdReused"
 	NoLeader        Kind = "NoLeader"
 	NotFound        Kind = "NotFound"
+	Quarantined     Kind = "Quarantined"
 	Internal        Kind = "Internal"
 )
 
@@ -74,6 +75,7 @@
 	EditIDReused:    {422, 0, "The edit id was used before with another edit."},
 	NoLeader:        {503, 500, "No control leader can be reached; resend with the same edit id."},
 	NotFound:        {404, 0, "Nothing of that name is known."},
+	Quarantined:     {503, 600_000, "Several endpoints have crashed while they ran this request, so that it is sent to none for a while."},
 	Internal:        {500, 0, "A fault of this program; the log of the host names it."},
 }
 
--- /dev/null
+++ b/io/entry/crashes.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"clementinelock/core"
+	"clementinelock/core/crash"
+	"clementinelock/core/pick"
+	"clementinelock/io/pool"
+)
+
+const (
+	// probeTimeout is several round trips to the farthest region.
+	probeTimeout = 250 * time.Millisecond
+	// maxPendingCrashes bounds the requests of one endpoint whose end is examined.
+	maxPendingCrashes = 64
+)
+
+// crashes holds what this host has seen of requests that crash endpoints, and which ones it must not send.
+type crashes struct {
+	watch crash.Watch
+	// broken holds, by endpoint, the requests that broke while it is examined whether the endpoint has ended.
+	broken map[string][]crash.Digest
+	// reports are those that the driver has not taken yet, with the time of each crash as their age.
+	reports []timedReport
+}
+
+// timedReport is a report of an endpoint that ended at a time.
+type timedReport struct {
+	crash.Report
+	at core.Millis
+}
+
+// SetQuarantined replaces the requests that are not sent to endpoints, and those whose answers are reported.
+func (s *Server) SetQuarantined(quarantined []crash.Quarantine, suspects []crash.Digest) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.crashes.watch.Set(quarantined, suspects)
+}
+
+// TakeReports returns the endpoints that ended while they held requests, and the answers to suspects, each once.
+func (s *Server) TakeReports(now core.Millis) (reports []crash.Report, served []crash.Served) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range s.crashes.reports {
+		each.Age = now - each.at
+		reports = append(reports, each.Report)
+	}
+	s.crashes.reports = nil
+	return reports, s.crashes.watch.TakeServed(now)
+}
+
+// quarantine returns a refusal if the request must not be sent to endpoints.
+func (s *Server) quarantine(digest crash.Digest) *core.Refusal {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	remaining := s.crashes.watch.Remaining(s.Now(), digest)
+	if remaining == 0 {
+		return nil
+	}
+	refusal := core.Refuse(core.Quarantined, core.RanNo, "endpoints ended under request %s; it is not sent to any for %s", digest, remaining)
+	refusal.RetryAfter = remaining
+	return refusal
+}
+
+// recordEnding records what the end of an attempt says about the request: an endpoint that answers has survived it, and
+// one that broke the connection may have ended under it.
+func (s *Server) recordEnding(ctx context.Context, e *pick.Endpoint, digest crash.Digest, result pool.Result, outcome pick.Outcome) {
+	switch {
+	case outcome == pick.Good || outcome == pick.Failed:
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.crashes.watch.RecordAnswer(s.Now(), digest)
+	case result.Ending == pool.Broken || result.Ending == pool.Spoiled:
+		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, digest)
+	}
+}
+
+// examine finds out whether an endpoint has ended. Requests that break in the meantime share the finding.
+func (s *Server) examine(ctx context.Context, endpoint, address string, digest crash.Digest) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.crashes.broken == nil {
+		s.crashes.broken = map[string][]crash.Digest{}
+	}
+	pending, examined := s.crashes.broken[endpoint]
+	if len(pending) < maxPendingCrashes {
+		s.crashes.broken[endpoint] = append(pending, digest)
+	}
+	if examined {
+		return
+	}
+	at := s.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		ended := s.Pool.IsRefused(ctx, address)
+		s.finishExamination(endpoint, at, ended)
+	}()
+}
+
+func (s *Server) finishExamination(endpoint string, at core.Millis, ended bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	broken := s.crashes.broken[endpoint]
+	delete(s.crashes.broken, endpoint)
+	if !ended {
+		return
+	}
+	for _, digest := range broken {
+		s.crashes.reports = append(s.crashes.reports, timedReport{crash.Report{Digest: digest, Endpoint: endpoint}, at})
+	}
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -191,6 +191,9 @@
 // start chooses an endpoint and sends the request to it.
 func (t *attempts) start(ctx context.Context) *core.Refusal {
 	s, record := t.server, t.record
+	if refusal := s.quarantine(t.exchange.digest); refusal != nil {
+		return refusal
+	}
 	t.pickRequest.Remaining = t.deadline - s.Now()
 	s.mutex.Lock()
 	choice, refusal := s.Picks.Choose(s.Now(), t.pickRequest)
@@ -214,6 +217,9 @@
 	began := s.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration())}
 	target.Ready = func() bool {
+		if s.quarantine(t.exchange.digest) != nil {
+			return false
+		}
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		return s.Picks.IsReady(s.Now(), choice)
@@ -230,6 +236,7 @@
 	s.mutex.Lock()
 	s.Picks.Done(s.Now(), choice, outcome, s.Now()-began, report)
 	s.mutex.Unlock()
+	s.recordEnding(ctx, e, t.exchange.digest, result, outcome)
 	if outcome == pick.Misled {
 		s.Pool.CloseIdle(e.Address)
 	}
@@ -316,6 +323,9 @@
 		if refusal == nil {
 			return nil
 		}
+		if refusal.Kind == core.Quarantined && !t.mayHaveRun {
+			return refuse(t.record, refusal)
+		}
 		reason, retryAfter = NoneFree, refusal.RetryAfter
 	}
 	// The reason why there was no hedged attempt is more specific than that the deadline has passed by now.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -55,6 +55,7 @@
 	arrived   atomic.Uint64
 	bytes     atomic.Uint64
 	conns     map[*conn]bool
+	crashes   crashes
 	listener  net.Listener
 }
 
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -129,7 +129,18 @@
 
 func (e *Entry) tick(now core.Millis) core.Effects {
 	e.machine.Traffic.Requests, e.machine.Traffic.Bytes = e.server.Traffic()
-	return e.machine.Tick(now)
+	crashes, served := e.server.TakeReports(now)
+	effects := e.machine.RecordCrashes(now, crashes)
+	e.machine.RecordServed(now, served)
+	changed, more := e.machine.DecideAlone(now)
+	if changed {
+		e.updateServer(now)
+	}
+	for _, each := range []core.Effects{more, e.machine.Tick(now)} {
+		effects.Logs = append(effects.Logs, each.Logs...)
+		effects.Sends = append(effects.Sends, each.Sends...)
+	}
+	return effects
 }
 
 func (e *Entry) receive(from string, message core.Message) {
@@ -170,6 +181,7 @@
 		current = e.server.Table()
 	}
 	e.server.Update(table, func(p *pick.Table) { p.Update(now, view, current) })
+	e.server.SetQuarantined(view.Quarantined, view.Suspects)
 }
 
 func (e *Entry) isReady() bool {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -112,6 +113,20 @@
 	return c, nil
 }
 
+// IsRefused reports whether the address refuses connections, as that of a process that has ended does. A connection that
+// is established is kept for a request.
+func (p *Pool) IsRefused(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.mutex.Lock()
+	p.opened++
+	p.mutex.Unlock()
+	c.unuse()
+	return false
+}
+
 // setUserTimeout makes the kernel end connections whose peer has gone without closing them.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var inner error
