A caller that crashes endpoints is not known by its address

The digest holds the caller's credentials (Authorization) in place of its address. Requests of all callers without credentials are now judged together, so that the excuse is made stronger: an answer also excuses crashes up to 5 s after it; a failure that an endpoint reports itself (500, 504) excuses nothing, since the request may not have run to its end. Requests that as many endpoints ended under as under the quarantined one are not cleared, as they may be the cause instead. Hosts are asked for answers to a suspect for 30 s after its latest crash, so that updates don't grow for half an hour.

--- a/core/crash/digest.go
+++ b/core/crash/digest.go
@@ -6,7 +6,7 @@
 	"encoding/hex"
 )
 
-// Digest identifies a request by its caller and content; repetitions of a request have the same digest on every host.
+// Digest identifies a request by its content and its caller's credentials; repetitions of a request have the same digest on every host.
 type Digest [16]byte
 
 // String returns the digest in hexadecimal digits.
@@ -19,7 +19,7 @@
 	return []byte(d.String()), nil
 }
 
-// NewDigest returns the digest of a request that consists of these parts, such as its caller, path and body.
+// NewDigest returns the digest of a request that consists of these parts, such as credentials, path and body.
 func NewDigest(parts ...[]byte) Digest {
 	hash := sha256.New()
 	var length [8]byte
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -14,10 +14,15 @@
 	crashesToQuarantine = 3
 	// crashesToSuspect is the number from which hosts are asked whether endpoints answer the request.
 	crashesToSuspect = 2
+	// suspectPeriod is how long after a crash a request is a suspect.
+	suspectPeriod = 30 * core.Second
+	maxSuspects   = 64
 	// answerDelay is the time that hosts have to report answers to a suspect.
 	answerDelay = 800 * core.Millisecond
 	// sameCrash is the time within which an endpoint can't end twice.
-	sameCrash      = core.Second
+	sameCrash = core.Second
+	// answerExcuse is how long an answer excuses its request: endpoints that end so soon after it end for other reasons.
+	answerExcuse   = 5 * core.Second
 	crashRetention = 30 * core.Minute
 	maxRequests    = 512
 	// maxCrashes is how many crashes of a request are remembered; further ones tell nothing new.
@@ -33,8 +38,10 @@
 type request struct {
 	digest  Digest
 	crashes []endpointCrash
-	// suspectAt is when the request became a suspect.
+	// suspectAt is when the request became a suspect, or one again.
 	suspectAt core.Millis
+	// excusedUntil is until when an answer excuses the request.
+	excusedUntil core.Millis
 }
 
 // endpointCrash is the end of an endpoint.
@@ -59,32 +66,31 @@
 		r = &request{digest: report.Digest}
 		t.requests[report.Digest] = r
 	}
-	if slices.ContainsFunc(r.crashes, crash.isSame) {
+	if crash.at <= r.excusedUntil || slices.ContainsFunc(r.crashes, crash.isSame) {
 		return false
 	}
+	if len(r.crashes) == crashesToSuspect-1 || now-r.latest() > suspectPeriod {
+		r.suspectAt = now
+	}
 	r.crashes = append(r.crashes, crash)
 	if len(r.crashes) > maxCrashes {
 		r.crashes = r.crashes[1:]
 	}
-	if len(r.crashes) == crashesToSuspect {
-		r.suspectAt = now
-	}
 	t.evict()
 	return true
 }
 
-// Clear forgets the crashes of a request that came before an answer to it: what endpoints answer does not crash them.
-// It reports whether there were any.
+// Clear forgets the crashes of a request that came before an answer to it or soon after: what endpoints answer does not
+// crash them. It reports whether there were any.
 func (t *Table) Clear(now core.Millis, served Served) bool {
 	r := t.requests[served.Digest]
 	if r == nil {
 		return false
 	}
 	count := len(r.crashes)
-	r.drop(func(c endpointCrash) bool { return c.at <= now-served.Age })
-	cleared := len(r.crashes) < count
-	t.removeEmpty(r)
-	return cleared
+	r.excusedUntil = max(r.excusedUntil, now-served.Age+answerExcuse)
+	r.drop(func(c endpointCrash) bool { return c.at <= r.excusedUntil })
+	return len(r.crashes) < count
 }
 
 // drop removes the crashes for which the function returns true.
@@ -92,36 +98,36 @@
 	r.crashes = slices.DeleteFunc(r.crashes, unwanted)
 }
 
-func (t *Table) removeEmpty(r *request) {
-	if len(r.crashes) == 0 {
+// forgetEmpty forgets a request without crashes that no answer excuses any more.
+func (t *Table) forgetEmpty(now core.Millis, r *request) {
+	if len(r.crashes) == 0 && now > r.excusedUntil {
 		delete(t.requests, r.digest)
 	}
 }
 
 // Explain forgets the crashes of other requests at endpoints that ended under this one: they were only held there too.
+// A request that as many endpoints ended under may be the cause instead.
 func (t *Table) Explain(digest Digest) {
 	cause := t.requests[digest]
 	if cause == nil {
 		return
 	}
 	for other, r := range t.requests {
-		if other != digest {
+		if other != digest && len(r.crashes) < len(cause.crashes) {
 			r.drop(func(c endpointCrash) bool { return slices.ContainsFunc(cause.crashes, c.isSame) })
-			t.removeEmpty(r)
 		}
 	}
 }
 
-// Suspects returns the requests that hosts watch for answers, sorted.
+// Suspects returns the requests that hosts watch for answers, those with most crashes first.
 func (t *Table) Suspects(now core.Millis) []Digest {
 	t.expire(now)
 	var out []Digest
-	for digest, r := range t.requests {
-		if len(r.crashes) >= crashesToSuspect {
-			out = append(out, digest)
+	for _, r := range t.sorted() {
+		if len(r.crashes) >= crashesToSuspect && now-r.latest() <= suspectPeriod && len(out) < maxSuspects {
+			out = append(out, r.digest)
 		}
 	}
-	slices.SortFunc(out, compareDigests)
 	return out
 }
 
@@ -133,8 +139,7 @@
 	due = slices.DeleteFunc(due, func(r *request) bool {
 		i := slices.IndexFunc(quarantined, func(q Quarantine) bool { return q.Digest == r.digest && !q.IsForgotten(now) })
 		if i >= 0 {
-			last := r.crashes[len(r.crashes)-1].at
-			return quarantined[i].Holds(now) || last < quarantined[i].Until
+			return quarantined[i].Holds(now) || r.latest() < quarantined[i].Until
 		}
 		return len(r.crashes) < crashesToQuarantine || now-r.suspectAt < answerDelay
 	})
@@ -183,7 +188,7 @@
 func (t *Table) expire(now core.Millis) {
 	for _, r := range t.requests {
 		r.drop(func(c endpointCrash) bool { return now-c.at > crashRetention })
-		t.removeEmpty(r)
+		t.forgetEmpty(now, r)
 	}
 }
 
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -42,8 +42,7 @@
 	timeout core.Millis
 	// object is the value of the caller's object cookie, by which an endpoint is preferred.
 	object string
-	// caller identifies the caller, and digest the request among those of all callers.
-	caller string
+	// digest identifies the request among those of all callers.
 	digest crash.Digest
 	closes bool
 	reply  chan *reply
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -22,7 +22,7 @@
 	watch crash.Watch
 	// broken holds, by endpoint, the requests that broke while it is examined whether the endpoint has ended.
 	broken map[string][]crash.Digest
-	// reports are those that the driver has not taken yet, with the time of each crash as their age.
+	// reports are those that the driver has not taken yet.
 	reports []timedReport
 }
 
@@ -65,10 +65,11 @@
 }
 
 // recordEnding records what the end of an attempt says about the request: an endpoint that answers has survived it, and
-// one that broke the connection may have ended under it.
+// one that broke the connection may have ended under it. A failure that an endpoint reports, such as a deadline that
+// passed, does not show that the request has run to its end.
 func (s *Server) recordEnding(ctx context.Context, e *pick.Endpoint, digest crash.Digest, result pool.Result, outcome pick.Outcome) {
 	switch {
-	case outcome == pick.Good || outcome == pick.Failed:
+	case outcome == pick.Good:
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.crashes.watch.RecordAnswer(s.Now(), digest)
--- /dev/null
+++ b/io/entry/crashes_test.go
@@ -0,0 +1,89 @@
+package entry_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"clementinelock/core/crash"
+	"clementinelock/io/clock"
+)
+
+// crashReports returns what the host has to report once it has examined the endpoints of broken requests.
+func (h *host) crashReports(t *testing.T, count int) (reports []crash.Report) {
+	t.Helper()
+	for range 100 {
+		more, _ := h.server.TakeReports(clock.New().Now())
+		if reports = append(reports, more...); len(reports) >= count {
+			return reports
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return reports
+}
+
+// digestOf returns the digest that the host gave a request.
+func (h *host) digestOf(t *testing.T, id string) crash.Digest {
+	t.Helper()
+	return h.record(t, id).Digest
+}
+
+// TestEndpointThatOnlyBreaksAnswers guards against a request that is blamed for a crash when the endpoint broke one
+// connection and goes on.
+func TestEndpointThatOnlyBreaksAnswers(t *testing.T) {
+	h := startHost(t, 2)
+	h.setAnswer(func(net.Conn, *http.Request, []byte) bool { return false })
+	c := h.dial(t)
+	c.send("GET", "/read/x", "r1", "")
+	c.expect("r1", http.StatusBadGateway, "")
+	if reports := h.crashReports(t, 1); len(reports) != 0 {
+		t.Fatalf("reported %v, though the endpoints accept connections", reports)
+	}
+}
+
+// TestEndpointEnds guards against a crash that is not reported, reported under another request, or under different
+// digests where the request is the same.
+func TestEndpointEnds(t *testing.T) {
+	h := startHost(t, 2)
+	h.setAnswer(func(conn net.Conn, request *http.Request, body []byte) bool {
+		if request.RequestURI != "/read/crash" {
+			return echo(conn, request, body)
+		}
+		for _, e := range h.endpoints {
+			_ = e.listener.Close()
+		}
+		return false
+	})
+	c := h.dial(t)
+	c.send("GET", "/read/good", "r1", "")
+	c.expect("r1", http.StatusOK, "GET /read/good ")
+	c.send("GET", "/read/crash", "r2", "")
+	c.expect("r2", http.StatusBadGateway, "")
+	reports := h.crashReports(t, 1)
+	if len(reports) != 1 || reports[0].Digest != h.digestOf(t, "r2") {
+		t.Fatalf("reported %v, expected one crash under %s", reports, h.digestOf(t, "r2"))
+	}
+	for _, each := range []struct {
+		id, method, path, body, header string
+		same                           bool
+	}{
+		{"r3", "GET", "/read/crash", "", "", true},
+		{"r4", "GET", "/read/crash?", "", "", false},
+		{"r5", "POST", "/read/crash", "", "", false},
+		{"r6", "GET", "/read/crash", "b", "", false},
+		{"r7", "GET", "/read/crash", "", "Authorization: another", false},
+		{"r8", "GET", "/read/crash", "", "Cookie: object=4", true},
+	} {
+		other := h.dial(t)
+		if each.header == "" {
+			other.send(each.method, each.path, each.id, each.body)
+		} else {
+			other.send(each.method, each.path, each.id, each.body, each.header)
+		}
+		_, _, _ = other.readAnswer()
+		if same := h.digestOf(t, each.id) == h.digestOf(t, "r2"); same != each.same {
+			t.Errorf("%s %s with body %q and header %q: same digest %t, expected %t", each.method, each.path, each.body, each.header, same, each.same)
+		}
+	}
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -62,7 +62,7 @@
 	Affinity      pick.Affinity
 	Latency       core.Millis
 	CallerTimeout core.Millis
-	// Caller is the caller's address; Digest is the same in all repetitions of the request by its caller.
+	// Caller is the address that the request came from; Digest is the same in all repetitions of the request.
 	Caller string
 	Digest crash.Digest
 }
