Attempts of a request that is quarantined meanwhile are cancelled

A repetition may wait in an endpoint's queue or for a connection when its request is quarantined; it would still crash the endpoint. Its attempts are cancelled; the caller is told 502, or 503 Quarantined if nothing was sent.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"clementinelock/core"
@@ -24,19 +26,57 @@
 	broken map[string][]crash.Digest
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
+	// inFlight holds what cancels the requests in flight, by digest.
+	inFlight map[crash.Digest][]*cancellation
 }
 
+// cancellation cancels the attempts of one request.
+type cancellation struct {
+	cancel context.CancelCauseFunc
+}
+
+// errQuarantined cancels the attempts of a request that is quarantined while they are in flight.
+var errQuarantined = errors.New("the request was quarantined")
+
 // timedReport is a report of an endpoint that ended at a time.
 type timedReport struct {
 	crash.Report
 	at core.Millis
 }
 
-// SetQuarantined replaces the requests that are not sent to endpoints, and those whose answers are reported.
+// SetQuarantined replaces the requests that are not sent to endpoints, and those whose answers are reported. Attempts of
+// quarantined requests are cancelled, since they may wait in the queues of endpoints.
 func (s *Server) SetQuarantined(quarantined []crash.Quarantine, suspects []crash.Digest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.crashes.watch.Set(quarantined, suspects)
+	for _, q := range quarantined {
+		if !q.Holds(s.Now()) {
+			continue
+		}
+		for _, each := range s.crashes.inFlight[q.Digest] {
+			each.cancel(errQuarantined)
+		}
+	}
+}
+
+// trackInFlight lets a quarantine cancel the request until the returned function is called.
+func (s *Server) trackInFlight(digest crash.Digest, cancel context.CancelCauseFunc) (stop func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.crashes.inFlight == nil {
+		s.crashes.inFlight = map[crash.Digest][]*cancellation{}
+	}
+	own := &cancellation{cancel}
+	s.crashes.inFlight[digest] = append(s.crashes.inFlight[digest], own)
+	return func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		others := slices.DeleteFunc(s.crashes.inFlight[digest], func(each *cancellation) bool { return each == own })
+		if s.crashes.inFlight[digest] = others; len(others) == 0 {
+			delete(s.crashes.inFlight, digest)
+		}
+	}
 }
 
 // TakeReports returns the endpoints that ended while they held requests, and the answers to suspects, each once.
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -87,3 +88,45 @@
 		}
 	}
 }
+
+// TestQuarantinedRequests guards against a quarantined request that reaches an endpoint as a first attempt or that goes on
+// waiting at one, and against others that are refused with it.
+func TestQuarantinedRequests(t *testing.T) {
+	h := startHost(t, 2)
+	held := make(chan struct{})
+	h.setAnswer(func(conn net.Conn, request *http.Request, body []byte) bool {
+		if request.RequestURI == "/read/crash" {
+			<-held
+			return false
+		}
+		return echo(conn, request, body)
+	})
+	t.Cleanup(func() { close(held) })
+	waiting := h.dial(t)
+	waiting.send("GET", "/read/crash", "r1", "")
+	for h.runs() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	now := clock.New().Now()
+	probe := crash.NewDigest([]byte(""), []byte("GET"), []byte("h"), []byte("/read/crash"), []byte("0"), nil)
+	h.server.SetQuarantined([]crash.Quarantine{{Digest: probe, Until: now + 5000}}, nil)
+	waiting.expect("r1", http.StatusBadGateway, "")
+	if got := h.digestOf(t, "r1"); got != probe {
+		t.Fatalf("the request has digest %s, expected %s", got, probe)
+	}
+	if r := h.record(t, "r1"); r.Latency > 300 {
+		t.Errorf("a request that was quarantined while it waited was answered after %s", r.Latency)
+	}
+	runs := h.runs()
+	c := h.dial(t)
+	c.send("GET", "/read/crash", "r2", "")
+	response := c.expect("r2", http.StatusServiceUnavailable, "")
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err != nil || seconds <= 4 || seconds > 5 {
+		t.Errorf("Retry-After is %q, expected the rest of 5 s", response.Header.Get("Retry-After"))
+	}
+	if h.runs() != runs || h.record(t, "r2").Attempts != 0 {
+		t.Error("a quarantined request reached an endpoint")
+	}
+	c.send("GET", "/read/other", "r3", "")
+	c.expect("r3", http.StatusOK, "GET /read/other ")
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -178,6 +178,7 @@
 	// The end of the request cancels an attempt that another one has superseded.
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errSuperseded)
+	defer s.trackInFlight(x.digest, cancel)()
 	t.hedgeDelay = t.computeHedgeDelay()
 	if refusal := t.start(ctx); refusal != nil {
 		return refuse(record, refusal)
@@ -378,6 +379,8 @@
 func (t *attempts) fail(ctx context.Context, attempt attemptResult, retryAfter core.Millis) *reply {
 	record := t.record
 	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		return t.failQuarantined()
 	case attempt.outcome == pick.Failed:
 		// The endpoint's error response is forwarded as the answer.
 		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer}
@@ -392,3 +395,13 @@
 	refusal.RetryAfter = 0
 	return refuse(record, refusal)
 }
+
+// failQuarantined ends a request that was quarantined while its attempts were in flight.
+func (t *attempts) failQuarantined() *reply {
+	if refusal := t.server.quarantine(t.exchange.digest); refusal != nil && !t.mayHaveRun {
+		return refuse(t.record, refusal)
+	}
+	refusal := core.Refuse(core.UpstreamFailed, core.RanUnknown, "%v after %d attempts", errQuarantined, t.record.Attempts)
+	refusal.RetryAfter = 0
+	return refuse(t.record, refusal)
+}
