Hosts and keepers of a tree stop requests that crash endpoints

Change: crash.Node. The host checks before it asks for a slot, when it gets one and before a hedge, and cancels what is in flight; keepers refuse an ask by the request's digest, at once and from their queue, for hosts that don't know of it yet.

--- a/core/call/attempt.go
+++ b/core/call/attempt.go
@@ -11,6 +11,10 @@
 
 // findSlot starts the search for a slot, in the region that the router picks.
 func (d *Dispatcher) findSlot(now core.Millis, c *call, out *core.Effects) {
+	if r := d.quarantine(now, c); r != nil {
+		d.abandonSearch(now, c, r, out)
+		return
+	}
 	c.phase = asking
 	c.tried = 0
 	c.region = d.Router.PickRegion(c.Service)
@@ -99,7 +103,7 @@
 func (d *Dispatcher) askMessage(now core.Millis, c *call) *slots.Ask {
 	return &slots.Ask{
 		Ask: c.ask.number, Zone: c.ask.target.Zone, Service: c.Service,
-		Remaining: c.deadline - now, Exclude: c.exclude, Wait: c.ask.wait,
+		Remaining: c.deadline - now, Exclude: c.exclude, Wait: c.ask.wait, Content: c.Content,
 	}
 }
 
@@ -157,6 +161,11 @@
 		d.Slots.Done(now, m.Token, m.Zone, m.Service, slots.Result{Unused: true}, out)
 		return
 	}
+	if r := d.quarantine(now, c); r != nil {
+		d.Slots.Done(now, m.Token, m.Zone, m.Service, slots.Result{Unused: true}, out)
+		d.abandonSearch(now, c, r, out)
+		return
+	}
 	d.dispatch(now, c, m, hedge, out)
 }
 
@@ -203,6 +212,10 @@
 	}
 	c.lastRefusal = core.Refuse(m.Kind, core.RanNo, "zone %q has no slot of service %q free", m.Zone, m.Service)
 	c.lastRefusal.RetryAfter = m.RetryAfter
+	if m.Kind == core.Quarantined {
+		d.abandonSearch(now, c, c.lastRefusal, out)
+		return
+	}
 	if m.Moved && c.asks < maxAsks {
 		c.searchAt = now + movedRetryDelay
 		return
@@ -218,6 +231,7 @@
 	}
 	a.headReceived = true
 	a.report = h.Report
+	a.status = h.Status
 	a.shed = h.NotRun
 	a.retryAfter = h.RetryAfter
 	a.limit, a.limitNamed = h.Limit, h.LimitNamed
@@ -285,6 +299,7 @@
 	delete(d.attempts, id)
 	delete(c.attempts, id)
 	d.Slots.Done(now, a.token, a.zone, c.Service, d.result(a, e), out)
+	d.recordCrash(now, a, e, out)
 	if c.keyed && c.token != (ledger.Token{}) {
 		d.recordOutcome(now, c, a, e, out)
 	}
@@ -351,6 +366,9 @@
 // tree allows hedges, it spends the hedge budget. If half of the request's time has passed, it spends the retry budget,
 // since the first attempt may be on a connection that no longer answers.
 func (d *Dispatcher) hedge(now core.Millis, c *call, out *core.Effects) {
+	if d.Crashes.Remaining(now, c.Content) > 0 {
+		return
+	}
 	if c.phase != running || c.hedged || !c.Idempotent || !c.Replayable || c.answered || c.ask != nil || len(c.attempts) != 1 {
 		return
 	}
--- a/core/call/dispatcher.go
+++ b/core/call/dispatcher.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/ledger"
 	"clementinelock/core/retry"
 	"clementinelock/core/route"
@@ -40,6 +41,8 @@
 	// Attempt is the caller's attempt number for the key; 0 when the caller gives none.
 	Attempt uint64
 	Digest  uint64
+	// Content identifies the request by its content and its caller's credentials.
+	Content crash.Digest
 	// Remaining is the time left until the caller's deadline; 0 when the caller gives none.
 	Remaining core.Millis
 	// Replayable reports whether the driver can send the body more than once.
@@ -77,6 +80,8 @@
 	Latency core.Millis
 	Answer  *core.StoredAnswer
 	Detail  string
+	// EndpointGone means that the endpoint refuses connections since the attempt broke off.
+	EndpointGone bool
 }
 
 type phase int
@@ -137,6 +142,8 @@
 	endpoint     string
 	startedAt    core.Millis
 	headReceived bool
+	// status is that of the answer's head.
+	status int
 	// shed reports whether the endpoint answered that it did not start the request.
 	shed   bool
 	report *core.Report
@@ -165,6 +172,8 @@
 	Ledger *ledger.Client
 	// AllowCrossRegion reports whether a request may go to another region now, and charges it to the link's limit.
 	AllowCrossRegion func(now core.Millis, region, service string) bool
+	// Crashes knows the requests that crash endpoints.
+	Crashes *crash.Node
 
 	view         *tree.View
 	zone         string
@@ -232,6 +241,10 @@
 		d.refuse(c, core.Refuse(core.UnknownService, d.ranStatus(c), "service %q is not in version %d of the tree", a.Service, d.view.Version), out)
 		return
 	}
+	if r := d.quarantine(now, c); r != nil {
+		d.refuse(c, r, out)
+		return
+	}
 	d.arrivals[a.Service]++
 	c.arrivedAt, c.deadline = now, now+d.timeout(c)
 	budgetFor(d.retryBudgets, a.Service).RecordFirst()
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -25,16 +25,19 @@
 	answerExcuse   = 5 * core.Second
 	crashRetention = 30 * core.Minute
 	maxRequests    = 512
-	// maxCrashes is how many crashes of a request are remembered; further ones tell nothing new.
+	// maxCrashes is how many crashes of a request are remembered.
 	maxCrashes = 8
 )
 
 // Table holds the requests that endpoints have ended under. The zero value is empty; calls must not overlap.
 type Table struct {
 	requests map[Digest]*request
+	// causes are the requests that explain the crashes of others.
+	causes    map[Digest]bool
+	expiredAt core.Millis
 }
 
-// request is a request with the crashes under it, in the order in which they were learned.
+// request is a request with the latest crashes under it, the oldest first.
 type request struct {
 	digest  Digest
 	crashes []endpointCrash
@@ -48,6 +51,8 @@
 type endpointCrash struct {
 	endpoint string
 	at       core.Millis
+	// explained is set if another request caused the crash. It is kept, since its report may come again.
+	explained bool
 }
 
 func (c endpointCrash) isSame(other endpointCrash) bool {
@@ -57,7 +62,7 @@
 // Record adds a crash; it reports whether the crash is new under this request.
 func (t *Table) Record(now core.Millis, report Report) bool {
 	t.expire(now)
-	crash := endpointCrash{report.Endpoint, now - report.Age}
+	crash := endpointCrash{endpoint: report.Endpoint, at: now - report.Age}
 	r := t.requests[report.Digest]
 	if r == nil {
 		if t.requests == nil {
@@ -66,20 +71,46 @@
 		r = &request{digest: report.Digest}
 		t.requests[report.Digest] = r
 	}
-	if crash.at <= r.excusedUntil || slices.ContainsFunc(r.crashes, crash.isSame) {
+	full := len(r.crashes) == maxCrashes
+	if crash.at <= r.excusedUntil || full && crash.at <= r.crashes[0].at || slices.ContainsFunc(r.crashes, crash.isSame) {
 		return false
 	}
-	if len(r.crashes) == crashesToSuspect-1 || now-r.latest() > suspectPeriod {
+	crash.explained = t.isExplained(report.Digest, crash)
+	if r.count() == crashesToSuspect-1 || now-r.latest() > suspectPeriod {
 		r.suspectAt = now
 	}
-	r.crashes = append(r.crashes, crash)
-	if len(r.crashes) > maxCrashes {
+	if full {
 		r.crashes = r.crashes[1:]
 	}
+	r.crashes = append(r.crashes, crash)
+	slices.SortStableFunc(r.crashes, func(a, b endpointCrash) int { return cmp.Compare(a.at, b.at) })
+	if t.causes[report.Digest] {
+		t.Explain(report.Digest)
+	}
 	t.evict()
 	return true
 }
 
+// count returns how many crashes no other request explains.
+func (r *request) count() (n int) {
+	for _, c := range r.crashes {
+		if !c.explained {
+			n++
+		}
+	}
+	return n
+}
+
+// isExplained reports whether another request is known to have caused a crash.
+func (t *Table) isExplained(digest Digest, crash endpointCrash) bool {
+	for cause := range t.causes {
+		if r := t.requests[cause]; r != nil && cause != digest && slices.ContainsFunc(r.crashes, crash.isSame) {
+			return true
+		}
+	}
+	return false
+}
+
 // Clear forgets the crashes of a request that came before an answer to it or soon after: what endpoints answer does not
 // crash them. It reports whether there were any.
 func (t *Table) Clear(now core.Millis, served Served) bool {
@@ -102,19 +133,27 @@
 func (t *Table) forgetEmpty(now core.Millis, r *request) {
 	if len(r.crashes) == 0 && now > r.excusedUntil {
 		delete(t.requests, r.digest)
+		delete(t.causes, r.digest)
 	}
 }
 
-// Explain forgets the crashes of other requests at endpoints that ended under this one: they were only held there too.
-// A request that as many endpoints ended under may be the cause instead.
+// Explain lets the crashes of other requests at endpoints that ended under this one no longer count: they were only held
+// there too. A request that as many endpoints ended under may be the cause instead.
 func (t *Table) Explain(digest Digest) {
 	cause := t.requests[digest]
 	if cause == nil {
 		return
 	}
+	if t.causes == nil {
+		t.causes = map[Digest]bool{}
+	}
+	t.causes[digest] = true
 	for other, r := range t.requests {
-		if other != digest && len(r.crashes) < len(cause.crashes) {
-			r.drop(func(c endpointCrash) bool { return slices.ContainsFunc(cause.crashes, c.isSame) })
+		if other == digest || t.causes[other] || r.count() >= cause.count() {
+			continue
+		}
+		for i, c := range r.crashes {
+			r.crashes[i].explained = c.explained || slices.ContainsFunc(cause.crashes, c.isSame)
 		}
 	}
 }
@@ -124,7 +163,7 @@
 	t.expire(now)
 	var out []Digest
 	for _, r := range t.sorted() {
-		if len(r.crashes) >= crashesToSuspect && now-r.latest() <= suspectPeriod && len(out) < maxSuspects {
+		if r.count() >= crashesToSuspect && now-r.latest() <= suspectPeriod && len(out) < maxSuspects {
 			out = append(out, r.digest)
 		}
 	}
@@ -141,7 +180,7 @@
 		if i >= 0 {
 			return quarantined[i].Holds(now) || r.latest() < quarantined[i].Until
 		}
-		return len(r.crashes) < crashesToQuarantine || now-r.suspectAt < answerDelay
+		return r.count() < crashesToQuarantine || now-r.suspectAt < answerDelay
 	})
 	if len(due) == 0 {
 		return Digest{}, false
@@ -163,16 +202,15 @@
 // sorted returns the requests, those with most crashes first.
 func (t *Table) sorted() []*request {
 	return slices.SortedFunc(maps.Values(t.requests), func(a, b *request) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.latest(), a.latest()), compareDigests(a.digest, b.digest))
+		return cmp.Or(cmp.Compare(b.count(), a.count()), cmp.Compare(b.latest(), a.latest()), compareDigests(a.digest, b.digest))
 	})
 }
 
 func (r *request) latest() core.Millis {
-	latest := core.Millis(0)
-	for _, c := range r.crashes {
-		latest = max(latest, c.at)
+	if len(r.crashes) == 0 {
+		return 0
 	}
-	return latest
+	return r.crashes[len(r.crashes)-1].at
 }
 
 func compareDigests(a, b Digest) int {
@@ -184,8 +222,12 @@
 	return len(t.requests)
 }
 
-// expire forgets old crashes.
+// expire forgets old crashes, once a second.
 func (t *Table) expire(now core.Millis) {
+	if now-t.expiredAt < core.Second {
+		return
+	}
+	t.expiredAt = now
 	for _, r := range t.requests {
 		r.drop(func(c endpointCrash) bool { return now-c.at > crashRetention })
 		t.forgetEmpty(now, r)
@@ -199,5 +241,6 @@
 	}
 	for _, r := range t.sorted()[maxRequests:] {
 		delete(t.requests, r.digest)
+		delete(t.causes, r.digest)
 	}
 }
--- a/core/host/machine.go
+++ b/core/host/machine.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"clementinelock/core"
 	"clementinelock/core/call"
+	"clementinelock/core/crash"
 	"clementinelock/core/ctrl"
 	"clementinelock/core/edits"
 	"clementinelock/core/grant"
@@ -45,6 +47,7 @@
 	grants     *grant.Node
 	router     *route.Router
 	dispatcher *call.Dispatcher
+	crashes    *crash.Node
 	quorum     *quorum.Replica
 	store      *edits.Store
 	ctrl       *ctrl.Node
@@ -127,6 +130,14 @@
 	return m.Seeds[m.Zone]
 }
 
+// otherHosts returns all hosts of the tree in force but this one.
+func (m *Machine) otherHosts() []string {
+	if m.view == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(m.view.HostNames()), func(name string) bool { return name == m.Self })
+}
+
 func (m *Machine) buildLeases(now core.Millis) {
 	m.leases = &lease.Node{
 		Self: m.Self, Incarnation: m.Incarnation, Health: m.members,
@@ -142,6 +153,9 @@
 			keeper, _ := m.members.Keeper(now, zone, service)
 			return keeper.Host
 		},
+		Quarantined: func(now core.Millis, content crash.Digest) core.Millis {
+			return m.crashes.Remaining(now, content)
+		},
 		OnGrant:   func(now core.Millis, g *slots.Grant, out *core.Effects) { m.dispatcher.OnGrant(now, g, out) },
 		OnRefused: func(now core.Millis, r *slots.Refused, out *core.Effects) { m.dispatcher.OnRefused(now, r, out) },
 	}
@@ -168,7 +182,15 @@
 		Self: m.Self, Region: m.Region, Zone: m.Zone, Rand: m.Rand, Membership: m.members,
 		Shares: func(region, service string) map[string]float64 { return m.relay.Plan().SharesOf(region, service) },
 	}
-	m.dispatcher = &call.Dispatcher{Region: m.Region, Rand: m.Rand, Router: m.router, Slots: m.slots, Ledger: m.ledger, AllowCrossRegion: m.admitToLink}
+	m.crashes = &crash.Node{
+		Rand: m.Rand, Peers: m.otherHosts,
+		OnQuarantine: func(now core.Millis, content crash.Digest, out *core.Effects) {
+			m.dispatcher.OnQuarantine(now, content, out)
+		},
+	}
+	m.dispatcher = &call.Dispatcher{
+		Region: m.Region, Rand: m.Rand, Router: m.router, Slots: m.slots, Ledger: m.ledger, AllowCrossRegion: m.admitToLink, Crashes: m.crashes,
+	}
 	m.dispatcher.Start(m.Zone)
 }
 
@@ -227,6 +249,7 @@
 		m.ledger.Tick(now, out)
 		m.grants.Tick(now, out)
 		m.dispatcher.Tick(now, out)
+		m.crashes.Tick(now, out)
 		m.tickSelf(now, out)
 	})
 }
@@ -266,6 +289,8 @@
 		m.ledger.Receive(now, from, message, out)
 	case grantPart:
 		m.grants.Receive(now, from, message, out)
+	case crashPart:
+		m.crashes.Receive(now, from, message, out)
 	case operatorPart:
 		m.deliver(now, message.(*ctrl.Response), out)
 	case foundingPart:
--- a/core/host/messages.go
+++ b/core/host/messages.go
@@ -6,6 +6,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/codec"
+	"clementinelock/core/crash"
 	"clementinelock/core/ctrl"
 	"clementinelock/core/fleet"
 	"clementinelock/core/grant"
@@ -33,6 +34,7 @@
 	operatorPart
 	foundingPart
 	fleetPart
+	crashPart
 )
 
 // messageType is one row of the message table.
@@ -103,6 +105,7 @@
 	newMessageType[fleet.Share](fleetPart),
 	newMessageType[fleet.Order](fleetPart),
 	newMessageType[fleet.OrderAnswer](fleetPart),
+	newMessageType[crash.News](crashPart),
 }
 
 var numberOf = indexMessageTypes()
--- a/core/model/deployment.go
+++ b/core/model/deployment.go
@@ -8,6 +8,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/call"
+	"clementinelock/core/crash"
 	"clementinelock/core/ctrl"
 	"clementinelock/core/fake"
 	"clementinelock/core/host"
@@ -70,6 +71,9 @@
 	Answered      bool
 	Answer        core.Answer
 	AnsweredAt    core.Millis
+	// Content is the same in all repetitions of the request; Crashing is set if it ends each endpoint that runs it.
+	Content  string
+	Crashing bool
 	// ServiceTime is how long the request's first run takes at its endpoint; 0 unless an attempt answered the caller.
 	ServiceTime core.Millis
 	// firstServiceTime is set when the first run starts.
@@ -266,9 +270,21 @@
 // Call sends a caller's request to a host; the request is idempotent unless post is set.
 // It returns nil if the host is down.
 func (s *Deployment) Call(name, service, key string, post bool, remaining core.Millis) *Request {
+	return s.send(name, service, key, post, remaining, &Request{Content: fmt.Sprint("unique ", s.lastID)})
+}
+
+// Repeat sends an idempotent request with the same content as earlier ones; crashing ones end each endpoint that runs
+// them. It returns nil if the host is down.
+func (s *Deployment) Repeat(name, service, content string, crashing bool, remaining core.Millis) *Request {
+	return s.send(name, service, "", false, remaining, &Request{Content: content, Crashing: crashing})
+}
+
+// send sends a request with the content of r, whose other fields it sets.
+func (s *Deployment) send(name, service, key string, post bool, remaining core.Millis, r *Request) *Request {
 	s.lastID++
-	a := call.Arrival{ID: s.lastID, Service: service, Idempotent: !post, Remaining: remaining, Replayable: true, Digest: 7}
-	r := &Request{Host: name, Service: service, RunID: fmt.Sprintf("r%d", s.lastID), Deadline: s.Now + remaining, StartedAt: s.Now, Keyed: key != ""}
+	a := call.Arrival{ID: s.lastID, Service: service, Idempotent: !post, Remaining: remaining, Replayable: true, Digest: 7, Content: crash.NewDigest([]byte(r.Content))}
+	r.Host, r.Service, r.RunID, r.Keyed = name, service, fmt.Sprintf("r%d", s.lastID), key != ""
+	r.Deadline, r.StartedAt = s.Now+remaining, s.Now
 	if key != "" {
 		a.KeyText, a.Key, r.RunID = key, service+" "+key, key
 	}
--- a/core/model/upstream.go
+++ b/core/model/upstream.go
@@ -1,6 +1,10 @@
 package model
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	"clementinelock/core"
 	"clementinelock/core/call"
 	"clementinelock/core/host"
@@ -25,6 +29,8 @@
 	Refused int
 	// Limit is how many requests per second the endpoint takes, as it says in its answers; 0 means that it names none.
 	Limit float64
+	// Crashes counts how often the endpoint ended.
+	Crashes int
 	// StartedAt holds when the endpoint started each request.
 	StartedAt []core.Millis
 }
@@ -99,6 +105,10 @@
 		if !sent.running {
 			return
 		}
+		if sent.request.Crashing {
+			s.CrashUpstream(up)
+			return
+		}
 		s.stopRun(sent)
 		if s.zonesCut(s.Zone(id.host), up.Zone) {
 			return
@@ -107,6 +117,39 @@
 	})
 }
 
+// crashDowntime is how long an endpoint that crashed is gone.
+const crashDowntime = 2 * core.Second
+
+// CrashUpstream ends an endpoint with all that it holds; it is back after crashDowntime.
+func (s *Deployment) CrashUpstream(up *Upstream) {
+	up.Crashes++
+	up.Dead = true
+	s.At(s.Now+crashDowntime, func() { up.Dead = false })
+	for _, id := range s.attemptsAt(up) {
+		sent := s.attempts[id]
+		s.stopRun(sent)
+		if !s.zonesCut(s.Zone(id.host), up.Zone) {
+			s.At(s.Now+s.oneWayDelay(up.Zone, s.Zone(id.host)), func() {
+				s.end(id, call.End{Ending: call.Broken, Detail: "connection reset", EndpointGone: true})
+			})
+		}
+	}
+}
+
+// attemptsAt returns the attempts at an endpoint in a fixed order.
+func (s *Deployment) attemptsAt(up *Upstream) []attemptID {
+	var out []attemptID
+	for id, sent := range s.attempts {
+		if sent.up == up {
+			out = append(out, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b attemptID) int {
+		return cmp.Or(strings.Compare(a.host, b.host), cmp.Compare(a.attempt, b.attempt))
+	})
+	return out
+}
+
 func (s *Deployment) stopRun(sent *attempt) {
 	sent.ended = true
 	if sent.running {
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -177,6 +177,10 @@
 		k.refuse(now, from, m, core.DeadlinePassed, 0, false, out)
 		return
 	}
+	if remaining := k.node.quarantined(now, m); remaining > 0 {
+		k.refuse(now, from, m, core.Quarantined, remaining, false, out)
+		return
+	}
 	if k.queue.Len() == 0 {
 		if e := k.pick(now, m.Exclude); e != nil && k.node.admit(now, k.service) {
 			k.allocate(now, from, m, e, out)
@@ -297,6 +301,10 @@
 		if !ok {
 			return
 		}
+		if remaining := k.node.quarantined(now, w.ask); remaining > 0 {
+			k.refuse(now, w.from, w.ask, core.Quarantined, remaining, false, out)
+			continue
+		}
 		ask := *w.ask
 		ask.Remaining = w.deadline - now
 		if better := k.pick(now, ask.Exclude); better != nil {
--- a/core/slots/messages.go
+++ b/core/slots/messages.go
@@ -1,6 +1,9 @@
 package slots
 
-import "clementinelock/core"
+import (
+	"clementinelock/core"
+	"clementinelock/core/crash"
+)
 
 // Token identifies one granted slot.
 type Token struct {
@@ -20,6 +23,8 @@
 	Exclude     []string
 	// Wait allows the keeper to queue the ask; without it the keeper refuses when no slot is free.
 	Wait bool
+	// Content identifies the request by its content.
+	Content crash.Digest
 }
 
 // Grant grants a slot; Free is the number of slots that the keeper has left.
--- a/core/slots/node.go
+++ b/core/slots/node.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/tree"
 )
 
@@ -35,6 +36,8 @@
 	// Admit reports whether this host's share of the region's limits admits one more request of the service; nil
 	// admits all.
 	Admit func(now core.Millis, service string) bool
+	// Quarantined returns for how long a request must not be sent to endpoints; 0 means that it may be. Nil allows all.
+	Quarantined func(now core.Millis, content crash.Digest) core.Millis
 	// OnGrant and OnRefused pass the answer to an ask to the request that asked.
 	OnGrant   func(now core.Millis, m *Grant, out *core.Effects)
 	OnRefused func(now core.Millis, m *Refused, out *core.Effects)
@@ -301,3 +304,11 @@
 	}
 	return out
 }
+
+// quarantined returns for how long the request of an ask must not be sent to endpoints.
+func (n *Node) quarantined(now core.Millis, ask *Ask) core.Millis {
+	if n.Quarantined == nil {
+		return 0
+	}
+	return n.Quarantined(now, ask.Content)
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -11,6 +11,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/call"
+	"clementinelock/core/crash"
 	"clementinelock/io/fetch"
 	"clementinelock/io/proto"
 
@@ -77,6 +78,7 @@
 		Attempt: attempt, Replayable: complete,
 	}
 	e.setKey(service, r)
+	e.Arrival.Content = e.contentDigest(service, r)
 	return e, nil
 }
 
@@ -96,6 +98,19 @@
 	e.Arrival.Digest = digest.Sum64()
 }
 
+// contentDigest returns the digest by which repetitions of the request are recognised. Of a long body it covers the length
+// and the part that was read ahead; a request whose body was not read ahead at all has no digest. The Host header is not
+// part of it, since it often names the entry host.
+func (e *Exchange) contentDigest(service string, r *http.Request) crash.Digest {
+	if e.Request.Rest != nil && len(e.Request.Prefix) == 0 {
+		return crash.Digest{}
+	}
+	return crash.NewDigest(
+		[]byte(r.Header.Get("Authorization")), []byte(service), []byte(r.Method), []byte(e.Request.Target),
+		[]byte(strconv.FormatInt(e.Request.Length, 10)), e.Request.Prefix,
+	)
+}
+
 func parseAttempt(text string) (uint64, error) {
 	if text == "" {
 		return 0, nil
--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"clementinelock/core"
@@ -67,6 +68,7 @@
 	StartTime time.Time
 	sent      atomic.Int64
 	gotConn   atomic.Bool
+	endpoint  string
 	cancel    context.CancelFunc
 }
 
@@ -84,7 +86,7 @@
 // an error, the end says whether any byte of the request may have been sent.
 func (c *Client) Start(ctx context.Context, r *Request, endpoint string, remaining core.Millis, fresh bool) (*Attempt, *call.End) {
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
-	a := &Attempt{StartTime: time.Now(), cancel: cancel}
+	a := &Attempt{StartTime: time.Now(), endpoint: endpoint, cancel: cancel}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.gotConn.Store(true) }}
 	request, err := a.build(httptrace.WithClientTrace(ctx, trace), r, endpoint, remaining)
 	if err != nil {
@@ -97,8 +99,10 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
+		end := a.errorEnd(err)
+		end.EndpointGone = end.Ending == call.Broken && !isOwnEnd(err) && isRefused(endpoint)
 		cancel()
-		return nil, a.errorEnd(err)
+		return nil, end
 	}
 	a.Response = response
 	return a, nil
@@ -112,6 +116,21 @@
 	return end
 }
 
+// isOwnEnd reports whether this host ended the attempt, by its deadline or because it was cancelled.
+func isOwnEnd(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// isRefused reports whether the address refuses connections, as that of a process that has ended does.
+func isRefused(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func shortError(err error) string {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return "no answer within the deadline"
@@ -235,7 +254,9 @@
 			break
 		}
 		if err != nil {
-			return call.End{Ending: call.Truncated, Latency: a.latency(), Detail: shortError(err)}, bytesRead, writeErr
+			end := call.End{Ending: call.Truncated, Latency: a.latency(), Detail: shortError(err)}
+			end.EndpointGone = !isOwnEnd(err) && isRefused(a.endpoint)
+			return end, bytesRead, writeErr
 		}
 	}
 	return a.completeEnd(capture, kept, bytesRead), bytesRead, writeErr
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -20,7 +20,13 @@
 // RequestHeader is the header that carries the ID of an experiment's request.
 const RequestHeader = "Clementinelock-Test-Request"
 
-const answerBytes = 512
+// CrashHeader is the header of a request under which the endpoint that runs it ends; it is back after crashDowntime.
+const CrashHeader = "Clementinelock-Test-Crash"
+
+const (
+	answerBytes   = 512
+	crashDowntime = 1500 * time.Millisecond
+)
 
 // Endpoint is one stand-in endpoint.
 type Endpoint struct {
@@ -37,6 +43,7 @@
 	shed      bool
 	lastBegan time.Time
 	server    *http.Server
+	crashes   int
 }
 
 // Upstreams holds the stand-in endpoints of all upstreams of a tree. Set the exported fields before Start.
@@ -52,6 +59,7 @@
 	leaving   map[string]int64
 	random    *rand.Rand
 	wait      sync.WaitGroup
+	stopped   bool
 }
 
 // Start opens every endpoint of the tree.
@@ -81,21 +89,61 @@
 	if err != nil {
 		return err
 	}
-	e.server = &http.Server{Handler: f.handler(e), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: f.handler(e), ReadHeaderTimeout: time.Second}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.stopped {
+		return listener.Close()
+	}
+	e.server = server
 	f.wait.Add(1)
 	go func() {
 		defer f.wait.Done()
 		// After Close, Serve returns http.ErrServerClosed.
-		_ = e.server.Serve(listener)
+		_ = server.Serve(listener)
 	}()
 	return nil
 }
 
+// crash ends an endpoint with all of its connections, and opens it again after crashDowntime.
+func (f *Upstreams) crash(e *Endpoint) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	server := e.server
+	if server == nil || f.stopped {
+		return
+	}
+	e.server = nil
+	e.crashes++
+	// Nothing is left to be done if the endpoint can't be closed cleanly.
+	_ = server.Close()
+	time.AfterFunc(crashDowntime, func() {
+		if err := f.open(e); err != nil {
+			panic(fmt.Sprintf("endpoint %s is not back after a crash: %v", e.Address, err))
+		}
+	})
+}
+
+// Crashes returns how often endpoints have ended under requests with CrashHeader.
+func (f *Upstreams) Crashes() (n int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, e := range f.endpoints {
+		n += e.crashes
+	}
+	return n
+}
+
 // Stop closes every endpoint.
 func (f *Upstreams) Stop() {
+	f.mutex.Lock()
+	f.stopped = true
 	for _, e := range f.endpoints {
-		_ = e.server.Close()
+		if e.server != nil {
+			_ = e.server.Close()
+		}
 	}
+	f.mutex.Unlock()
 	f.wait.Wait()
 }
 
@@ -105,6 +153,11 @@
 	if err != nil {
 		return err
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if e.server == nil {
+		return nil
+	}
 	return e.server.Close()
 }
 
@@ -178,6 +231,10 @@
 	if !f.simulateWork(r.Context(), slow) {
 		return
 	}
+	if r.Header.Get(CrashHeader) != "" {
+		f.crash(e)
+		return
+	}
 	header := w.Header()
 	header.Set(proto.Load, proto.FormatLoad(e.loadReport()))
 	header.Set(RequestHeader, r.Header.Get(RequestHeader))
