Bytes without end from an endpoint no longer fill an entry host's memory

Heads of answers were read without a bound, and the bodies of answers to other requests until the deadline.

Change: 64 KB for the head of an answer with all interim ones, 1 MB for each of at most 8 late answers to other requests; beyond that the attempt ends as Spoiled and its connection is closed, so that it is tried elsewhere or answered at once. A body that belongs to the request was streamed in parts before and still is.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -19,7 +19,9 @@
 	pool    *Pool
 	address string
 	conn    net.Conn
-	reader  *bufio.Reader
+	// limit bounds the bytes that are read from the connection as part of heads, and of answers that are skipped.
+	limit  io.LimitedReader
+	reader *bufio.Reader
 
 	mutex     sync.Mutex
 	pending   *exchange
@@ -39,17 +41,21 @@
 	written chan struct{}
 	// bodyDone is closed when a streamed body has been read or abandoned.
 	bodyDone chan struct{}
+	// skipped counts the answers to other requests.
+	skipped int
 	// streamed is set if the request is written while its answer may arrive already.
 	streamed bool
 }
 
 func newConnection(p *Pool, address string, conn net.Conn) *connection {
-	return &connection{
-		pool: p, address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes),
-		expiresAt: time.Now().Add(24 * time.Hour),
-	}
+	c := &connection{pool: p, address: address, conn: conn, limit: io.LimitedReader{R: conn, N: unlimited}, expiresAt: time.Now().Add(24 * time.Hour)}
+	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
+	return c
 }
 
+// unlimited is the limit of a connection whose bytes are wanted.
+const unlimited = 1<<63 - 1
+
 // acquire reserves the connection for a request; it returns false when the connection is closed or busy.
 func (c *connection) acquire() bool {
 	c.mutex.Lock()
@@ -199,10 +205,12 @@
 			}
 			return
 		}
+		c.limit.N = maxHeadBytes
 		if !c.readAnswer(e) {
 			c.close()
 			return
 		}
+		c.limit.N = unlimited
 	}
 }
 
@@ -215,21 +223,18 @@
 
 // readAnswer reads one answer; it returns whether the connection remains open.
 func (c *connection) readAnswer(e *exchange) bool {
-	request := &http.Request{Method: e.method}
-	response, err := http.ReadResponse(c.reader, request)
+	response, err := c.readFinalHead(e)
 	if err != nil {
-		e.result <- Result{Ending: Spoiled, Detail: err.Error()}
+		e.result <- Result{Ending: Spoiled, Detail: c.limitDetail(err)}
 		return false
 	}
-	if response.StatusCode < http.StatusOK {
-		return true
-	}
 	if c.pool.OnHeader != nil {
 		c.pool.OnHeader(e.endpoint, response.StatusCode, response.Header)
 	}
 	if got := response.Header.Get(c.pool.Dialect.RequestID); got != e.id {
 		return c.skipAnswer(e, response, got)
 	}
+	c.limit.N = unlimited
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
 	if err != nil {
@@ -253,9 +258,37 @@
 	return open
 }
 
+// readFinalHead reads the heads of an answer up to the one that is not interim.
+func (c *connection) readFinalHead(e *exchange) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: e.method})
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
+// limitDetail describes a failure to read, whose cause may be that the endpoint sent too many bytes.
+func (c *connection) limitDetail(err error) string {
+	if c.limit.N <= 0 {
+		return "endpoint sent too many bytes that are no answer"
+	}
+	return err.Error()
+}
+
 // skipAnswer discards the answer to an earlier request; the connection is not reused afterwards.
 func (c *connection) skipAnswer(e *exchange, response *http.Response, got string) bool {
+	e.skipped++
+	c.limit.N = maxSkippedBytes
+	if e.skipped > maxSkippedAnswers {
+		e.result <- Result{Ending: Spoiled, Detail: "endpoint sent too many answers to other requests"}
+		return false
+	}
 	_, err := io.Copy(io.Discard, response.Body)
+	if c.limit.N <= 0 {
+		e.result <- Result{Ending: Spoiled, Detail: c.limitDetail(err)}
+		return false
+	}
 	c.mutex.Lock()
 	c.expiresAt = time.Time{}
 	c.mutex.Unlock()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -30,7 +30,13 @@
 	// writeGracePeriod is how long to wait for a request to be written whole when its answer has come first.
 	writeGracePeriod = 20 * time.Millisecond
 	headBytes        = 1024
-	readBufferBytes  = 4 << 10
+	// maxHeadBytes bounds the heads of an answer with all interim ones.
+	maxHeadBytes = 64 << 10
+	// maxSkippedAnswers and maxSkippedBytes bound the late answers that may come before the one that is expected, and the
+	// body of each.
+	maxSkippedAnswers = 8
+	maxSkippedBytes   = 1 << 20
+	readBufferBytes   = 4 << 10
 	// maxBufferedBody is how much of an answer is read before any of it is forwarded.
 	maxBufferedBody = 256 << 10
 	copyBufferBytes = 16 << 10
