Heads of upstreams' answers are bounded in a tree's deployment too

The same cause at the other client: the transport's default of 10 MB for each head allows 16 requests 65 and 71 MB (TestHeadsWithoutEnd, 32 allowed). Bodies were streamed, or cut at the stored size, before.

--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -25,6 +25,8 @@
 	idleConnTimeout = time.Second
 	pollTimeout     = 400 * time.Millisecond
 	maxReportBytes  = 4 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is a caller's request as it is sent to an endpoint.
@@ -56,6 +58,7 @@
 	shared := &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	fresh := shared.Clone()
 	fresh.DisableKeepAlives = true
