A planned stop answers what it has read

It can happen here, in two ways: - Idle connections were closed from outside.

Change: a connection that waits for a request is interrupted and ends by itself; what has begun to arrive is read and refused as not run. During a stop the answer to the last request that has started closes the connection; a request behind it that has not started counts as not read, as before (TestWritesBehindAClose).

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,13 @@
 	queue  chan *exchange
 	// open counts the requests that are read and not yet answered.
 	open atomic.Int64
+	// mutex orders the start of a request and the decision that an answer is the last one; noMore is set by the latter.
+	// running counts the requests that have started and are not yet answered.
+	mutex   sync.Mutex
+	noMore  bool
+	running int
+	// waiting is set while the next request's first byte is awaited.
+	waiting atomic.Bool
 	// lastAnswer is when the last answer was written, in Unix nanoseconds.
 	lastAnswer atomic.Int64
 	// writerDone is closed once nothing more is written.
@@ -45,7 +53,10 @@
 	// digest identifies the request among those of all callers.
 	digest crash.Digest
 	closes bool
-	reply  chan *reply
+	conn   *conn
+	// started is set once the request may reach an endpoint; the connection's mutex guards it.
+	started bool
+	reply   chan *reply
 	// precedingWritten is closed when all preceding answers are written.
 	precedingWritten chan struct{}
 	// bodyRead is closed when a streamed body has been read or abandoned; nil without one.
@@ -106,7 +117,10 @@
 			c.cancel()
 			return
 		}
-		c.enqueue(x)
+		x.closes = x.closes || c.server.Stopping()
+		if !c.enqueue(x) {
+			return
+		}
 		go c.serve(x)
 		if x.bodyRead != nil {
 			<-x.bodyRead
@@ -129,7 +143,15 @@
 	}
 }
 
-func (c *conn) enqueue(x *exchange) {
+// enqueue takes a request for an answer. It returns false if the preceding answer has closed the connection, so that the
+// request counts as not read.
+func (c *conn) enqueue(x *exchange) bool {
+	c.mutex.Lock()
+	noMore := c.noMore
+	c.mutex.Unlock()
+	if noMore {
+		return false
+	}
 	c.open.Add(1)
 	c.server.active.Add(1)
 	c.server.arrived.Add(1)
@@ -138,6 +160,33 @@
 	case <-c.writerDone:
 		c.exchangeDone()
 	}
+	return true
+}
+
+// begin reports whether a request may reach an endpoint now. It may not once a preceding answer closes the connection,
+// since it then counts as not read.
+func (c *conn) begin(x *exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.noMore {
+		return false
+	}
+	x.started = true
+	c.running++
+	return true
+}
+
+// isLast decides whether an answer is the last one of its connection. During a planned stop, it is the answer to the last
+// request that has started.
+func (c *conn) isLast(x *exchange, r *reply) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if x.started {
+		c.running--
+	}
+	last := x.closes || r.close || c.server.Stopping() && c.running == 0
+	c.noMore = c.noMore || last
+	return last
 }
 
 func (c *conn) exchangeDone() {
@@ -169,13 +218,19 @@
 func (c *conn) awaitByte(idle time.Duration) bool {
 	until := time.Now().Add(idle)
 	for {
+		finishing := c.server.finishing.Load() && c.open.Load() == 0
+		if finishing {
+			until = time.Now().Add(finalReadTimeout)
+		}
+		c.waiting.Store(true)
 		_ = c.conn.SetReadDeadline(until)
 		_, err := c.reader.Peek(1)
+		c.waiting.Store(false)
 		if err == nil {
 			return true
 		}
 		var network net.Error
-		if !errors.As(err, &network) || !network.Timeout() {
+		if !errors.As(err, &network) || !network.Timeout() || finishing {
 			return false
 		}
 		now := time.Now()
@@ -183,12 +238,22 @@
 		if c.open.Load() > 0 {
 			until = now.Add(idle)
 		}
-		if !until.After(now) {
+		if !until.After(now) && !c.server.finishing.Load() {
 			return false
 		}
 	}
 }
 
+// interrupt ends the wait for a request at the end of a planned stop. A request that has begun to arrive is read.
+func (c *conn) interrupt() {
+	if c.waiting.Load() && c.open.Load() == 0 {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// finalReadTimeout is the time in which a request that was sent already is read at the end of a planned stop.
+const finalReadTimeout = 5 * time.Millisecond
+
 // rejectUnreadable returns a refused exchange for a request that is not valid, or nil when the connection has ended or
 // timed out.
 func (c *conn) rejectUnreadable(err error) *exchange {
@@ -217,7 +282,7 @@
 			close(x.precedingWritten)
 		}
 		r := <-x.reply
-		last := x.closes || r.close || c.server.Stopping()
+		last := c.isLast(x, r)
 		err := c.send(x, r, last)
 		c.exchangeDone()
 		if err != nil || last {
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -21,7 +21,7 @@
 	}
 	d := c.server.Dialect
 	x = &exchange{
-		path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
+		conn: c, path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
 		precedingWritten: make(chan struct{}),
 		request: &pool.Request{
 			ID: request.Header.Get(d.RequestID), Method: request.Method, Target: request.RequestURI, Host: request.Host,
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -115,6 +115,9 @@
 	if ctx.Err() != nil || left <= 0 {
 		return refuse(record, core.Refuse(core.Overloaded, core.RanNo, "deadline passed before the request was started"))
 	}
+	if !x.conn.begin(x) {
+		return refuse(record, core.Refuse(core.Stopping, core.RanNo, "a preceding answer has closed the connection"))
+	}
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	return s.runAttempts(ctx, x, route, deadline, record)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -142,8 +142,9 @@
 	return s.stopping.Load()
 }
 
-// FinishShutdown closes the listener and idle connections, refuses requests that are still read, waits until no request is in flight or the timeout is over,
-// and returns how many requests are left.
+// FinishShutdown closes the listener and idle connections, and refuses requests that are still read. It waits until no
+// request is in flight and callers have read their last answers, or the timeout is over, and returns how many requests are
+// left.
 func (s *Server) FinishShutdown(timeout time.Duration) (left int) {
 	s.finishing.Store(true)
 	s.mutex.Lock()
@@ -153,23 +154,28 @@
 	}
 	s.mutex.Unlock()
 	end := time.Now().Add(timeout)
+	answeredAt := time.Now()
 	for {
-		s.closeIdle()
-		if s.Active() == 0 || time.Now().After(end) {
+		open := s.interruptIdle()
+		now := time.Now()
+		if s.Active() > 0 {
+			answeredAt = now
+		}
+		if open == 0 || now.Sub(answeredAt) > lingerTimeout || now.After(end) {
 			return s.Active()
 		}
 		time.Sleep(shutdownCheckInterval)
 	}
 }
 
-func (s *Server) closeIdle() {
+// interruptIdle ends the wait for requests on idle connections, and returns how many connections are open.
+func (s *Server) interruptIdle() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c := range s.conns {
-		if c.open.Load() == 0 {
-			_ = c.conn.Close()
-		}
+		c.interrupt()
 	}
+	return len(s.conns)
 }
 
 func (s *Server) limits() routes.Limits {
