A late second copy of an answer reaches no other caller in a tree's deployment

From the operators' list: a server sent a second copy of an answer, late, on a connection that was in use again. On entry hosts of fleets the request id in the answer tells it apart (TestLateSecondAnswer of io/entry, and the case of a late answer that comes first).

Change: each attempt has an id, which the upstream may return in its answer. Only connections of an upstream whose latest answer returned it are used again; an answer with another id, or without one on such a connection, ends the attempt as Broken and closes the connection. Upstreams that don't return it get a connection for each request, as requests that must not be repeated always did; what that costs them was not measured here. The stand-ins return it.

--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -49,6 +52,9 @@
 type Client struct {
 	shared   *http.Transport
 	unshared *http.Transport
+	// returnsID holds, by endpoint, whether its latest answer returned the id of its attempt. Only such an endpoint's
+	// connections are shared: a late second copy of an answer is told from the answer that is expected by its id.
+	returnsID sync.Map
 }
 
 // New returns a client that opens at most the given number of connections to one endpoint, of shared and of unshared
@@ -71,6 +77,7 @@
 	StartTime time.Time
 	sent      atomic.Int64
 	gotConn   atomic.Bool
+	id        string
 	endpoint  string
 	cancel    context.CancelFunc
 }
@@ -89,7 +96,7 @@
 // an error, the end says whether any byte of the request may have been sent.
 func (c *Client) Start(ctx context.Context, r *Request, endpoint string, remaining core.Millis, fresh bool) (*Attempt, *call.End) {
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
-	a := &Attempt{StartTime: time.Now(), endpoint: endpoint, cancel: cancel}
+	a := &Attempt{StartTime: time.Now(), id: strconv.FormatUint(rand.Uint64(), 16), endpoint: endpoint, cancel: cancel}
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.gotConn.Store(true) }}
 	request, err := a.build(httptrace.WithClientTrace(ctx, trace), r, endpoint, remaining)
 	if err != nil {
@@ -97,7 +104,7 @@
 		return nil, &call.End{Ending: call.NotSent, Detail: err.Error()}
 	}
 	transport := c.shared
-	if fresh || !r.Idempotent || r.Length == 0 && bodyMethods[r.Method] {
+	if returns, _ := c.returnsID.Load(endpoint); returns != true || fresh || !r.Idempotent || r.Length == 0 && bodyMethods[r.Method] {
 		transport = c.unshared
 	}
 	response, err := transport.RoundTrip(request)
@@ -108,6 +115,14 @@
 		return nil, end
 	}
 	a.Response = response
+	got := response.Header.Get(proto.RequestID)
+	c.returnsID.Store(endpoint, got == a.id)
+	if got != a.id && (got != "" || transport == c.shared) {
+		// Cancelling closes the connection, on which the expected answer may still follow.
+		cancel()
+		_ = response.Body.Close()
+		return nil, &call.End{Ending: call.Broken, Latency: a.latency(), Detail: fmt.Sprintf("answer has id %q of another attempt", got)}
+	}
 	return a, nil
 }
 
@@ -154,6 +169,7 @@
 		return nil, err
 	}
 	request.Header = endToEnd(r.Header)
+	request.Header.Set(proto.RequestID, a.id)
 	request.Header.Set(proto.Deadline, strconv.FormatInt(int64(remaining), 10))
 	request.Host = r.Host
 	request.Trailer = r.Trailer
@@ -212,7 +228,9 @@
 
 // AnswerHeader returns a copy of the answer's headers without the hop-by-hop ones.
 func (a *Attempt) AnswerHeader() http.Header {
-	return endToEnd(a.Response.Header)
+	header := endToEnd(a.Response.Header)
+	header.Del(proto.RequestID)
+	return header
 }
 
 // Head returns the answer's status, whether the request did not run, and the load report.
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -24,6 +24,8 @@
 	ServedBy       = "Clementinelock-Host"
 	Load           = "Clementinelock-Load"
 	Limit          = "Clementinelock-Limit"
+	// RequestID identifies one attempt; upstreams that return it in their answers keep their connections.
+	RequestID = "Clementinelock-Request"
 )
 
 // Paths of the callers' and the upstreams' protocols.
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -238,6 +238,7 @@
 	header := w.Header()
 	header.Set(proto.Load, proto.FormatLoad(e.loadReport()))
 	header.Set(RequestHeader, r.Header.Get(RequestHeader))
+	header.Set(proto.RequestID, r.Header.Get(proto.RequestID))
 	header.Set("Content-Length", strconv.Itoa(answerBytes))
 	_, _ = w.Write(answerBody(r.Header.Get(RequestHeader), len(body)))
 }
