A host that was paused carries out no orders from before the pause

The message of an order could also wait in the queue to the leader for as long as a process was paused or a connection was away.

What was looked at and holds: an order that waits is dropped after 0.9 s before it is sent again (retryOrders), and a paused leader can't commit once another one leads. Not covered: an order that the network itself delays by up to the 2 s after which a silent connection ends.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -75,7 +75,10 @@
 	suspectsChanged bool
 	// quarantineProposedAt is when this host last proposed a change of a quarantine.
 	quarantineProposedAt core.Millis
-	startedAt            core.Millis
+	// tickedAt is the time of the latest tick, resumedAt the end of the latest pause of the process.
+	tickedAt  core.Millis
+	resumedAt core.Millis
+	startedAt core.Millis
 	// ready caches the entry hosts that serve; readyCached is false after a change.
 	ready       []EntryHost
 	readyCached bool
@@ -138,6 +141,7 @@
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
 	c.peaks, c.startedAt = map[string]peak{}, now
+	c.tickedAt, c.resumedAt = now, now-resumeDelay
 	c.entriesNumber, c.controlsNumber = 1, 1
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
@@ -155,6 +159,7 @@
 // Tick does what is due; the driver calls it every ControlTickInterval.
 func (c *Control) Tick(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
+		c.noticePause(now)
 		c.quorum.Tick(now, out)
 		c.recordLeader(now, out)
 		c.expireHosts(now, out)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -75,7 +75,8 @@
 }
 
 // Stats counts messages, bytes and connections. Dropped counts messages that met a full queue, Dials attempts to open a
-// connection, and Lost connections that had ended or stalled when a message was to be written.
+// connection, and Lost connections that had ended or stalled when a message
+// was to be written, and messages that had waited for too long.
 type Stats struct {
 	mutex                                                    sync.Mutex
 	SentMessages, SentBytes, ReceivedMessages, ReceivedBytes uint64
@@ -260,13 +261,13 @@
 	n.mutex.Lock()
 	p := n.peers[to]
 	if p == nil {
-		p = &peer{network: n, name: to, queue: make(chan []byte, queueLength)}
+		p = &peer{network: n, name: to, queue: make(chan queued, queueLength)}
 		n.peers[to] = p
 		go p.run(n.context)
 	}
 	n.mutex.Unlock()
 	select {
-	case p.queue <- data:
+	case p.queue <- queued{data, time.Now()}:
 	default:
 		n.Stats.add(func(s *Stats) { s.Dropped++ })
 	}
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -16,11 +16,26 @@
 // maxBatchBytes is the size from which a batch takes no further message.
 const maxBatchBytes = 64 << 10
 
+// maxQueueTime is how long a message may wait to be sent. A process that was paused, or whose connection has failed, must
+// not send what its sender has given up on meanwhile.
+const maxQueueTime = 1500 * time.Millisecond
+
+// queued is a message that waits since a time.
+type queued struct {
+	data  []byte
+	since time.Time
+}
+
+// isStale reports whether the message has waited for too long.
+func (q queued) isStale() bool {
+	return time.Since(q.since) > maxQueueTime
+}
+
 // peer sends to one host.
 type peer struct {
 	network    *Network
 	name       string
-	queue      chan []byte
+	queue      chan queued
 	connection *quic.Conn
 	stream     *quic.SendStream
 	// shared reports whether the other host opened the connection.
@@ -43,15 +58,15 @@
 		case <-idle.C:
 			p.disconnect()
 			idle.Reset(idleTimeout)
-		case data := <-p.queue:
+		case message := <-p.queue:
 			idle.Reset(idleTimeout)
-			p.send(ctx, data)
+			p.send(ctx, message)
 		}
 	}
 }
 
 // send writes a message and others that are queued; a message that can't be written is lost.
-func (p *peer) send(ctx context.Context, data []byte) {
+func (p *peer) send(ctx context.Context, message queued) {
 	if p.connection != nil && p.connection.Context().Err() != nil {
 		p.network.Stats.add(func(s *Stats) { s.Lost++ })
 		p.disconnect()
@@ -63,14 +78,9 @@
 	if p.connection == nil && !p.reuseIncoming() && !p.dial(ctx) {
 		return
 	}
-	buffer := binary.AppendUvarint(nil, uint64(len(data)))
-	buffer = append(buffer, data...)
-	count := uint64(1)
-	for len(buffer) < maxBatchBytes && len(p.queue) > 0 {
-		next := <-p.queue
-		buffer = binary.AppendUvarint(buffer, uint64(len(next)))
-		buffer = append(buffer, next...)
-		count++
+	buffer, count := p.batch(message)
+	if count == 0 {
+		return
 	}
 	_ = p.stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := p.stream.Write(buffer); err != nil {
@@ -83,6 +93,23 @@
 	p.network.Stats.add(func(s *Stats) { s.SentMessages += count; s.SentBytes += uint64(len(buffer)) })
 }
 
+// batch encodes a message and others that are queued, without stale ones.
+func (p *peer) batch(message queued) (buffer []byte, count uint64) {
+	for {
+		if message.isStale() {
+			p.network.Stats.add(func(s *Stats) { s.Lost++ })
+		} else {
+			buffer = binary.AppendUvarint(buffer, uint64(len(message.data)))
+			buffer = append(buffer, message.data...)
+			count++
+		}
+		if len(buffer) >= maxBatchBytes || len(p.queue) == 0 {
+			return buffer, count
+		}
+		message = <-p.queue
+	}
+}
+
 // reuseIncoming adopts the connection that the host opened, when reuse is enabled and there is one.
 func (p *peer) reuseIncoming() bool {
 	if !p.network.ReuseIncoming {
