A keeper that has just started waits for notices of leaving endpoints

Change: a keeper grants nothing before another host or the platform has told the process which endpoints are leaving, for a second at most, so that a host that is cut off still serves alone; a single host does not wait.

--- a/core/host/machine.go
+++ b/core/host/machine.go
@@ -153,6 +153,7 @@
 			keeper, _ := m.members.Keeper(now, zone, service)
 			return keeper.Host
 		},
+		Informed: m.members.Informed,
 		Quarantined: func(now core.Millis, content crash.Digest) core.Millis {
 			return m.crashes.Remaining(now, content)
 		},
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -28,6 +28,8 @@
 	refreshOdds = 16
 	// maxNotices is the limit of notices in one heartbeat.
 	maxNotices = 512
+	// noticeTimeout is how long a host that has started waits for others' notices; a host that is cut off serves alone.
+	noticeTimeout = core.Second
 )
 
 // peerEntry is another host's entry, with the times when it was last heard of and when it last changed.
@@ -72,7 +74,9 @@
 	lastHeartbeat core.Millis
 	zoneCursor    int
 	notices       map[string]Notice
-	byHash        map[uint32]string
+	// informed is set once another host or the platform has sent notices, if only to say that there are none.
+	informed bool
+	byHash   map[uint32]string
 	// lastReport is this zone's report as last sent; reportChangedAt is when it last changed.
 	lastReport      Report
 	reportChangedAt core.Millis
@@ -119,6 +123,7 @@
 // ApplyNotices applies notices about endpoints from the platform's list or from another host; the newest
 // notice of each endpoint counts.
 func (t *Table) ApplyNotices(now core.Millis, notices []Notice, out *core.Effects) {
+	t.informed = true
 	changed := false
 	for _, notice := range notices {
 		old, known := t.notices[notice.Endpoint]
@@ -302,6 +307,21 @@
 	return true
 }
 
+// Informed reports whether this host can know which endpoints are leaving; one that has just started has forgotten them.
+func (t *Table) Informed(now core.Millis) bool {
+	return t.informed || now-t.started >= noticeTimeout || t.isAlone()
+}
+
+// isAlone reports whether there are no other hosts.
+func (t *Table) isAlone() bool {
+	_, hosts := t.hostsByZone()
+	count := 0
+	for _, names := range hosts {
+		count += len(names)
+	}
+	return count <= 1
+}
+
 // Snapshot returns the entries and reports for a dump.
 func (t *Table) Snapshot(now core.Millis) (entries []Entry, reports []Report) {
 	entries = []Entry{t.ownEntry(now)}
--- a/core/slots/keeper.go
+++ b/core/slots/keeper.go
@@ -113,10 +113,10 @@
 	}
 }
 
-// mayGrant reports whether this host may grant slots: it holds the lease, or it is the first candidate,
-// has lost the lease and may use the reserved slots.
+// mayGrant reports whether this host may grant slots: it knows which endpoints are leaving, and it holds the lease, or is
+// the first candidate, has lost the lease and may use the reserved slots.
 func (k *keeper) mayGrant(now core.Millis) bool {
-	return k.active && (k.reservedOnly || k.node.Holds(now, k.zone, k.service))
+	return k.active && k.node.informed(now) && (k.reservedOnly || k.node.Holds(now, k.zone, k.service))
 }
 
 // askWho sends Who to the hosts that have not reported their slots yet.
--- a/core/slots/node.go
+++ b/core/slots/node.go
@@ -36,6 +36,8 @@
 	// Admit reports whether this host's share of the region's limits admits one more request of the service; nil
 	// admits all.
 	Admit func(now core.Millis, service string) bool
+	// Informed reports whether this host knows which endpoints are leaving; nil means that it does.
+	Informed func(now core.Millis) bool
 	// Quarantined returns for how long a request must not be sent to endpoints; 0 means that it may be. Nil allows all.
 	Quarantined func(now core.Millis, content crash.Digest) core.Millis
 	// OnGrant and OnRefused pass the answer to an ask to the request that asked.
@@ -305,6 +307,11 @@
 	return out
 }
 
+// informed reports whether this host knows which endpoints are leaving.
+func (n *Node) informed(now core.Millis) bool {
+	return n.Informed == nil || n.Informed(now)
+}
+
 // quarantined returns for how long the request of an ask must not be sent to endpoints.
 func (n *Node) quarantined(now core.Millis, ask *Ask) core.Millis {
 	if n.Quarantined == nil {
