--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"slices"
+
 	"clementinelock/core"
+	"clementinelock/core/crash"
 	"clementinelock/core/quorum"
 )
 
@@ -24,6 +27,9 @@
 	Endpoints  int
 	// Orders counts the operators' orders that wait for the leader.
 	Orders int
+	// Quarantined holds the requests that are kept from endpoints, Suspects those that several endpoints ended under.
+	Quarantined []crash.QuarantineDump
+	Suspects    []crash.Digest
 }
 
 // Dump returns the host's state for operators.
@@ -34,6 +40,7 @@
 		Version: published.Document.Version, Index: published.Index, Evacuated: published.Evacuated,
 		Entries: c.readyEntries(), Controls: c.controlHosts(), ReadsList: c.readsList, ListNumber: c.list.Number(),
 		ListAge: c.list.Age(now), Endpoints: c.list.Len(), Orders: len(c.orders.pending),
+		Quarantined: crash.Dump(now, published.Quarantined), Suspects: c.crashes.Suspects(now),
 	}
 }
 
@@ -49,6 +56,8 @@
 	Endpoints int
 	ListAge   core.Millis
 	Counts    EntryCounts
+	// Quarantined holds the requests that this host keeps from endpoints.
+	Quarantined []crash.QuarantineDump
 }
 
 // Dump returns the host's state for operators.
@@ -56,5 +65,6 @@
 	return EntryDump{
 		EntryHost: e.EntryHost, Control: e.currentControl, HeardAgo: now - e.heardAt, Version: e.document.Version, Index: e.index,
 		Evacuated: e.evacuated, Endpoints: e.list.Len(), ListAge: e.list.Age(now), Counts: e.counts,
+		Quarantined: crash.Dump(now, slices.Concat(e.quarantined, e.ownQuarantined)),
 	}
 }
--- a/core/host/self.go
+++ b/core/host/self.go
@@ -5,6 +5,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/call"
+	"clementinelock/core/crash"
 	"clementinelock/core/ctrl"
 	"clementinelock/core/ledger"
 	"clementinelock/core/member"
@@ -235,6 +236,7 @@
 	Zones       []member.Report
 	InForce     []relay.Confirmation
 	Demand      []relay.FlowDemand
+	Quarantined []crash.QuarantineDump
 }
 
 // Dump returns the state of the process.
@@ -244,7 +246,7 @@
 		Version: m.relay.Version(), Confirmed: m.relay.Confirmed(), Stopping: m.stopping.active,
 		Leases: m.leases.Held(now), SlotsInUse: m.slots.InUse(), Ledger: m.replica.Status(), Unsettled: m.ledger.Unsettled(),
 		Limits: m.grants.Status(now), Calls: m.dispatcher.Totals(), OpenCalls: m.dispatcher.OpenCalls(), Plan: m.relay.Plan(),
-		InForce: m.relay.InForce(now), Demand: m.relay.Demand(now),
+		InForce: m.relay.InForce(now), Demand: m.relay.Demand(now), Quarantined: crash.Dump(now, m.crashes.Held()),
 	}
 	if m.view != nil {
 		d.Endpoints = m.slots.Status(now)
