--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -31,8 +31,9 @@
 	r.crashes = addRelayed(r.crashes, relayed[Report]{report, now - report.Age, now + repeatPeriod})
 }
 
-// AddServed adds a report of an answer.
+// AddServed adds a report of an answer in place of an earlier one to the same request.
 func (r *Relay) AddServed(now core.Millis, served Served) {
+	r.served = slices.DeleteFunc(r.served, func(each relayed[Served]) bool { return each.report.Digest == served.Digest })
 	r.served = addRelayed(r.served, relayed[Served]{served, now - served.Age, now + repeatPeriod})
 }
 
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -19,12 +19,15 @@
 	return *out
 }
 
-// RecordServed records answers of endpoints to suspects, and reports them at once.
+// servedBatchDelay batches the answers to several suspects into one report.
+const servedBatchDelay = 200 * core.Millisecond
+
+// RecordServed records answers of endpoints to suspects, and reports them soon.
 func (e *Entry) RecordServed(now core.Millis, served []crash.Served) {
 	for _, each := range served {
 		e.relay.AddServed(now, each)
 		e.ownCrashes.Clear(now, each)
-		e.reportAt = now
+		e.reportAt = min(e.reportAt, now+servedBatchDelay)
 	}
 }
 
