Reports of crashes cost a control host little when many endpoints end at once

Read again: for each report the suspects were sorted twice, and each report beyond 512 requests sorted all of them, so that the loss of 100 endpoints, with some 5,000 requests in flight and reports that are repeated for 2.5 s, would have taken seconds of a control host's processor (by reckoning, not measured). Suspects are sorted once for each input, and the table is cut to 384 requests when it exceeds 512.

--- a/core/crash/node.go
+++ b/core/crash/node.go
@@ -45,6 +45,8 @@
 	relay      Relay
 	held       map[Digest]Quarantine
 	nextSendAt core.Millis
+	// changed is set until the watch knows of the latest quarantines and crashes.
+	changed bool
 }
 
 // RecordCrash records that an endpoint ended while it held a request of this host; a request without a digest can't be
@@ -55,6 +57,7 @@
 	}
 	out.Logf("crashes", "Endpoint %s ended while it held request %s.", report.Endpoint, report.Digest)
 	n.addCrash(now, report)
+	n.updateWatch(now)
 }
 
 // addCrash adds a crash, and passes it on if it is news.
@@ -62,7 +65,7 @@
 	if !n.table.Record(now, report) {
 		return
 	}
-	n.updateWatch(now)
+	n.changed = true
 	if report.Age < maxNewsAge {
 		n.relay.AddCrash(now, report)
 		n.nextSendAt = min(n.nextSendAt, now)
@@ -74,7 +77,7 @@
 	if n.table.Clear(now, served) {
 		n.relay.AddServed(now, served)
 		n.nextSendAt = min(n.nextSendAt, now)
-		n.updateWatch(now)
+		n.changed = true
 	}
 	if q := n.held[served.Digest]; q.Holds(now) && len(n.table.Endpoints(served.Digest)) == 0 {
 		out.Logf("crashes", "Request %s is no longer quarantined: an endpoint has answered it.", served.Digest)
@@ -100,8 +103,12 @@
 	})
 }
 
+// updateWatch passes changed quarantines and suspects on to the watch.
 func (n *Node) updateWatch(now core.Millis) {
-	n.watch.Set(n.Held(), n.table.Suspects(now))
+	if n.changed {
+		n.changed = false
+		n.watch.Set(n.Held(), n.table.Suspects(now))
+	}
 }
 
 // hold takes over a quarantine unless this host knows a later decision.
@@ -119,6 +126,7 @@
 	}
 	n.nextSendAt = min(n.nextSendAt, now)
 	n.table.Explain(q.Digest)
+	n.changed = true
 	n.updateWatch(now)
 	if q.Holds(now) && !known.Holds(now) {
 		out.Logf("crashes", "Request %s is quarantined for %s: endpoints %v ended under it.", q.Digest, q.Until-now, n.table.Endpoints(q.Digest))
@@ -137,6 +145,7 @@
 			n.hold(now, cmp.Or(n.held[digest], Quarantine{Digest: digest}).Renewed(now), out)
 		}
 	}
+	n.updateWatch(now)
 	if now >= n.nextSendAt {
 		n.send(now, out)
 	}
@@ -175,4 +184,5 @@
 	for _, q := range news.Quarantined {
 		n.hold(now, q, out)
 	}
+	n.updateWatch(now)
 }
--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -24,7 +24,9 @@
 	// answerExcuse is how long an answer excuses its request: endpoints that end so soon after it end for other reasons.
 	answerExcuse   = 5 * core.Second
 	crashRetention = 30 * core.Minute
-	maxRequests    = 512
+	// Beyond maxRequests, all but keptRequests are forgotten, so that the requests are rarely sorted.
+	maxRequests  = 512
+	keptRequests = 384
 	// maxCrashes is how many crashes of a request are remembered.
 	maxCrashes = 8
 )
@@ -239,7 +241,7 @@
 	if len(t.requests) <= maxRequests {
 		return
 	}
-	for _, r := range t.sorted()[maxRequests:] {
+	for _, r := range t.sorted()[keptRequests:] {
 		delete(t.requests, r.digest)
 		delete(t.causes, r.digest)
 	}
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -71,8 +71,11 @@
 	// crashes holds the crashes that all entry hosts reported, relay the reports that came to this host lately.
 	crashes crash.Table
 	relay   crash.Relay
-	// suspectsChanged is set when the entry hosts have to learn of other suspects.
-	suspectsChanged bool
+	// suspects are the requests whose answers entry hosts report, as of the latest update; crashNews is set when there
+	// is news for them, and suspectsAt is when they are updated without.
+	suspects   []crash.Digest
+	crashNews  bool
+	suspectsAt core.Millis
 	// quarantineProposedAt is when this host last proposed a change of a quarantine.
 	quarantineProposedAt core.Millis
 	// tickedAt is the time of the latest tick, resumedAt the end of the latest pause of the process.
@@ -189,8 +192,8 @@
 		out.Logf("crashes", "Applied %d quarantines, index %d.", len(c.store.Published().Quarantined), c.store.Published().QuarantineIndex)
 		c.explainCrashes()
 	}
-	if c.store.Published().Index != index || c.store.Published().QuarantineIndex != quarantineIndex || c.list.Number() != number || c.suspectsChanged {
-		c.suspectsChanged = false
+	suspectsChanged := c.updateSuspects(now)
+	if suspectsChanged || c.store.Published().Index != index || c.store.Published().QuarantineIndex != quarantineIndex || c.list.Number() != number {
 		for _, name := range sortedNames(c.entries) {
 			c.sendUpdate(now, c.entries[name], out)
 		}
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -40,7 +40,7 @@
 		Version: published.Document.Version, Index: published.Index, Evacuated: published.Evacuated,
 		Entries: c.readyEntries(), Controls: c.controlHosts(), ReadsList: c.readsList, ListNumber: c.list.Number(),
 		ListAge: c.list.Age(now), Endpoints: c.list.Len(), Orders: len(c.orders.pending),
-		Quarantined: crash.Dump(now, published.Quarantined), Suspects: c.crashes.Suspects(now),
+		Quarantined: crash.Dump(now, published.Quarantined), Suspects: c.suspects,
 	}
 }
 
--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -12,44 +12,66 @@
 // proposalInterval is the time after which the leader proposes a quarantine again that is not committed yet.
 const proposalInterval = core.Second
 
-// recordReports takes over what an entry host or another control host reports of crashes and answers. It reports whether
-// any of it is news.
-func (c *Control) recordReports(now core.Millis, crashes []crash.Report, served []crash.Served, out *core.Effects) (news bool) {
-	suspects := c.crashes.Suspects(now)
-	for _, report := range crashes {
-		news = c.crashes.Record(now, report) || news
-	}
-	for _, each := range served {
-		news = c.crashes.Clear(now, each) || news
-		c.endQuarantine(now, each, out)
-	}
-	c.suspectsChanged = c.suspectsChanged || !slices.Equal(c.crashes.Suspects(now), suspects)
+// suspectsInterval is how often a control host looks for requests that are no longer suspects.
+const suspectsInterval = core.Second
+
+// recordCrash takes over a report of a crash, and reports whether it is news.
+func (c *Control) recordCrash(now core.Millis, report crash.Report) bool {
+	news := c.crashes.Record(now, report)
+	c.crashNews = c.crashNews || news
 	return news
 }
 
-// relayReports takes over what an entry host reports, and passes news on to the other control hosts.
+// recordServed takes over a report of an answer.
+func (c *Control) recordServed(now core.Millis, served crash.Served, out *core.Effects) {
+	c.crashNews = c.crashes.Clear(now, served) || c.crashNews
+	c.endQuarantine(now, served, out)
+}
+
+// relayReports takes over what an entry host reports, and passes it on to the other control hosts.
 func (c *Control) relayReports(now core.Millis, m *Report, out *core.Effects) {
 	for _, report := range m.Crashes {
-		if c.recordReports(now, []crash.Report{report}, nil, out) {
+		if c.recordCrash(now, report) {
 			c.relay.AddCrash(now, report)
 			c.shareAt = min(c.shareAt, now+shareBatchDelay)
 		}
 	}
 	for _, served := range m.Served {
+		c.recordServed(now, served, out)
 		c.relay.AddServed(now, served)
-		c.recordReports(now, nil, []crash.Served{served}, out)
 		c.shareAt = min(c.shareAt, now+shareBatchDelay)
 	}
 }
 
+// applyReports takes over what another control host passes on.
+func (c *Control) applyReports(now core.Millis, s *Share, out *core.Effects) {
+	for _, report := range s.Crashes {
+		c.recordCrash(now, report)
+	}
+	for _, served := range s.Served {
+		c.recordServed(now, served, out)
+	}
+}
+
+// updateSuspects brings the suspects up to date, and reports whether they have changed.
+func (c *Control) updateSuspects(now core.Millis) bool {
+	if !c.crashNews && now < c.suspectsAt {
+		return false
+	}
+	c.crashNews, c.suspectsAt = false, now+suspectsInterval
+	before := c.suspects
+	c.suspects = c.crashes.Suspects(now)
+	return !slices.Equal(c.suspects, before)
+}
+
 // addQuarantines adds the suspects, and the quarantines unless the entry host holds them.
-func (c *Control) addQuarantines(now core.Millis, e *entryState, u *Update) {
+func (c *Control) addQuarantines(e *entryState, u *Update) {
 	published := c.store.Published()
 	u.QuarantineIndex = published.QuarantineIndex
 	if e.QuarantineIndex != published.QuarantineIndex {
 		u.Quarantined = published.Quarantined
 	}
-	u.Suspects = c.crashes.Suspects(now)
+	u.Suspects = c.suspects
 }
 
 // quarantineDue proposes, as the leader, the quarantine of a request that has crashed too many endpoints.
@@ -93,9 +115,10 @@
 	c.quorum.Propose(now, codec.Encode(edits.Command{Quarantine: &edits.QuarantineChange{Quarantine: q, At: now}}), out)
 }
 
-// explainCrashes forgets the crashes of other requests that the quarantined ones caused.
+// explainCrashes lets the crashes that quarantined requests caused no longer count against others.
 func (c *Control) explainCrashes() {
 	for _, q := range c.store.Published().Quarantined {
 		c.crashes.Explain(q.Digest)
 	}
+	c.crashNews = true
 }
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -80,7 +80,7 @@
 	c.addControls(&e.Report, u)
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
-	c.addQuarantines(now, e, u)
+	c.addQuarantines(e, u)
 	u.Entries, u.CountsPending = c.countEntries(now, e.Region, e.Zone)
 	out.Send(e.Name, u)
 }
@@ -201,7 +201,7 @@
 	}
 	other.ControlHost, other.heardAt, other.loads = m.ControlHost, now, m.Loads
 	c.applyPeaks(now, m.Peaks)
-	c.recordReports(now, m.Crashes, m.Served, out)
+	c.applyReports(now, m, out)
 	if m.Full {
 		other.entries, other.entriesNumber = m.Entries, m.Number
 		c.readyCached = false
