Endpoints that end at one moment don't quarantine a request

Change: the three ends have to come at two moments, 250 ms apart. Weighed and left: to leave out moments at which more endpoints end without the request than with it; with three such requests at once none would ever be found. The tests of several processes pass (10 endpoints and none after the window).

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -12,6 +12,10 @@
 const (
 	// crashesToQuarantine is how many endpoints have to end under a request before it is kept from the others.
 	crashesToQuarantine = 3
+	// momentsToQuarantine is at how many different moments, each of momentLength, they have to end. Many endpoints may end
+	// at once for another reason, and a request with its retries may meet several of them.
+	momentsToQuarantine = 2
+	momentLength        = 250 * core.Millisecond
 	// crashesToSuspect is the number from which hosts are asked whether endpoints answer the request.
 	crashesToSuspect = 2
 	// suspectPeriod is how long after a crash a request is a suspect.
@@ -103,6 +107,18 @@
 	return n
 }
 
+// moments returns at how many different moments endpoints ended that no other request explains.
+func (r *request) moments() (n int) {
+	began := -momentLength
+	for _, c := range r.crashes {
+		if !c.explained && c.at-began >= momentLength {
+			began = c.at
+			n++
+		}
+	}
+	return n
+}
+
 // isExplained reports whether another request is known to have caused a crash.
 func (t *Table) isExplained(digest Digest, crash endpointCrash) bool {
 	for cause := range t.causes {
@@ -172,8 +188,8 @@
 	return out
 }
 
-// Due returns the request that is to be quarantined now: the one that most endpoints ended under, once hosts have had
-// the time to report answers to it. It returns false if there is none.
+// Due returns the request that is to be quarantined now: the one that most endpoints ended under, at different moments, once
+// hosts have had the time to report answers to it. It returns false if there is none.
 func (t *Table) Due(now core.Millis, quarantined []Quarantine) (Digest, bool) {
 	t.expire(now)
 	due := t.sorted()
@@ -182,7 +198,7 @@
 		if i >= 0 {
 			return quarantined[i].Holds(now) || r.latest() < quarantined[i].Until
 		}
-		return r.count() < crashesToQuarantine || now-r.suspectAt < answerDelay
+		return r.count() < crashesToQuarantine || r.moments() < momentsToQuarantine || now-r.suspectAt < answerDelay
 	})
 	if len(due) == 0 {
 		return Digest{}, false
