A request that ends four endpoints alone is quarantined at one moment

Two moments are late for a request that comes so often that it ends all endpoints of a service at once and again when they are back: between its second moment and the decision more than three copies could be sent. Where four endpoints ended under it and no endpoint without it at about that time, it is the sole cause and is decided at once. TestOneRequestEndsAll failed before.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -16,6 +16,8 @@
 	// at once for another reason, and a request with its retries may meet several of them.
 	momentsToQuarantine = 2
 	momentLength        = 250 * core.Millisecond
+	// endsOfSoleCause is how many endpoints have to end at one moment if no others do.
+	endsOfSoleCause = 4
 	// crashesToSuspect is the number from which hosts are asked whether endpoints answer the request.
 	crashesToSuspect = 2
 	// suspectPeriod is how long after a crash a request is a suspect.
@@ -32,7 +34,7 @@
 	maxRequests  = 512
 	keptRequests = 384
 	// maxCrashes is how many crashes of a request are remembered.
-	maxCrashes = 8
+	maxCrashes = 24
 )
 
 // Table holds the requests that endpoints have ended under. The zero value is empty; calls must not overlap.
@@ -119,6 +121,22 @@
 	return n
 }
 
+// isSoleCause reports whether many endpoints ended under a request, and none without it at about that time.
+func (t *Table) isSoleCause(r *request) bool {
+	if r.count() < endsOfSoleCause {
+		return false
+	}
+	from, to := r.crashes[0].at-momentLength, r.latest()+momentLength
+	for _, other := range t.requests {
+		for _, c := range other.crashes {
+			if c.at >= from && c.at <= to && !slices.ContainsFunc(r.crashes, c.isSame) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // isExplained reports whether another request is known to have caused a crash.
 func (t *Table) isExplained(digest Digest, crash endpointCrash) bool {
 	for cause := range t.causes {
@@ -188,8 +206,8 @@
 	return out
 }
 
-// Due returns the request that is to be quarantined now: the one that most endpoints ended under, at different moments, once
-// hosts have had the time to report answers to it. It returns false if there is none.
+// Due returns the request that is to be quarantined now: the one that most endpoints ended under, at different moments or as
+// the sole cause, once hosts have had the time to report answers to it. It returns false if there is none.
 func (t *Table) Due(now core.Millis, quarantined []Quarantine) (Digest, bool) {
 	t.expire(now)
 	due := t.sorted()
@@ -198,7 +216,7 @@
 		if i >= 0 {
 			return quarantined[i].Holds(now) || r.latest() < quarantined[i].Until
 		}
-		return r.count() < crashesToQuarantine || r.moments() < momentsToQuarantine || now-r.suspectAt < answerDelay
+		return r.count() < crashesToQuarantine || r.moments() < momentsToQuarantine && !t.isSoleCause(r) || now-r.suspectAt < answerDelay
 	})
 	if len(due) == 0 {
 		return Digest{}, false
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -84,6 +84,7 @@
 	s := newTable()
 	for i := range 5 {
 		s.end(fmt.Sprint("e", i), "r")
+		s.end(fmt.Sprint("f", i), fmt.Sprint("beside", i))
 		s.now += 40
 	}
 	if got := s.due("r"); got != "" {
@@ -95,6 +96,28 @@
 	}
 }
 
+// TestOneRequestEndsAll guards against a request that comes so often that it ends all endpoints of a service at one moment,
+// and again when they are back: if no other endpoint ends then, the request is the cause.
+func TestOneRequestEndsAll(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		s := newTable()
+		for i := range 4 {
+			s.end(fmt.Sprint("e", i), "r", fmt.Sprint("beside", i))
+			s.now += 30
+		}
+		if other {
+			s.end("another endpoint", "beside")
+		}
+		want := "r"
+		if other {
+			want = ""
+		}
+		if got := s.due("r"); got != want {
+			t.Errorf("%q is due after 4 ends, expected %q; another endpoint ended too: %t", got, want, other)
+		}
+	}
+}
+
 // TestHeldBesideACrash guards against requests that are quarantined since they were held by the endpoints that another
 // request crashed.
 func TestHeldBesideACrash(t *testing.T) {
