--- a/core/fleet/quarantine_test.go
+++ b/core/fleet/quarantine_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// TestAnswersEndAQuarantine guards against other callers that pay: a request that an endpoint answers elsewhere is not
-// quarantined, and one that was is sent again after an answer.
+// TestAnswersEndAQuarantine guards against a quarantine of a request that an endpoint answers elsewhere, and against one
+// that goes on after an answer.
 func TestAnswersEndAQuarantine(t *testing.T) {
 	s := newSite(t, 1)
 	s.RunFor(10 * core.Second)
