A test that 290 entry hosts learn of a crashing request in time

Eight ends, each seen by another entry host with six other requests held there: all hosts keep the request, and it alone, from endpoints 3 s after the third end, and no control host uses more than half of its processor time.

--- a/core/fleet/quarantine_test.go
+++ b/core/fleet/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -162,3 +163,33 @@
 		t.Errorf("the host holds %d quarantines after its return, expected the leader's alone", got)
 	}
 }
+
+// TestManyHostsKeepACrashingRequest guards against news of a crashing request that reach some of 290 entry hosts too late,
+// or that overload control hosts: each end is seen by another entry host, which reports it with all that the endpoint held.
+func TestManyHostsKeepACrashingRequest(t *testing.T) {
+	for seed := range uint64(2) {
+		s := newLargeSite(t, seed)
+		s.list = longList()
+		s.RunFor(500)
+		s.publish()
+		s.RunFor(10 * core.Second)
+		start := s.Now
+		for i := range 8 {
+			entry := fmt.Sprintf("entry-%d", s.Rand.IntN(len(s.entries)))
+			reports := []crash.Report{{Digest: crashing, Endpoint: fmt.Sprint("i-", i)}}
+			for j := range 6 {
+				reports = append(reports, crash.Report{Digest: crash.NewDigest([]byte{byte(i), byte(j)}), Endpoint: fmt.Sprint("i-", i)})
+			}
+			s.Apply(entry, s.entries[entry].RecordCrashes(s.Now, reports))
+			s.RunFor(150)
+		}
+		s.RunFor(contactWindow + 2*150 - (s.Now - start))
+		s.expectHeld(fmt.Sprintf("seed %d: three seconds after the third end", seed))
+		for name, e := range s.entries {
+			if got := len(e.View(s.Now).Quarantined); got != 1 {
+				t.Errorf("seed %d: entry host %s keeps %d requests from endpoints, expected the crashing one alone", seed, name, got)
+			}
+		}
+		s.checkUsage(start, s.Now, coreMicros/2, math.MaxInt)
+	}
+}
