Three ends at one moment quarantine a request that is their sole cause

A request that ends three endpoints within 250 ms, as two copies of it with their second attempts do, and comes again in numbers after the contact window, was not decided until then: TestQuarantineComesInTime, a new case, failed (not due 3 s after the third end).

Hypothesis: what a moment with three ends lacks is the proof that other causes are out. Where no endpoint ended without the request, and none has answered it for 1.8 s, it is the cause: callers that repeat a sound request have an answer by then, which excuses it. Ruled out: to count three at one moment as before, which quarantined sound requests when half of a service ended; to count them after a time alone, since those requests had no answer in that time.

TestThreeEndTogether: due alone, but neither after an answer 1.8 s later nor where another endpoint ended too.

--- a/core/crash/table.go
+++ b/core/crash/table.go
@@ -16,8 +16,10 @@
 	// at once for another reason, and a request with its retries may meet several of them.
 	momentsToQuarantine = 2
 	momentLength        = 250 * core.Millisecond
-	// endsOfSoleCause is how many endpoints have to end at one moment if no others do.
+	// endsOfSoleCause is how many endpoints have to end at one moment if no others do. Fewer decide too, but only after
+	// soleCauseDelay without an answer, in which callers that repeat a sound request get one.
 	endsOfSoleCause = 4
+	soleCauseDelay  = 1800 * core.Millisecond
 	// crashesToSuspect is the number from which hosts are asked whether endpoints answer the request.
 	crashesToSuspect = 2
 	// suspectPeriod is how long after a crash a request is a suspect.
@@ -121,9 +123,9 @@
 	return n
 }
 
-// isSoleCause reports whether many endpoints ended under a request, and none without it at about that time.
-func (t *Table) isSoleCause(r *request) bool {
-	if r.count() < endsOfSoleCause {
+// isSoleCause reports whether endpoints ended under a request, and none without it at about that time.
+func (t *Table) isSoleCause(now core.Millis, r *request) bool {
+	if r.count() < endsOfSoleCause && now-r.latest() < soleCauseDelay {
 		return false
 	}
 	from, to := r.crashes[0].at-momentLength, r.latest()+momentLength
@@ -216,7 +218,7 @@
 		if i >= 0 {
 			return quarantined[i].Holds(now) || r.latest() < quarantined[i].Until
 		}
-		return r.count() < crashesToQuarantine || r.moments() < momentsToQuarantine && !t.isSoleCause(r) || now-r.suspectAt < answerDelay
+		return r.count() < crashesToQuarantine || r.moments() < momentsToQuarantine && !t.isSoleCause(now, r) || now-r.suspectAt < answerDelay
 	})
 	if len(due) == 0 {
 		return Digest{}, false
--- a/core/crash/table_test.go
+++ b/core/crash/table_test.go
@@ -118,6 +118,35 @@
 	}
 }
 
+// TestThreeEndTogether guards against a quarantine of a request that a few endpoints held when they ended at one moment for
+// another reason: its repetition is answered within two seconds, or another endpoint ended too.
+func TestThreeEndTogether(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		answered, other bool
+		due             bool
+	}{{"alone", false, false, true}, {"answered", true, false, false}, {"others end too", false, true, false}} {
+		s := newTable()
+		for i := range 3 {
+			s.end(fmt.Sprint("e", i), "r")
+			s.now += 40
+		}
+		if c.other {
+			s.end("another endpoint", "beside")
+		}
+		s.now += 1700
+		if _, due := s.Due(s.now, nil); due {
+			t.Errorf("%s: due before a repetition could be answered", c.name)
+		}
+		if c.answered {
+			s.Clear(s.now, crash.Served{Digest: digest("r")})
+		}
+		if got := s.due("r") == "r"; got != c.due {
+			t.Errorf("%s: due %t, expected %t", c.name, got, c.due)
+		}
+	}
+}
+
 // TestHeldBesideACrash guards against requests that are quarantined since they were held by the endpoints that another
 // request crashed.
 func TestHeldBesideACrash(t *testing.T) {
@@ -224,6 +253,7 @@
 		"two a copy":      {0, 100, 4000, 4100, 8000, 8100},
 		"far apart":       {0, 60_000, 120_000, 180_000},
 		"several at once": {0, 10, 20, 30, 1500, 1510, 3000, 3010},
+		"three at once":   {0, 60, 120, 5000, 5010, 5020, 5030, 5040},
 	} {
 		s := newTable()
 		start := s.now
