Requests whose callers leave before their endpoint ends are recognised

What callers saw: a request that crashes each endpoint some time after its caller has left went on for ever; all other requests at those endpoints broke.

Cause: a host closes the connection to the endpoint when its caller leaves or the deadline passes, and learned of an endpoint's end by that connection alone.

An idle connection to the endpoint shows its end; where there is none, one is opened, which the next request uses. If the endpoint then refuses connections, the request is reported like those that broke. Ruled out: to keep the connection open, since endpoints have to stop; a probe some time later, which would miss an endpoint that is back.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -24,6 +24,8 @@
 	watch crash.Watch
 	// broken holds, by endpoint, the requests that broke while it is examined whether the endpoint has ended.
 	broken map[string][]crash.Digest
+	// abandoned holds, by the address of their endpoint, requests that were given up there.
+	abandoned map[string]*abandoned
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
 	// inFlight holds what cancels the requests in flight, by digest.
@@ -115,11 +117,16 @@
 		s.crashes.watch.RecordAnswer(s.Now(), digest)
 	case result.Ending == pool.Broken || result.Ending == pool.Spoiled:
 		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, digest)
+	case result.Ending == pool.Silent || result.Ending == pool.Cancelled && !errors.Is(context.Cause(ctx), errSuperseded):
+		s.recordAbandoned(context.WithoutCancel(ctx), e, digest)
+	case result.Ending == pool.NotSent:
+		s.RecordClosed(e.Address)
 	}
 }
 
-// examine finds out whether an endpoint has ended. Requests that break in the meantime share the finding.
-func (s *Server) examine(ctx context.Context, endpoint, address string, digest crash.Digest) {
+// examine finds out whether an endpoint has ended, and under which of the requests given. Requests that break in the
+// meantime share the finding.
+func (s *Server) examine(ctx context.Context, endpoint, address string, broken ...crash.Digest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.crashes.broken == nil {
@@ -127,8 +134,9 @@
 	}
 	pending, examined := s.crashes.broken[endpoint]
 	if len(pending) < maxPendingCrashes {
-		s.crashes.broken[endpoint] = append(pending, digest)
+		pending = append(pending, broken...)
 	}
+	s.crashes.broken[endpoint] = pending
 	if examined {
 		return
 	}
@@ -137,11 +145,11 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		ended := s.Pool.IsRefused(ctx, address)
-		s.finishExamination(endpoint, at, ended)
+		s.finishExamination(endpoint, address, at, ended)
 	}()
 }
 
-func (s *Server) finishExamination(endpoint string, at core.Millis, ended bool) {
+func (s *Server) finishExamination(endpoint, address string, at core.Millis, ended bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	broken := s.crashes.broken[endpoint]
@@ -149,7 +157,7 @@
 	if !ended {
 		return
 	}
-	for _, digest := range broken {
+	for _, digest := range append(broken, s.crashes.takeAbandoned(at, endpoint, address)...) {
 		s.crashes.reports = append(s.crashes.reports, timedReport{crash.Report{Digest: digest, Endpoint: endpoint}, at})
 	}
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -38,6 +38,9 @@
 	answer atomic.Pointer[func(conn net.Conn, request *http.Request, body []byte) bool]
 	runs   atomic.Int64
 	conns  atomic.Int64
+	mutex  sync.Mutex
+	// open holds the connections accepted.
+	open []net.Conn
 }
 
 func startEndpoint(t *testing.T) *endpoint {
@@ -56,6 +59,9 @@
 				return
 			}
 			e.conns.Add(1)
+			e.mutex.Lock()
+			e.open = append(e.open, conn)
+			e.mutex.Unlock()
 			go e.serve(conn)
 		}
 	}()
@@ -128,7 +134,7 @@
 		h.records = append(h.records, a)
 		h.mutex.Unlock()
 	}}
-	p.OnHeader = h.server.RecordHeader
+	p.OnHeader, p.OnClosed = h.server.RecordHeader, h.server.RecordClosed
 	h.server.Update(table, func(picks *pick.Table) { picks.Update(steady.Now(), view, table) })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -67,7 +67,7 @@
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect()}
 	picks := &pick.Table{Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
-	e.pool.OnHeader = e.server.RecordHeader
+	e.pool.OnHeader, e.pool.OnClosed = e.server.RecordHeader, e.server.RecordClosed
 	e.metrics.observeNotices(func() (counts pick.NoticeCounts) {
 		e.server.Update(nil, func(p *pick.Table) { counts = p.Notices })
 		return counts
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -196,12 +196,15 @@
 	for {
 		_, err := c.reader.Peek(1)
 		c.mutex.Lock()
-		e := c.pending
+		e, closedHere := c.pending, c.closed
 		c.mutex.Unlock()
 		if err != nil || e == nil {
 			c.close()
-			if e != nil {
+			switch {
+			case e != nil:
 				e.result <- Result{Ending: Broken, Detail: readErrorDetail(err)}
+			case !closedHere && c.pool.OnClosed != nil:
+				c.pool.OnClosed(c.address)
 			}
 			return
 		}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -48,6 +48,8 @@
 	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller; it may be
 	// nil.
 	OnHeader func(endpoint string, status int, header http.Header)
+	// OnClosed is called when an endpoint has closed an idle connection to its address; it may be nil.
+	OnClosed func(address string)
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -119,6 +121,13 @@
 	return c, nil
 }
 
+// HasIdle reports whether there is an idle connection to an address.
+func (p *Pool) HasIdle(address string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // IsRefused reports whether the address refuses connections, as that of a process that has ended does. A connection that
 // is established is kept for a request.
 func (p *Pool) IsRefused(ctx context.Context, address string) bool {
