Hosts of a tree recognise requests whose callers leave before their endpoint ends

Ruled out: idle connections of the transport, as fleets use them, since a library keeps them. An attempt that another one has superseded is watched too; its answer excuses the request.

--- a/cmd/clementinelockd/crash_test.go
+++ b/cmd/clementinelockd/crash_test.go
@@ -12,8 +12,9 @@
 	"clementinelock/io/stand"
 )
 
-// sendToHost sends a GET to a host with further headers and returns the status, 0 for none.
-func (c *cluster) sendToHost(name, service, target string, headers map[string]string) int {
+// sendToHost sends a GET to a host with further headers and returns the status, 0 for none. The caller leaves after the
+// patience.
+func (c *cluster) sendToHost(name, service, target string, headers map[string]string, patience time.Duration) int {
 	request, err := http.NewRequest(http.MethodGet, "http://"+c.hosts[name].Settings.CallerAddress+proto.ServicePath+service+target, nil)
 	if err != nil {
 		c.t.Fatal(err)
@@ -22,7 +23,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: 3 * time.Second}
+	client := &http.Client{Timeout: patience}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
@@ -34,9 +35,22 @@
 	return response.StatusCode
 }
 
+const usualPatience = 3 * time.Second
+
 // TestCrashingRequestAmongProcesses guards against a request that ends endpoint after endpoint, sent to nine hosts in
 // turn, of which one is killed and starts again once the others know of it.
 func TestCrashingRequestAmongProcesses(t *testing.T) {
+	repeatCrashingRequest(t, 5*time.Millisecond, usualPatience)
+}
+
+// TestAbandonedCrashingRequestAmongProcesses is the same for a request whose callers have left by the time at which the
+// endpoint ends, so that the host has closed its connection.
+func TestAbandonedCrashingRequestAmongProcesses(t *testing.T) {
+	repeatCrashingRequest(t, 300*time.Millisecond, 100*time.Millisecond)
+}
+
+// repeatCrashingRequest repeats a request that crashes endpoints after a delay, and checks that all hosts stop it.
+func repeatCrashingRequest(t *testing.T, delay, patience time.Duration) {
 	const (
 		contactWindow   = 3 * time.Second
 		maxCrashRetries = 3
@@ -59,15 +73,15 @@
 	}
 	slices.Sort(names)
 	service := upstreams.Usages()[0].Service
-	for end := time.Now().Add(15 * time.Second); c.sendToHost(names[0], service, "/warm", nil) != http.StatusOK; time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(15 * time.Second); c.sendToHost(names[0], service, "/warm", nil, usualPatience) != http.StatusOK; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("no request is served")
 		}
 	}
-	crash := map[string]string{stand.CrashHeader: "1"}
+	crash := map[string]string{stand.CrashHeader: delay.String()}
 	send := func(length time.Duration, until func() bool) {
 		for end, i := time.Now().Add(length), 0; time.Now().Before(end) && !until(); i++ {
-			c.sendToHost(names[i%len(names)], service, "/crash", crash)
+			c.sendToHost(names[i%len(names)], service, "/crash", crash, patience)
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
@@ -89,7 +103,7 @@
 	}
 	served := 0
 	for i := range 45 {
-		if c.sendToHost(names[i%len(names)], service, "/other", nil) == http.StatusOK {
+		if c.sendToHost(names[i%len(names)], service, "/other", nil, usualPatience) == http.StatusOK {
 			served++
 		}
 	}
--- a/core/call/dispatcher.go
+++ b/core/call/dispatcher.go
@@ -82,6 +82,8 @@
 	Detail  string
 	// EndpointGone means that the endpoint refuses connections since the attempt broke off.
 	EndpointGone bool
+	// Abandoned means that this host ended the attempt, by its deadline or because it was cancelled.
+	Abandoned bool
 }
 
 type phase int
--- a/core/host/machine.go
+++ b/core/host/machine.go
@@ -351,6 +351,11 @@
 	})
 }
 
+// RecordCrash records that an endpoint has ended under a request that this host had abandoned there.
+func (m *Machine) RecordCrash(now core.Millis, report crash.Report) core.Effects {
+	return m.step(now, func(out *core.Effects) { m.crashes.RecordCrash(now, report, out) })
+}
+
 // Report handles an endpoint's load report; failed means that the poll got none.
 func (m *Machine) Report(now core.Millis, endpoint string, report core.Report, failed bool) core.Effects {
 	return m.step(now, func(*core.Effects) { m.slots.RecordReport(now, endpoint, report, failed) })
--- a/io/daemon/driver.go
+++ b/io/daemon/driver.go
@@ -10,6 +10,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/call"
+	"clementinelock/core/crash"
 	"clementinelock/core/ctrl"
 	"clementinelock/core/host"
 	"clementinelock/core/route"
@@ -46,6 +47,8 @@
 	peersVersion  uint64
 	lastID        atomic.Uint64
 	lastTicket    uint64
+	// abandoned holds, by endpoint, the requests under which it may still end.
+	abandoned map[string][]crash.Digest
 }
 
 // openRequest is a caller's request with its arrival time.
@@ -66,6 +69,7 @@
 	return &driver{
 		context: ctx, openRequests: map[uint64]*openRequest{}, attempts: map[uint64]*runningAttempt{},
 		replies: map[uint64]chan core.Reply{}, writesQueued: make(chan struct{}, 1),
+		abandoned: map[string][]crash.Digest{},
 	}
 }
 
@@ -203,17 +207,20 @@
 	ctx, cancel := context.WithCancel(d.context)
 	d.attempts[spec.Attempt] = &runningAttempt{cancel: cancel, capture: spec.Capture}
 	remaining := spec.Deadline - d.clock.Now()
-	go d.runAttempt(ctx, spec, &e.Request, remaining)
+	go d.runAttempt(ctx, spec, e.Exchange, remaining)
 }
 
-func (d *driver) runAttempt(ctx context.Context, spec core.Dispatch, request *fetch.Request, remaining core.Millis) {
+func (d *driver) runAttempt(ctx context.Context, spec core.Dispatch, e *caller.Exchange, remaining core.Millis) {
 	if remaining <= 0 {
 		d.endAttempt(spec.Attempt, call.End{Ending: call.NotSent, Detail: "no time is left"}, 0)
 		return
 	}
-	attempt, failed := d.fetch.Start(ctx, request, spec.Endpoint, remaining, spec.Fresh)
+	attempt, failed := d.fetch.Start(ctx, &e.Request, spec.Endpoint, remaining, spec.Fresh)
 	if failed != nil {
 		d.endAttempt(spec.Attempt, *failed, 0)
+		if failed.Abandoned && failed.Ending != call.NotSent {
+			d.watchAbandoned(spec.Endpoint, e.Arrival.Content)
+		}
 		return
 	}
 	if !d.handleHead(spec.Attempt, attempt) {
--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -127,7 +127,7 @@
 }
 
 func (a *Attempt) errorEnd(err error) *call.End {
-	end := &call.End{Ending: call.Broken, Latency: a.latency(), Detail: shortError(err)}
+	end := &call.End{Ending: call.Broken, Latency: a.latency(), Detail: shortError(err), Abandoned: isOwnEnd(err)}
 	if !a.gotConn.Load() {
 		end.Ending = call.NotSent
 	}
@@ -143,12 +143,16 @@
 func isRefused(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return isConnRefused(err)
 	}
 	_ = conn.Close()
 	return false
 }
 
+func isConnRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func shortError(err error) string {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return "no answer within the deadline"
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -20,7 +20,8 @@
 // RequestHeader is the header that carries the ID of an experiment's request.
 const RequestHeader = "Clementinelock-Test-Request"
 
-// CrashHeader is the header of a request under which the endpoint that runs it ends; it is back after crashDowntime.
+// CrashHeader is the header of a request under which the endpoint that runs it ends after the time that the header holds;
+// the endpoint is back after crashDowntime.
 const CrashHeader = "Clementinelock-Test-Crash"
 
 const (
@@ -228,11 +229,13 @@
 		return
 	}
 	f.countRun(r)
-	if !f.simulateWork(r.Context(), slow) {
+	if delay, err := time.ParseDuration(r.Header.Get(CrashHeader)); err == nil {
+		// The endpoint goes on when the connection is closed meanwhile.
+		time.Sleep(delay)
+		f.crash(e)
 		return
 	}
-	if r.Header.Get(CrashHeader) != "" {
-		f.crash(e)
+	if !f.simulateWork(r.Context(), slow) {
 		return
 	}
 	header := w.Header()
