--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -48,22 +48,28 @@
 type EntryDump struct {
 	EntryHost
 	// Control is the control host that this one reports to, heard HeardAgo ago.
-	Control   string
-	HeardAgo  core.Millis
-	Version   uint64
-	Index     uint64
-	Evacuated []string
-	Endpoints int
-	ListAge   core.Millis
-	Counts    EntryCounts
+	Control  string
+	HeardAgo core.Millis
+	// ContactAgo is the time since the latest update that counts as contact, -1 before the first.
+	ContactAgo core.Millis
+	Version    uint64
+	Index      uint64
+	Evacuated  []string
+	Endpoints  int
+	ListAge    core.Millis
+	Counts     EntryCounts
 	// Quarantined holds the requests that this host keeps from endpoints.
 	Quarantined []crash.QuarantineDump
 }
 
 // Dump returns the host's state for operators.
 func (e *Entry) Dump(now core.Millis) EntryDump {
+	contactAgo := core.Millis(-1)
+	if e.contactAt != 0 {
+		contactAgo = now - e.contactAt
+	}
 	return EntryDump{
-		EntryHost: e.EntryHost, Control: e.currentControl, HeardAgo: now - e.heardAt, Version: e.document.Version, Index: e.index,
+		EntryHost: e.EntryHost, Control: e.currentControl, HeardAgo: now - e.heardAt, ContactAgo: contactAgo, Version: e.document.Version, Index: e.index,
 		Evacuated: e.evacuated, Endpoints: e.list.Len(), ListAge: e.list.Age(now), Counts: e.counts,
 		Quarantined: crash.Dump(now, slices.Concat(e.quarantined, e.ownQuarantined)),
 	}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -23,6 +23,8 @@
 	maxReportJitter = 100 * core.Millisecond
 	// maxUpdateTimeout is more than two report intervals.
 	maxUpdateTimeout = 2 * core.Second
+	// contactTimeout is the time without an update after which a host may have missed a change.
+	contactTimeout = maxUpdateTimeout
 	// initialUpdateTimeout applies until a control host has answered: a few round trips between regions, with a
 	// new connection.
 	initialUpdateTimeout = 500 * core.Millisecond
@@ -237,7 +239,7 @@
 	}
 	if from == e.currentControl {
 		e.heardAt, e.updateTimeout = now, maxUpdateTimeout
-		e.contactAt = now
+		e.recordContact(now, from, u, out)
 		e.recordLeader(now, u)
 	}
 	if u.ProbeAnswer {
@@ -246,6 +248,14 @@
 	return e.apply(now, from, u, out), *out
 }
 
+// recordContact records an update of the current control host, and logs the end of a time without.
+func (e *Entry) recordContact(now core.Millis, from string, u *Update, out *core.Effects) {
+	if e.contactAt != 0 && now-e.contactAt > contactTimeout {
+		out.Logf("control", "In contact again through %s after %s; it hears a leader: %t. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, u.LeaderHeard, e.index, e.evacuated, e.list.Age(now))
+	}
+	e.contactAt = now
+}
+
 // accepts reports whether an update is accepted: one from a control host that hears the leader, or any until a
 // leader is known.
 func (e *Entry) accepts(u *Update) bool {
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -45,7 +45,7 @@
 // Parameters of a host that reaches no control host.
 const (
 	// aloneTimeout is the time without contact from which a host decides by its own crashes.
-	aloneTimeout = maxUpdateTimeout
+	aloneTimeout = contactTimeout
 	// handoverTime is how long the host's own decisions outlast its return, until the leader has decided.
 	handoverTime = 3 * core.Second
 )
