A control host without a leader is no contact

Cause: contact was any update of the host's own control host. Class: an answer that is taken for news. Change: contact is an update of a control host that hears a leader. Isolated hosts then keep to their part of the cold rate, and decide alone on requests that crash endpoints, as they do without any control host.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -72,7 +72,7 @@
 	controlsNumber  uint64
 	currentControl  string
 	heardAt         core.Millis
-	// contactAt is when the latest update came from a control host that this host reported to.
+	// contactAt is when the latest update came from a control host that this host reported to and that heard a leader.
 	contactAt core.Millis
 	// updateTimeout is how long the current control host may be silent.
 	updateTimeout core.Millis
@@ -248,10 +248,14 @@
 	return e.apply(now, from, u, out), *out
 }
 
-// recordContact records an update of the current control host, and logs the end of a time without.
+// recordContact records an update of the current control host if that one hears a leader, and logs the end of a time
+// without: one that hears none may have missed changes.
 func (e *Entry) recordContact(now core.Millis, from string, u *Update, out *core.Effects) {
+	if !u.LeaderHeard {
+		return
+	}
 	if e.contactAt != 0 && now-e.contactAt > contactTimeout {
-		out.Logf("control", "In contact again through %s after %s; it hears a leader: %t. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, u.LeaderHeard, e.index, e.evacuated, e.list.Age(now))
+		out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, e.index, e.evacuated, e.list.Age(now))
 	}
 	e.contactAt = now
 }
--- a/core/fleet/share_test.go
+++ b/core/fleet/share_test.go
@@ -135,3 +135,39 @@
 		t.Error("a host is in contact by another host's answer to a probe")
 	}
 }
+
+// TestNoContactBehindAMinority guards against entry hosts that count as in contact though their control host is cut off
+// with them: it answers them, but learns of no evacuation.
+func TestNoContactBehindAMinority(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSite(t, seed)
+		s.RunFor(8 * core.Second)
+		var inside, outside []string
+		for name, zone := range s.zones {
+			if zone == "r0-a" {
+				inside = append(inside, name)
+			} else {
+				outside = append(outside, name)
+			}
+		}
+		for _, name := range inside {
+			s.Isolate(name, outside, true)
+		}
+		cut := s.Now
+		// A control host counts as in contact with a leader for a while after the last message.
+		const noticed = 1500 * core.Millisecond
+		s.RunFor(5 * core.Second)
+		for name, e := range s.entries {
+			if ago := e.Dump(s.Now).ContactAgo; s.zones[name] == "r0-a" && ago < s.Now-cut-noticed {
+				t.Errorf("seed %d: entry host %s had contact %s ago through %s, which has heard no leader for %s", seed, name, ago, e.CurrentControl(), s.Now-cut)
+			}
+		}
+		s.Heal()
+		s.RunFor(contactWindow)
+		for name, e := range s.entries {
+			if ago := e.Dump(s.Now).ContactAgo; ago > noticed {
+				t.Errorf("seed %d: entry host %s had contact %s ago, %s after the cut", seed, name, ago, contactWindow)
+			}
+		}
+	}
+}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// InContact reports whether an update of the current control host has come just now.
+// InContact reports whether an update of the current control host, which hears a leader, has come just now.
 func (e *Entry) InContact(now core.Millis) bool {
 	return e.contactAt == now
 }
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -198,7 +198,7 @@
 		}
 	}
 	if earliest == math.MaxInt64 && t.isIsolated(now) {
-		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used within its cold rate: no control host heard for %s", r.Service, now-t.contactAt)
+		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used within its cold rate: no control host with a leader heard for %s", r.Service, now-t.contactAt)
 	}
 	if earliest == math.MaxInt64 {
 		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", r.Service, len(s.endpoints))
