A host in contact again keeps to its part of the cold rate until a later list

A host counted as informed at once, so that its limit ended just when the endpoints were cold and idle. The same holds for a host that was frozen or down in that time.

Cause: contact was taken for knowledge of what had happened without it. Change: the limit of an isolated host lasts until a list that was read a second after the contact began, as after an evacuation that the host has seen; entry hosts apply the age of the list for so long.

TestEvacuationBehindACut lets a list come after the first contact, as it does at a host; its bounds are unchanged.

--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -74,6 +74,8 @@
 	heardAt         core.Millis
 	// contactAt is when the latest update came from a control host that this host reported to and that heard a leader.
 	contactAt core.Millis
+	// regainedAt is when contact began, at first or after a gap.
+	regainedAt core.Millis
 	// updateTimeout is how long the current control host may be silent.
 	updateTimeout core.Millis
 	// leaderless is set while the current control host hears no leader. Others are probed at leaderProbeAt, and
@@ -254,8 +256,11 @@
 	if !u.LeaderHeard {
 		return
 	}
-	if e.contactAt != 0 && now-e.contactAt > contactTimeout {
-		out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, e.index, e.evacuated, e.list.Age(now))
+	if now-e.contactAt > contactTimeout {
+		e.regainedAt = now
+		if e.contactAt != 0 {
+			out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, e.index, e.evacuated, e.list.Age(now))
+		}
 	}
 	e.contactAt = now
 }
@@ -365,8 +370,9 @@
 	if changed {
 		e.reportAt = now
 	}
-	// While a zone returns from its evacuation, the decisions also depend on the age of the list.
-	return changed || now-e.evacuationEndedAt < zoneReturnPeriod
+	// While a zone returns from its evacuation, or after a time without contact, the decisions also depend on the age of
+	// the list.
+	return changed || now-max(e.evacuationEndedAt, e.regainedAt) < zoneReturnPeriod
 }
 
 // AddSeeds adds control hosts that changed settings name.
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -75,6 +75,8 @@
 	retryRefused bool
 	// objects is the number of objects that the callers' requests are for.
 	objects int
+	// listDelay is how long the list does not tell of a cold start.
+	listDelay core.Millis
 }
 
 // tally counts the outcomes of callers' requests.
@@ -159,6 +161,9 @@
 	for _, id := range ids {
 		p := w.endpoints[id]
 		p.ColdFor = max(0, p.coldUntil-w.now)
+		if w.now-(p.coldUntil-modelColdStart) < w.listDelay {
+			p.ColdFor = 0
+		}
 		w.view.Endpoints = append(w.view.Endpoints, p.Entry)
 	}
 	for _, zone := range w.zones {
@@ -171,6 +176,17 @@
 	}
 }
 
+// recordContacts records that control hosts have sent an update to all entry hosts but some.
+func (w *simulation) recordContacts(isolated map[*pick.Table]bool) {
+	for _, tables := range w.tables {
+		for _, t := range tables {
+			if !isolated[t] {
+				t.RecordContact(w.now)
+			}
+		}
+	}
+}
+
 func (w *simulation) schedule(at core.Millis, run func()) {
 	w.agenda.Add(at, run)
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -103,8 +103,7 @@
 	// maxHosts is the largest number of entry hosts seen, maxRegionHosts that of the local region.
 	maxHosts       int
 	maxRegionHosts int
-	// contactAt is when a control host sent the latest update, 0 before the first.
-	contactAt core.Millis
+	contact        contact
 	// removed holds the notices of endpoints that were removed lately, by id and address.
 	removed map[string]readiness
 	// Notices counts what endpoints said about themselves.
@@ -138,6 +137,7 @@
 	t.entries = view.Entries
 	t.maxHosts = max(t.maxHosts, view.Entries.All)
 	t.maxRegionHosts = max(t.maxRegionHosts, view.Entries.Region)
+	t.updateContact(now, view.ListAge)
 	t.updateEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
