Many hosts take turns at a cold endpoint

Two faults of one cause, that hosts can't tell each other's requests apart when each may send less than one a second: in an availability zone of more than 0.9 hosts per unit of the rate no host used a cold endpoint at all, so that it got nothing in its cold start (40 of 40 starts with 12 to 290 hosts in TestColdEndpointAtAnyNumberOfHosts); and hosts that had missed changes began at random moments, so that 16 to 19 requests came together when all of 29 or 97 hosts were isolated (TestNearlyAllHostsIsolated, 12.8 allowed).

Change: control hosts tell each entry host its rank among the ready hosts of its region; turns begin one after the other by rank and time of day, and end soon when they are not used. A host without a rank (older control hosts) takes one by its name. Regions of few hosts divide by whole hosts.

Ruled out: turns that last until they are used (they add up: 15 to 25 requests), a part for all hosts instead of two thirds (0.80 to 0.90 of the requests answered in TestEvacuationBehindACut, 0.9 expected). Left, and listed: TestAllOfThreeHostsIsolated, 15 requests (16 with two hosts before, which holds now).

--- a/core/fleet/count.go
+++ b/core/fleet/count.go
@@ -74,16 +74,25 @@
 	c.peaksHeard = c.peaksHeard || len(peaks) > 0
 }
 
-// countEntries counts the entry hosts for a host of the region and zone.
-func (c *Control) countEntries(now core.Millis, region, zone string) (counts EntryCounts, pending bool) {
+// countEntries counts the entry hosts for one of them.
+func (c *Control) countEntries(now core.Millis, host EntryHost) (counts EntryCounts, pending bool) {
 	c.recordPeaks(now)
+	before, listed := 0, false
 	for _, each := range c.readyEntries() {
 		counts.All++
-		if each.Region == region {
-			counts.Region++
+		if each.Region != host.Region {
+			continue
 		}
+		counts.Region++
+		listed = listed || each.Name == host.Name
+		if each.Zone < host.Zone || each.Zone == host.Zone && each.Name < host.Name {
+			before++
+		}
+	}
+	if listed {
+		counts.Rank = before + 1
 	}
-	if p := c.peaks[zone]; now-p.seenAt <= peakRetention {
+	if p := c.peaks[host.Zone]; now-p.seenAt <= peakRetention {
 		counts.Zone = p.hosts
 	}
 	return counts, !c.peaksHeard && now-c.startedAt < countDelay
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -86,6 +86,9 @@
 	Zone   int `cbor:"1,keyasint"`
 	Region int `cbor:"2,keyasint"`
 	All    int `cbor:"3,keyasint"`
+	// Rank numbers the ready hosts of the receiver's region from 1, those of an availability zone one after the other; 0
+	// means that it is not known.
+	Rank int `cbor:"4,keyasint,omitempty"`
 }
 
 // ControlHost is a control host with its region and availability zone.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -81,7 +81,7 @@
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
 	c.addQuarantines(e, u)
-	u.Entries, u.CountsPending = c.countEntries(now, e.Region, e.Zone)
+	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
 	out.Send(e.Name, u)
 }
 
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -43,7 +43,7 @@
 	return View{
 		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
-		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All)},
+		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All), Rank: e.counts.Rank},
 		Quarantined: slices.Concat(e.quarantined, e.ownQuarantined), Suspects: e.suspects,
 	}
 }
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"clementinelock/core"
@@ -25,11 +26,16 @@
 	// maxIsolatedHosts is the part of the hosts that may be isolated at once.
 	maxIsolatedHosts = 2.0 / 3
 	// isolatedFraction is the part of the cold rate that the isolated hosts of an endpoint's region use,
-	// isolatedSparseFraction that where each sends less than one request a second, so that many may send at once, and
-	// isolatedRemoteFraction that of the others for an endpoint of another region.
+	// isolatedTurnsFraction that where hosts take turns, since those that began lately add up, and isolatedRemoteFraction
+	// that of the others for an endpoint of another region.
 	isolatedFraction       = 0.85
-	isolatedSparseFraction = 0.6
+	isolatedTurnsFraction  = 0.5
 	isolatedRemoteFraction = 0.1
+	// coldTurn is the length of a turn at a cold endpoint: in one second begin the turns that use up the fraction of the
+	// rate, and those that began up to a turn's length before may still be used. isolatedTurn is the part of their period
+	// that turns of isolated hosts last, which are longer so that few requests are refused.
+	coldTurn     = 450 * core.Millisecond
+	isolatedTurn = 0.25
 )
 
 // contact holds when control hosts sent updates.
@@ -109,35 +115,65 @@
 	if e.Zone != t.Zone || t.entries.Zone == 0 {
 		return false
 	}
-	hosts, rate := float64(t.entries.Zone), t.coldRate(e)
-	quota := coldRateFraction * rate / hosts
-	if quota < 1 && hosts > maxColdHostsPerRate*rate {
-		return false
+	hosts, rate := t.entries.Zone, t.coldRate(e)
+	if float64(hosts) > maxColdHostsPerRate*rate {
+		return t.hasTurn(now, e, turns{rank: t.entries.Rank, hosts: hosts, quota: coldRateFraction * rate / float64(hosts), length: coldTurn})
 	}
 	// Hosts whose quota is below 1 stay within the rate even if all send theirs in the same second.
-	return e.isWithinQuota(now, quota)
+	return e.isWithinQuota(now, coldRateFraction*rate/float64(hosts))
 }
 
-// mayUseIsolated reports whether a host that has missed changes may send one more request to an endpoint that it takes for warm.
+// mayUseIsolated reports whether a host that has missed changes may send one more request to an endpoint that it takes for
+// warm.
 func (t *Table) mayUseIsolated(now core.Millis, e *Endpoint) bool {
 	rate := t.coldRate(e)
 	if rate == 0 {
 		return true
 	}
-	hosts, fraction := max(1, maxIsolatedHosts*float64(t.maxRegionHosts)), isolatedFraction
+	hosts, fraction, rank := t.maxRegionHosts, isolatedFraction, t.entries.Rank
 	if e.Region != t.Region {
-		hosts, fraction = max(1, maxIsolatedHosts*float64(t.maxHosts)), isolatedRemoteFraction
+		hosts, fraction, rank = t.maxHosts, isolatedRemoteFraction, 0
+	}
+	isolated := math.Ceil(maxIsolatedHosts * float64(max(1, hosts)))
+	if first := t.contact.lastBeforeGap(now); e.isolatedSince != first {
+		// Whether this host has used its turn is not known.
+		e.isolatedSince = first
+		e.coldSentAt = append(e.coldSentAt, now)
 	}
-	if fraction*rate < hosts {
-		fraction = min(fraction, isolatedSparseFraction)
+	if fraction*rate < isolated {
+		quota := min(fraction, isolatedTurnsFraction) * rate / isolated
+		return t.hasTurn(now, e, turns{rank: rank, hosts: hosts, quota: quota, length: core.Millis(isolatedTurn * float64(coldWindow) / quota)})
+	}
+	return e.isWithinQuota(now, fraction*rate/isolated)
+}
+
+// turns is how many hosts share an endpoint. In each period they begin their turns one after the other, by their ranks and
+// the time of day.
+type turns struct {
+	// rank is this host's, 0 if it is not known or not unique among the hosts.
+	rank  int
+	hosts int
+	// quota is the number of turns of a host in a second.
+	quota float64
+	// length is how long a turn lasts if it is not used, so that hosts can't use those of a longer time at once.
+	length core.Millis
+}
+
+// hasTurn reports whether it is this host's turn to send the endpoint a request, and it has sent none in it. Hosts take
+// turns where all would exceed the rate with one request a second each.
+func (t *Table) hasTurn(now core.Millis, e *Endpoint, s turns) bool {
+	rank := uint64(s.rank)
+	if rank == 0 {
+		rank = rendezvous(t.Name, "rank")
 	}
-	quota := fraction * rate / hosts
-	if before := t.contact.lastBeforeGap(now); e.isolatedSince != before {
-		e.isolatedSince = before
-		// Hosts that are cut off at the same time begin at different moments.
-		e.coldSentAt = append(e.coldSentAt, now-core.Millis(t.Rand.Int64N(1+int64(float64(coldWindow)/min(1, quota)))))
+	period := core.Millis(float64(coldWindow) / s.quota)
+	phase := core.Millis(rank%uint64(s.hosts))*period/core.Millis(s.hosts) + core.Millis(rendezvous("phase", e.ID)%uint64(period))
+	since := (now - phase) % period
+	if since < 0 {
+		since += period
 	}
-	return e.isWithinQuota(now, quota)
+	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at > since })
+	return since < s.length && len(e.coldSentAt) == 0
 }
 
 // isWithinQuota reports whether this host has sent the endpoint fewer requests than a quota per second; for a quota below
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -49,7 +49,7 @@
 	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold, or could be without
 	// this host's knowledge.
 	coldSentAt []core.Millis
-	// isolatedSince is the host's last contact with a control host before it was isolated when it last used the endpoint.
+	// isolatedSince is the host's last contact before the gap in or after which it last used the endpoint.
 	isolatedSince core.Millis
 	// objects holds when this host last sent the endpoint a request for each object.
 	objects map[string]core.Millis
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -166,9 +166,13 @@
 		}
 		w.view.Endpoints = append(w.view.Endpoints, p.Entry)
 	}
-	for _, zone := range w.zones {
+	for i, zone := range w.zones {
+		if i%2 == 0 {
+			w.view.Entries.Rank = 0
+		}
 		w.view.Entries.Zone = len(w.tables[zone])
 		for _, t := range w.tables[zone] {
+			w.view.Entries.Rank++
 			if !isolated[t] {
 				t.Update(w.now, w.view, w.table)
 			}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -83,6 +83,8 @@
 
 // Table is one entry host's view of all endpoints. Set the exported fields before use; calls must not overlap.
 type Table struct {
+	// Name is that of this host.
+	Name   string
 	Region string
 	Zone   string
 	// RegionByZone maps availability zones to their regions.
