--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -9,6 +9,8 @@
 const (
 	// repeatPeriod is how long a report is part of each message, since messages may be lost.
 	repeatPeriod = 2500 * core.Millisecond
+	// endedInterval is the time within which reports of the end of the same endpoint tell nothing new.
+	endedInterval = 500 * core.Millisecond
 	// maxRelayed bounds the reports in a message.
 	maxRelayed = 64
 )
@@ -17,6 +19,7 @@
 type Relay struct {
 	crashes []relayed[Report]
 	served  []relayed[Served]
+	ended   []relayed[Ended]
 }
 
 // relayed is a report with its time and until when it is passed on.
@@ -37,6 +40,29 @@
 	r.served = addRelayed(r.served, relayed[Served]{served, now - served.Age, now + repeatPeriod})
 }
 
+// AddEnded adds a report of an endpoint's end in place of an earlier one, and reports whether it is news.
+func (r *Relay) AddEnded(now core.Millis, ended Ended) (news bool) {
+	at := now - ended.Age
+	if slices.ContainsFunc(r.ended, func(each relayed[Ended]) bool {
+		return each.report.Endpoint == ended.Endpoint && at-each.at < endedInterval
+	}) {
+		return false
+	}
+	r.ended = slices.DeleteFunc(r.ended, func(each relayed[Ended]) bool { return each.report.Endpoint == ended.Endpoint })
+	r.ended = addRelayed(r.ended, relayed[Ended]{ended, at, now + repeatPeriod})
+	return true
+}
+
+// Ended returns the reports of endpoints' ends that are part of a message sent now.
+func (r *Relay) Ended(now core.Millis) (ended []Ended) {
+	r.ended = dropOld(now, r.ended)
+	for _, each := range r.ended {
+		each.report.Age = now - each.at
+		ended = append(ended, each.report)
+	}
+	return ended
+}
+
 // addRelayed adds a report in place of the oldest one if there are too many.
 func addRelayed[T any](list []relayed[T], added relayed[T]) []relayed[T] {
 	if len(list) == maxRelayed {
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -17,6 +17,13 @@
 	Age core.Millis `cbor:"2,keyasint,omitempty"`
 }
 
+// Ended tells that an endpoint's process has ended, so that it is cold when it starts again.
+type Ended struct {
+	Endpoint string `cbor:"1,keyasint"`
+	// Age is the time since the end was noticed.
+	Age core.Millis `cbor:"2,keyasint,omitempty"`
+}
+
 // Quarantine is a request that is not sent to endpoints until a time of the wall clock. From then on a single further
 // crash renews it, until it is forgotten.
 type Quarantine struct {
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -71,6 +71,10 @@
 	// crashes holds the crashes that all entry hosts reported, relay the reports that came to this host lately.
 	crashes crash.Table
 	relay   crash.Relay
+	// endedElsewhere holds the ends of endpoints that other control hosts passed on; endedNews is set when entry hosts
+	// have not been told of one.
+	endedElsewhere crash.Relay
+	endedNews      bool
 	// suspects are the requests whose answers entry hosts report, as of the latest update; crashNews is set when there
 	// is news for them, and suspectsAt is when they are updated without.
 	suspects   []crash.Digest
@@ -175,6 +179,7 @@
 		if now >= c.namedAt {
 			c.updateNamed(now)
 		}
+		c.sendEnded(now, out)
 		c.resend(now, out)
 	})
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -101,6 +101,9 @@
 	quarantined     []crash.Quarantine
 	quarantineIndex uint64
 	suspects        []crash.Digest
+	// ended holds the ends of endpoints of the latest update, which came at endedAt.
+	ended   []crash.Ended
+	endedAt core.Millis
 	// relay holds the reports of crashes and answers that are sent, ownCrashes this host's crashes, and ownQuarantined
 	// what this host decided by them while it reached no control host.
 	relay          crash.Relay
@@ -195,6 +198,7 @@
 	}
 	if !probe {
 		r.Crashes, r.Served = e.relay.Reports(now)
+		r.Ended = e.relay.Ended(now)
 	}
 	out.Send(to, r)
 }
@@ -342,6 +346,7 @@
 // have changed. Versions and indexes never go back.
 func (e *Entry) apply(now core.Millis, from string, u *Update, out *core.Effects) bool {
 	changed := e.applyQuarantines(u)
+	changed = e.applyEnded(now, u) || changed
 	if u.Document != nil && u.Document.Version > e.document.Version {
 		e.document = *u.Document
 		changed = true
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -19,6 +19,33 @@
 	return *out
 }
 
+// RecordEnded records endpoints that this host saw end, and reports them at once.
+func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
+	out := &core.Effects{}
+	for _, each := range ended {
+		if e.relay.AddEnded(now, each) {
+			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
+			e.reportAt = now
+		}
+	}
+	return *out
+}
+
+// applyEnded takes over the ends of endpoints that other hosts saw, and reports whether there are any.
+func (e *Entry) applyEnded(now core.Millis, u *Update) bool {
+	e.ended, e.endedAt = u.Ended, now
+	return len(u.Ended) > 0
+}
+
+// endedNow returns the ends of endpoints with their present age.
+func (e *Entry) endedNow(now core.Millis) []crash.Ended {
+	ended := slices.Clone(e.ended)
+	for i := range ended {
+		ended[i].Age += now - e.endedAt
+	}
+	return ended
+}
+
 // servedBatchDelay batches the answers to several suspects into one report.
 const servedBatchDelay = 200 * core.Millisecond
 
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -49,6 +49,8 @@
 	// Crashes and Served hold what the entry host has seen lately of requests that may crash endpoints.
 	Crashes []crash.Report `cbor:"20,keyasint,omitempty"`
 	Served  []crash.Served `cbor:"21,keyasint,omitempty"`
+	// Ended holds the endpoints whose end the entry host has noticed lately.
+	Ended []crash.Ended `cbor:"22,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -78,6 +80,8 @@
 	QuarantineIndex uint64             `cbor:"14,keyasint,omitempty"`
 	// Suspects lists the requests whose answers the entry host reports.
 	Suspects []crash.Digest `cbor:"15,keyasint,omitempty"`
+	// Ended holds the endpoints whose end any entry host has noticed lately.
+	Ended []crash.Ended `cbor:"16,keyasint,omitempty"`
 }
 
 // EntryCounts counts the ready entry hosts of the receiver's region and of the deployment now, and the largest number
@@ -124,6 +128,7 @@
 	// Crashes and Served hold what the sender's entry hosts reported lately.
 	Crashes []crash.Report `cbor:"16,keyasint,omitempty"`
 	Served  []crash.Served `cbor:"17,keyasint,omitempty"`
+	Ended   []crash.Ended  `cbor:"18,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -12,6 +12,9 @@
 // proposalInterval is the time after which the leader proposes a quarantine again that is not committed yet.
 const proposalInterval = core.Second
 
+// endedBatchDelay batches the ends of several endpoints in one message; an endpoint may start again within a second.
+const endedBatchDelay = ControlTickInterval
+
 // suspectsInterval is how often a control host looks for requests that are no longer suspects.
 const suspectsInterval = core.Second
 
@@ -41,6 +44,23 @@
 		c.relay.AddServed(now, served)
 		c.shareAt = min(c.shareAt, now+shareBatchDelay)
 	}
+	for _, ended := range m.Ended {
+		if c.relay.AddEnded(now, ended) {
+			c.endedNews = true
+			c.shareAt = min(c.shareAt, now+endedBatchDelay)
+		}
+	}
+}
+
+// sendEnded tells the entry hosts of endpoints that have ended, before these start again.
+func (c *Control) sendEnded(now core.Millis, out *core.Effects) {
+	if !c.endedNews {
+		return
+	}
+	c.endedNews = false
+	for _, name := range sortedNames(c.entries) {
+		c.sendUpdate(now, c.entries[name], out)
+	}
 }
 
 // applyReports takes over what another control host passes on.
@@ -51,6 +71,9 @@
 	for _, served := range s.Served {
 		c.recordServed(now, served, out)
 	}
+	for _, ended := range s.Ended {
+		c.endedNews = c.endedElsewhere.AddEnded(now, ended) || c.endedNews
+	}
 }
 
 // updateSuspects brings the suspects up to date, and reports whether they have changed.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"clementinelock/core"
 )
 
@@ -81,6 +83,7 @@
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
 	c.addQuarantines(e, u)
+	u.Ended = slices.Concat(c.relay.Ended(now), c.endedElsewhere.Ended(now))
 	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
 	out.Send(e.Name, u)
 }
@@ -157,6 +160,7 @@
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
 	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
 	s.Crashes, s.Served = c.relay.Reports(now)
+	s.Ended = c.relay.Ended(now)
 	if other := c.controls[name]; other != nil {
 		s.AckProcess, s.AckNumber = other.process, other.entriesNumber
 		s.ListProcess, s.ListNumber = other.list.Process(), other.list.Number()
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -1,7 +1,9 @@
 package pick
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"clementinelock/core"
 )
@@ -41,6 +43,8 @@
 	Shed
 	// Unreached means that no connection could be established.
 	Unreached
+	// Refused means that the endpoint's address refused the connection, as that of a process that has ended does.
+	Refused
 	// Lost means that the answer was cut off or corrupted, or did not arrive.
 	Lost
 	// Misled means that the address now belongs to another endpoint.
@@ -51,11 +55,11 @@
 	Withdrawn
 )
 
-var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Lost", "Misled", "GivenUp", "Withdrawn"}
+var outcomeNames = []string{"Good", "Failed", "Shed", "Unreached", "Refused", "Lost", "Misled", "GivenUp", "Withdrawn"}
 
 // MayHaveRun reports whether the endpoint may have run the request.
 func (o Outcome) MayHaveRun() bool {
-	return o != Shed && o != Unreached && o != Misled && o != Withdrawn
+	return o != Shed && o != Unreached && o != Refused && o != Misled && o != Withdrawn
 }
 
 // String returns the outcome's name.
@@ -72,6 +76,7 @@
 		t.shift.withdraw(c.chosenAt, e.Region)
 	}
 	if outcome == Good || outcome == Failed || outcome == Shed {
+		e.answeredAt = now
 		t.recordNoLimit(e, c.chosenAt)
 	}
 	switch outcome {
@@ -88,6 +93,9 @@
 		if !e.inBackoff(now) {
 			e.recordShed(now)
 		}
+	case Refused:
+		t.RecordEnded(now, e.ID)
+		t.recordFailure(now, e, outcome)
 	case Unreached, Lost:
 		t.recordFailure(now, e, outcome)
 	case Misled:
@@ -97,9 +105,39 @@
 	}
 }
 
+// RecordEnded records that an endpoint's process was seen to have ended.
+func (t *Table) RecordEnded(at core.Millis, id string) {
+	e := t.endpoints[id]
+	if e == nil || at <= e.endedAt {
+		return
+	}
+	if e.endedAt == 0 {
+		t.logf("Endpoint %s of %s in %s has ended; it counts as cold until a list that was read later.", e.ID, e.Service, e.Zone)
+	}
+	e.endedAt = at
+}
+
+// LastAnswered returns the addresses of at most count endpoints besides the one given, those that answered this host last
+// first.
+func (t *Table) LastAnswered(id string, count int) (addresses []string) {
+	var others []*Endpoint
+	for _, e := range t.endpoints {
+		if e.ID != id && e.answeredAt != 0 {
+			others = append(others, e)
+		}
+	}
+	slices.SortFunc(others, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(b.answeredAt, a.answeredAt), cmp.Compare(a.ID, b.ID))
+	})
+	for _, e := range others[:min(count, len(others))] {
+		addresses = append(addresses, e.Address)
+	}
+	return addresses
+}
+
 // recordFailure records a failure and logs when the endpoint is ejected for it.
 func (t *Table) recordFailure(now core.Millis, e *Endpoint, outcome Outcome) {
-	if e.recordFailure(now, outcome == Unreached) {
+	if e.recordFailure(now, outcome == Unreached || outcome == Refused) {
 		t.logf("Endpoint %s of %s in %s is ejected for %s after %d failures, the last %s.", e.ID, e.Service, e.Zone, e.ejectionTimeout, e.failures, outcome)
 	}
 }
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -46,6 +46,10 @@
 	coldUntil       core.Millis
 	// zoneColdUntil is until when the endpoint counts as cold after the evacuation of its zone.
 	zoneColdUntil core.Millis
+	// endedAt is when the endpoint's process was seen to have ended, 0 once a later list shows its state.
+	endedAt core.Millis
+	// answeredAt is when the endpoint last answered this host.
+	answeredAt core.Millis
 	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold, or could be without
 	// this host's knowledge.
 	coldSentAt []core.Millis
@@ -75,7 +79,12 @@
 }
 
 func (e *Endpoint) isCold(now core.Millis) bool {
-	return now < e.coldUntil || now < e.zoneColdUntil
+	return now < e.coldUntil || now < e.zoneColdUntil || e.hasEnded(now)
+}
+
+// hasEnded reports whether the endpoint's process has ended and may have started again since, cold under the same id.
+func (e *Endpoint) hasEnded(now core.Millis) bool {
+	return e.endedAt != 0 && now-e.endedAt <= returnColdTimeout
 }
 
 // isActive reports whether the endpoint takes part in its service.
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -154,6 +154,9 @@
 			t.OnRemove(e.Address)
 		}
 	}
+	for _, each := range view.Ended {
+		t.RecordEnded(now-each.Age, each.Endpoint)
+	}
 	t.groupByService()
 	t.updateLocalSlots(now)
 }
@@ -215,6 +218,9 @@
 	if entry.Draining && !e.Draining {
 		t.logf("Endpoint %s of %s in %s is draining by a list read %s ago; it gets no new requests.", entry.ID, entry.Service, entry.Zone, age)
 	}
+	if e.endedAt != 0 && now-age > e.endedAt+maxListLag {
+		e.endedAt = 0
+	}
 	e.updateLeaving(now-age, entry.Draining)
 	e.Entry, e.Region = entry, t.RegionByZone[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -15,6 +15,8 @@
 const (
 	// probeTimeout is several round trips to the farthest region.
 	probeTimeout = 250 * time.Millisecond
+	// maxOthersProbed is the number of other endpoints that are tried before this host counts as cut off from all.
+	maxOthersProbed = 3
 	// maxPendingCrashes bounds the requests of one endpoint whose end is examined.
 	maxPendingCrashes = 64
 )
@@ -26,6 +28,8 @@
 	broken map[string][]crash.Digest
 	// abandoned holds, by the address of their endpoint, requests that were given up there.
 	abandoned map[string]*abandoned
+	// ended holds the endpoints that this host saw end and the driver has not taken yet.
+	ended []timedEnd
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
 	// inFlight holds what cancels the requests in flight, by digest.
@@ -46,6 +50,12 @@
 	at core.Millis
 }
 
+// timedEnd is an endpoint that was seen to have ended at a time.
+type timedEnd struct {
+	endpoint string
+	at       core.Millis
+}
+
 // SetQuarantined replaces the requests that are not sent to endpoints, and those whose answers are reported. Attempts of
 // quarantined requests are cancelled, since they may wait in the queues of endpoints.
 func (s *Server) SetQuarantined(quarantined []crash.Quarantine, suspects []crash.Digest) {
@@ -93,6 +103,17 @@
 	return reports, s.crashes.watch.TakeServed(now)
 }
 
+// TakeEnded returns the endpoints that this host saw end, each once.
+func (s *Server) TakeEnded(now core.Millis) (ended []crash.Ended) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, each := range s.crashes.ended {
+		ended = append(ended, crash.Ended{Endpoint: each.endpoint, Age: now - each.at})
+	}
+	s.crashes.ended = nil
+	return ended
+}
+
 // quarantine returns a refusal if the request must not be sent to endpoints.
 func (s *Server) quarantine(digest crash.Digest) *core.Refusal {
 	s.mutex.Lock()
@@ -119,6 +140,9 @@
 		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, digest)
 	case result.Ending == pool.Silent || result.Ending == pool.Cancelled && !errors.Is(context.Cause(ctx), errSuperseded):
 		s.recordAbandoned(context.WithoutCancel(ctx), e, digest)
+	case result.Refused:
+		s.RecordClosed(e.Address)
+		s.examine(context.WithoutCancel(ctx), e.ID, e.Address)
 	case result.Ending == pool.NotSent:
 		s.RecordClosed(e.Address)
 	}
@@ -144,11 +168,28 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		ended := s.Pool.IsRefused(ctx, address)
+		ended := s.Pool.IsRefused(ctx, address) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
 	}()
 }
 
+// reachesOthers reports whether this host can open a connection to another endpoint, so that a refused one is not due to
+// a cut of this host from all endpoints. Too few others tell nothing, since they may have ended too.
+func (s *Server) reachesOthers(ctx context.Context, endpoint string) bool {
+	s.mutex.Lock()
+	others := s.Picks.LastAnswered(endpoint, maxOthersProbed)
+	s.mutex.Unlock()
+	if len(others) < maxOthersProbed {
+		return true
+	}
+	for _, address := range others {
+		if s.Pool.Reaches(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Server) finishExamination(endpoint, address string, at core.Millis, ended bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -157,6 +198,8 @@
 	if !ended {
 		return
 	}
+	s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint, at})
+	s.Picks.RecordEnded(at, endpoint)
 	for _, digest := range append(broken, s.crashes.takeAbandoned(at, endpoint, address)...) {
 		s.crashes.reports = append(s.crashes.reports, timedReport{crash.Report{Digest: digest, Endpoint: endpoint}, at})
 	}
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,3 +131,48 @@
 	c.send("GET", "/read/other", "r3", "")
 	c.expect("r3", http.StatusOK, "GET /read/other ")
 }
+
+// TestCutHostReportsNoEnds guards against a host that is cut off from all endpoints and takes refused connections for their
+// ends, so that other hosts use them less and requests that broke are quarantined.
+func TestCutHostReportsNoEnds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused int
+	}{{"one endpoint ends", 1}, {"all refuse connections", 6}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := startHost(t, 6)
+			warm := h.dial(t)
+			for i := range 60 {
+				id := "w" + strconv.Itoa(i)
+				warm.send("GET", "/read/good", id, "", "Cookie: object="+id)
+				warm.expect(id, http.StatusOK, "GET /read/good ")
+			}
+			var ended atomic.Bool
+			h.setAnswer(func(conn net.Conn, request *http.Request, body []byte) bool {
+				if request.RequestURI != "/read/broken" || ended.Swap(true) {
+					return echo(conn, request, body)
+				}
+				for _, e := range h.endpoints {
+					if c.refused == len(h.endpoints) || e.listener.Addr().String() == conn.LocalAddr().String() {
+						_ = e.listener.Close()
+					}
+				}
+				return false
+			})
+			broken := h.dial(t)
+			broken.send("GET", "/read/broken", "b1", "")
+			_, _, _ = broken.readAnswer()
+			want := 0
+			if c.refused == 1 {
+				want = 1
+			}
+			reports := h.crashReports(t, 1)
+			if len(reports) != want {
+				t.Errorf("reported %d crashes, expected %d: %v", len(reports), want, reports)
+			}
+			if ended := h.server.TakeEnded(clock.New().Now()); len(ended) != want {
+				t.Errorf("reported %d ends, expected %d: %v", len(ended), want, ended)
+			}
+		})
+	}
+}
--- a/io/entry/ending.go
+++ b/io/entry/ending.go
@@ -12,7 +12,7 @@
 
 // spendRetry spends an extra attempt from the budget; a retry of an attempt that reached no endpoint is free.
 func (t *attempts) spendRetry(outcome pick.Outcome) bool {
-	if outcome == pick.Unreached || outcome == pick.Withdrawn {
+	if outcome == pick.Unreached || outcome == pick.Refused || outcome == pick.Withdrawn {
 		return true
 	}
 	t.server.mutex.Lock()
@@ -24,6 +24,9 @@
 func (s *Server) classify(result pool.Result) pick.Outcome {
 	switch result.Ending {
 	case pool.NotSent:
+		if result.Refused {
+			return pick.Refused
+		}
 		return pick.Unreached
 	case pool.Cancelled:
 		return pick.GivenUp
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -132,11 +132,12 @@
 	crashes, served := e.server.TakeReports(now)
 	effects := e.machine.RecordCrashes(now, crashes)
 	e.machine.RecordServed(now, served)
+	ended := e.machine.RecordEnded(now, e.server.TakeEnded(now))
 	changed, more := e.machine.DecideAlone(now)
 	if changed {
 		e.updateServer(now)
 	}
-	for _, each := range []core.Effects{more, e.machine.Tick(now)} {
+	for _, each := range []core.Effects{ended, more, e.machine.Tick(now)} {
 		effects.Logs = append(effects.Logs, each.Logs...)
 		effects.Sends = append(effects.Sends, each.Sends...)
 	}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -71,7 +71,7 @@
 		if ctx.Err() != nil {
 			return Result{Ending: NotSent, Detail: "no connection before the deadline"}
 		}
-		return Result{Ending: NotSent, Detail: err.Error()}
+		return Result{Ending: NotSent, Detail: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	if t.Ready != nil && !t.Ready() {
 		c.unuse()
@@ -142,6 +142,19 @@
 	return false
 }
 
+// Reaches reports whether a new connection to the address can be opened; it is kept for a request.
+func (p *Pool) Reaches(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.mutex.Lock()
+	p.opened++
+	p.mutex.Unlock()
+	c.unuse()
+	return true
+}
+
 // setUserTimeout makes the kernel end connections whose peer has gone without closing them.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var inner error
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -85,6 +85,8 @@
 	Ending Ending
 	Answer *Answer
 	Detail string
+	// Refused reports whether the address refused the connection.
+	Refused bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
 }
