--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -48,6 +48,8 @@
 	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller; it may be
 	// nil.
 	OnHeader func(endpoint string, status int, header http.Header)
+	// LocalIP is the address that connections come from; nil leaves it to the kernel.
+	LocalIP net.IP
 	// OnClosed is called when an endpoint has closed an idle connection to its address; it may be nil.
 	OnClosed func(address string)
 
@@ -110,7 +112,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setSocketOptions}
+	if p.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -155,10 +160,13 @@
 	return true
 }
 
-// setUserTimeout makes the kernel end connections whose peer has gone without closing them.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setSocketOptions makes the kernel end connections whose peer has gone without closing them, and choose the port of a
+// connection from a given address so late that ports can be used for several destinations.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var inner error
 	err := raw.Control(func(fd uintptr) {
+		// Without this option there are fewer ports, which is no reason to fail.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
 		inner = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
