Entry hosts that reach no endpoint serve their callers through others

Cause: a host could serve only through its own connections to endpoints; nothing that it knew of them helped while it had none. Class: one way to what callers ask for, and no other when it is lost.

Change: a host recognises the cut by connections that fail and probes that nobody answers (core/reach), reports it, and hands its callers' requests over to other entry hosts, which control hosts name. Look-ups leave such hosts out where most of their zone is not cut off.

Probes that only open a connection: a border that accepts connections leads nowhere.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -86,9 +86,13 @@
 	tickedAt  core.Millis
 	resumedAt core.Millis
 	startedAt core.Millis
+	// cutSent holds the names of the entry hosts that reach no endpoint, as all entry hosts were told last.
+	cutSent []string
 	// ready caches the entry hosts that serve; readyCached is false after a change.
 	ready       []EntryHost
 	readyCached bool
+	// readyVersion counts the changes of ready.
+	readyVersion uint64
 	// named holds how many entry hosts of each availability zone look-ups name; it is updated at namedAt.
 	named   map[string]namedCount
 	namedAt core.Millis
@@ -121,6 +125,9 @@
 	versionSentAt  core.Millis
 	sentListNumber uint64
 	listDueAt      core.Millis
+	// peers is what the entry host is told of others, as of the version of the ready hosts.
+	peers        *Peers
+	peersVersion uint64
 }
 
 // controlState is the state of another control host.
@@ -180,6 +187,7 @@
 			c.updateNamed(now)
 		}
 		c.sendEnded(now, out)
+		c.sendCut(now, out)
 		c.resend(now, out)
 	})
 }
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -95,7 +95,7 @@
 // zone as its load needs, those of the region if the zone has fewer than two, and all if the region has fewer than two
 // as well.
 func (c *Control) Directory(region, zone string) []string {
-	all := c.readyEntries()
+	all := withoutCut(c.readyEntries())
 	for _, near := range []func(EntryHost) bool{
 		func(e EntryHost) bool { return e.Zone == zone },
 		func(e EntryHost) bool { return e.Region == region },
@@ -114,6 +114,22 @@
 	return nil
 }
 
+// withoutCut returns the hosts without those that reach no endpoint, unless these are half of an availability zone or
+// more: they serve through others, which must not get all callers of the zone.
+func withoutCut(hosts []EntryHost) []EntryHost {
+	all, cut := map[string]int{}, map[string]int{}
+	for _, e := range hosts {
+		all[e.Zone]++
+		if e.Cut {
+			cut[e.Zone]++
+		}
+	}
+	if len(cut) == 0 {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(e EntryHost) bool { return e.Cut && 2*cut[e.Zone] < all[e.Zone] })
+}
+
 // limitToNamed returns the addresses of the hosts that are named of each availability zone, sorted.
 func (c *Control) limitToNamed(hosts []EntryHost) []string {
 	slices.SortFunc(hosts, func(a, b EntryHost) int { return cmp.Compare(a.Address, b.Address) })
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -58,6 +58,8 @@
 	Endpoints  int
 	ListAge    core.Millis
 	Counts     EntryCounts
+	// Peers tells of other entry hosts.
+	Peers Peers
 	// Quarantined holds the requests that this host keeps from endpoints.
 	Quarantined []crash.QuarantineDump
 }
@@ -70,7 +72,7 @@
 	}
 	return EntryDump{
 		EntryHost: e.EntryHost, Control: e.currentControl, HeardAgo: now - e.heardAt, ContactAgo: contactAgo, Version: e.document.Version, Index: e.index,
-		Evacuated: e.evacuated, Endpoints: e.list.Len(), ListAge: e.list.Age(now), Counts: e.counts,
+		Evacuated: e.evacuated, Endpoints: e.list.Len(), ListAge: e.list.Age(now), Counts: e.counts, Peers: e.peers,
 		Quarantined: crash.Dump(now, slices.Concat(e.quarantined, e.ownQuarantined)),
 	}
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -104,6 +104,8 @@
 	// ended holds the ends of endpoints of the latest update, which came at endedAt.
 	ended   []crash.Ended
 	endedAt core.Millis
+	// peers is what this host knows of other entry hosts.
+	peers Peers
 	// relay holds the reports of crashes and answers that are sent, ownCrashes this host's crashes, and ownQuarantined
 	// what this host decided by them while it reached no control host.
 	relay          crash.Relay
@@ -194,7 +196,7 @@
 	r := &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
 		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsProcess: e.controlsProcess, ControlsNumber: e.controlsNumber, Probe: probe,
-		Load: e.currentLoad(now), QuarantineIndex: e.quarantineIndex,
+		Load: e.currentLoad(now), QuarantineIndex: e.quarantineIndex, PeersNumber: e.peers.Number,
 	}
 	if !probe {
 		r.Crashes, r.Served = e.relay.Reports(now)
@@ -347,6 +349,7 @@
 func (e *Entry) apply(now core.Millis, from string, u *Update, out *core.Effects) bool {
 	changed := e.applyQuarantines(u)
 	changed = e.applyEnded(now, u) || changed
+	changed = e.applyPeers(u) || changed
 	if u.Document != nil && u.Document.Version > e.document.Version {
 		e.document = *u.Document
 		changed = true
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -4,6 +4,7 @@
 	"clementinelock/core"
 	"clementinelock/core/crash"
 	"clementinelock/core/edits"
+	"clementinelock/core/reach"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
 )
@@ -23,6 +24,8 @@
 	Ready bool `cbor:"6,keyasint,omitempty"`
 	// ReportsLoad is set if the host knows its capacity and reports its load.
 	ReportsLoad bool `cbor:"7,keyasint,omitempty"`
+	// Cut is set while the host reaches no endpoint.
+	Cut bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Report goes from an entry host to its control host and identifies the state that the entry host holds.
@@ -51,6 +54,8 @@
 	Served  []crash.Served `cbor:"21,keyasint,omitempty"`
 	// Ended holds the endpoints whose end the entry host has noticed lately.
 	Ended []crash.Ended `cbor:"22,keyasint,omitempty"`
+	// PeersNumber identifies the Peers that are held; 0 means none.
+	PeersNumber uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -82,6 +87,18 @@
 	Suspects []crash.Digest `cbor:"15,keyasint,omitempty"`
 	// Ended holds the endpoints whose end any entry host has noticed lately.
 	Ended []crash.Ended `cbor:"16,keyasint,omitempty"`
+	// Peers is left out when the entry host holds the same.
+	Peers *Peers `cbor:"17,keyasint,omitempty"`
+}
+
+// Peers is what an entry host knows of the others.
+type Peers struct {
+	// Number identifies the content.
+	Number uint64 `cbor:"1,keyasint"`
+	// Helpers may serve the receiver's callers while it reaches no endpoint, the nearest first.
+	Helpers []reach.Helper `cbor:"2,keyasint,omitempty"`
+	// Cut names the hosts that reach no endpoint, whose requests the receiver takes.
+	Cut []string `cbor:"3,keyasint,omitempty"`
 }
 
 // EntryCounts counts the ready entry hosts of the receiver's region and of the deployment now, and the largest number
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -26,7 +26,7 @@
 		c.entries[from] = e
 		out.Logf("entries", "Entry host %s now reports here.", from)
 	}
-	changed := e.EntryHost != m.EntryHost
+	changed, cutChanged := e.EntryHost != m.EntryHost, e.Cut != m.Cut
 	if e.Process != m.Process {
 		e.sentVersion, e.sentListNumber = 0, 0
 		e.firstAt = now
@@ -38,6 +38,9 @@
 		c.entriesNumber++
 		c.readyCached = false
 		c.shareAt = min(c.shareAt, now+shareBatchDelay)
+		if cutChanged {
+			c.shareAt = min(c.shareAt, now+cutBatchDelay)
+		}
 	}
 	c.relayReports(now, m, out)
 	c.sendUpdate(now, e, out)
@@ -83,6 +86,7 @@
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
 	c.addQuarantines(e, u)
+	c.addPeers(e, u)
 	u.Ended = slices.Concat(c.relay.Ended(now), c.endedElsewhere.Ended(now))
 	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
 	out.Send(e.Name, u)
@@ -253,6 +257,7 @@
 func (c *Control) readyEntries() []EntryHost {
 	if !c.readyCached {
 		c.ready, c.readyCached = c.findReady(), true
+		c.readyVersion++
 	}
 	return c.ready
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -24,6 +24,8 @@
 	Suspects    []crash.Digest
 	// Ended holds the endpoints whose end any entry host has noticed lately.
 	Ended []crash.Ended
+	// Peers tells of other entry hosts.
+	Peers Peers
 }
 
 // applyCounts takes over the numbers of entry hosts. A host that is cut off from its control host divides by the number
@@ -47,6 +49,6 @@
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
 		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All), Rank: e.counts.Rank},
 		Quarantined: slices.Concat(e.quarantined, e.ownQuarantined), Suspects: e.suspects,
-		Ended: e.endedNow(now),
+		Ended: e.endedNow(now), Peers: e.peers,
 	}
 }
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -26,6 +26,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	queue  chan *exchange
+	// handed is set on a connection of another entry host, which hands requests over.
+	handed bool
 	// open counts the requests that are read and not yet answered.
 	open atomic.Int64
 	// mutex orders the start of a request and the decision that an answer is the last one; noMore is set by the latter.
@@ -52,8 +54,10 @@
 	object string
 	// digest identifies the request among those of all callers.
 	digest crash.Digest
-	closes bool
-	conn   *conn
+	// handover is set if another entry host has handed the request over.
+	handover *handover
+	closes   bool
+	conn     *conn
 	// started is set once the request may reach an endpoint; the connection's mutex guards it.
 	started bool
 	reply   chan *reply
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -183,7 +183,7 @@
 		return true
 	}
 	for _, address := range others {
-		if s.Pool.Reaches(ctx, address) {
+		if s.Pool.Probe(ctx, address) == nil {
 			return true
 		}
 	}
--- a/io/entry/ending.go
+++ b/io/entry/ending.go
@@ -60,7 +60,7 @@
 		return t.failQuarantined()
 	case attempt.outcome == pick.Failed:
 		// The endpoint's error response is forwarded as the answer.
-		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer}
+		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer, endpoint: attempt.endpoint()}
 	case !t.mayHaveRun:
 		refusal := core.Refuse(core.Overloaded, core.RanNo, "no endpoint accepted the request: %s", attempt.result.Detail)
 		refusal.RetryAfter = retryAfter
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -10,10 +10,16 @@
 
 // RecordHeader applies what the header of an endpoint's answer says about the endpoint.
 func (s *Server) RecordHeader(endpoint string, status int, header http.Header) {
+	s.recordAnswer()
 	if status == http.StatusMisdirectedRequest {
 		// Another endpoint answered.
 		return
 	}
+	s.recordNotice(endpoint, status, header)
+}
+
+// recordNotice applies what an answer says about its endpoint.
+func (s *Server) recordNotice(endpoint string, status int, header http.Header) {
 	notice := s.noticeOf(status, header)
 	if notice == (pick.Notice{}) {
 		return
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -8,6 +8,7 @@
 
 	"clementinelock/core"
 	"clementinelock/io/pool"
+	"clementinelock/io/proto"
 )
 
 // accept converts a parsed request to an exchange; it refuses a body that exceeds maxBody bytes.
@@ -28,6 +29,10 @@
 			Header: request.Header, Length: request.ContentLength,
 		},
 	}
+	if c.handed {
+		x.handover = parseHandover(request.Header.Get(proto.Handover))
+		request.Header.Del(proto.Handover)
+	}
 	if cookie, err := request.Cookie(d.ObjectCookie); err == nil {
 		x.object = cookie.Value
 	}
--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -9,6 +9,7 @@
 
 	"clementinelock/core"
 	"clementinelock/io/pool"
+	"clementinelock/io/proto"
 )
 
 // reply is the response to a caller.
@@ -17,7 +18,12 @@
 	retryAfter core.Millis
 	// answer is an endpoint's answer, or nil for a response of this host's own.
 	answer *pool.Answer
-	close  bool
+	// endpoint is the one that answered.
+	endpoint string
+	// kind and ran are those of a refusal.
+	kind  core.Kind
+	ran   core.Ran
+	close bool
 }
 
 const copyBufferBytes = 16 << 10
@@ -40,7 +46,7 @@
 	}
 	if r.answer == nil {
 		c.sendOwn(x, r)
-	} else if err := c.sendAnswer(x, r.answer); err != nil {
+	} else if err := c.sendAnswer(x, r); err != nil {
 		return err
 	}
 	return w.Flush()
@@ -64,16 +70,22 @@
 	if x.request.ID != "" {
 		write(c.writer, c.server.Dialect.RequestID, ": ", x.request.ID, "\r\n")
 	}
+	if c.handed {
+		write(c.writer, proto.Kind, ": ", string(r.kind), "\r\n", proto.Ran, ": ", string(r.ran), "\r\n")
+	}
 	if r.retryAfter > 0 {
 		write(c.writer, "Retry-After: ", strconv.FormatFloat(float64(r.retryAfter)/float64(core.Second), 'f', -1, 64), "\r\n")
 	}
 	write(c.writer, "Content-Length: 0\r\n\r\n")
 }
 
-func (c *conn) sendAnswer(x *exchange, a *pool.Answer) error {
-	w := c.writer
+func (c *conn) sendAnswer(x *exchange, r *reply) error {
+	w, a := c.writer, r.answer
+	if c.handed {
+		write(w, proto.Endpoint, ": ", r.endpoint, "\r\n")
+	}
 	for name, values := range a.Header {
-		if pool.IsHopByHop(name, a.Header) || name == c.server.Dialect.Load {
+		if pool.IsHopByHop(name, a.Header) || name == c.server.Dialect.Load || c.handed && name == proto.Endpoint {
 			continue
 		}
 		for _, value := range values {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -64,12 +64,20 @@
 	// Caller is the address that the request came from; Digest is the same in all repetitions of the request.
 	Caller string
 	Digest crash.Digest
+	// Helper is the entry host that the request was handed over to last, Handovers how often it was; From is the entry host
+	// that handed it over to this one.
+	Helper    string
+	Handovers int
+	From      string
 }
 
 // serve handles one request and hands its reply to the writer.
 func (c *conn) serve(x *exchange) {
 	s := c.server
 	record := RequestRecord{RequestID: x.request.ID, CallerTimeout: x.timeout, Caller: addressOf(c.conn), Digest: x.digest}
+	if x.handover != nil {
+		record.From = record.Caller
+	}
 	r := s.handle(c.ctx, x, &record)
 	if x.bodyRead != nil {
 		if rest, ok := x.request.Rest.(*bodyRemainder); ok && !rest.complete {
@@ -91,6 +99,12 @@
 		return refuse(record, core.Refuse(core.NotReady, core.RanNo, "no routes received yet"))
 	}
 	record.Version = table.Version
+	if x.handover != nil {
+		if refusal := s.enterHandover(x, table.Version); refusal != nil {
+			return refuse(record, refusal)
+		}
+		defer s.leaveHandover()
+	}
 	if s.finishing.Load() {
 		refusal := core.Refuse(core.Stopping, core.RanNo, "this host takes no more requests")
 		// Other hosts take the request at once.
@@ -137,7 +151,7 @@
 func refuse(record *RequestRecord, refusal *core.Refusal) *reply {
 	record.Kind, record.Detail = refusal.Kind, refusal.Detail
 	row := core.Answers[refusal.Kind]
-	return &reply{status: row.Status, retryAfter: refusal.RetryAfter}
+	return &reply{status: row.Status, retryAfter: refusal.RetryAfter, kind: refusal.Kind, ran: refusal.Ran}
 }
 
 // attemptResult is the result of one attempt.
@@ -145,6 +159,8 @@
 	choice  pick.Choice
 	result  pool.Result
 	outcome pick.Outcome
+	// refusal is that of the entry host which the request was handed over to.
+	refusal *core.Refusal
 }
 
 // attempts holds the state of one request from its first attempt to its reply.
@@ -157,6 +173,14 @@
 	pickRequest pick.Request
 	results     chan attemptResult
 	inFlight    int
+	// reached counts the attempts that endpoints may have run, and those in flight.
+	reached int
+	// counted is set once the request is in a budget of extra attempts.
+	counted bool
+	// handsOver is set if the next attempt goes to another entry host.
+	handsOver bool
+	// triedHelpers lists the entry hosts that the request was handed over to.
+	triedHelpers []string
 	// mayHaveRun is set once an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// hedgeDelay is how long an answer may take before a hedged attempt starts.
@@ -168,15 +192,20 @@
 func (s *Server) runAttempts(ctx context.Context, x *exchange, route *routes.Route, deadline core.Millis, record *RequestRecord) *reply {
 	service := route.Choose(rand.Float64())
 	record.Service = service
-	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult, max(1, route.MaxAttempts))}
+	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult, max(1, route.MaxAttempts)+maxHandovers)}
 	t.pickRequest = pick.Request{Service: service, Regions: route.Regions, Objective: route.Objective, Priority: route.Priority}
 	if route.Affinity && x.object != "" {
 		t.pickRequest.Object = route.Prefix + x.object
 	}
 	record.Object = x.object
-	s.mutex.Lock()
-	s.Picks.CountRequest(service)
-	s.mutex.Unlock()
+	if x.handover != nil {
+		t.counted, t.reached = x.handover.counted, x.handover.reached
+		t.count()
+		if t.reached > 0 && !t.spendRetry(pick.Lost) {
+			return refuse(record, core.Refuse(core.Overloaded, core.RanNo, "no budget for a further attempt of a request that was handed over"))
+		}
+	}
+	t.handsOver = t.goesToHelper()
 	// The end of the request cancels an attempt that another one has superseded.
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(errSuperseded)
@@ -188,6 +217,17 @@
 	return t.awaitAnswer(ctx)
 }
 
+// count adds the request to the budget of extra attempts of its service, once.
+func (t *attempts) count() {
+	if t.counted {
+		return
+	}
+	t.counted = true
+	t.server.mutex.Lock()
+	defer t.server.mutex.Unlock()
+	t.server.Picks.CountRequest(t.pickRequest.Service)
+}
+
 // errSuperseded cancels an attempt whose request was answered by another one.
 var errSuperseded = errors.New("superseded by another attempt that was answered first")
 
@@ -197,7 +237,13 @@
 	if refusal := s.quarantine(t.exchange.digest); refusal != nil {
 		return refusal
 	}
+	if t.handsOver {
+		if started, refusal := t.startHandover(ctx); started || refusal != nil {
+			return refusal
+		}
+	}
 	t.pickRequest.Remaining = t.deadline - s.Now()
+	t.count()
 	s.mutex.Lock()
 	choice, refusal := s.Picks.Choose(s.Now(), t.pickRequest)
 	s.mutex.Unlock()
@@ -210,6 +256,7 @@
 	record.LoadAge = choice.LoadAge
 	t.pickRequest.Tried = append(t.pickRequest.Tried, choice.Endpoint.ID)
 	t.inFlight++
+	t.reached++
 	go func() { t.results <- t.send(ctx, choice) }()
 	return nil
 }
@@ -227,7 +274,9 @@
 		defer s.mutex.Unlock()
 		return s.Picks.IsReady(s.Now(), choice)
 	}
+	s.recordSent()
 	result := s.Pool.Do(ctx, t.exchange.request, target)
+	s.recordDone(e.Address, result)
 	outcome := s.classify(result)
 	if outcome == pick.GivenUp && errors.Is(context.Cause(ctx), errSuperseded) && s.Now()-began >= t.hedgeDelay {
 		outcome = pick.Lost
@@ -243,7 +292,7 @@
 	if outcome == pick.Misled {
 		s.Pool.CloseIdle(e.Address)
 	}
-	return attemptResult{choice, result, outcome}
+	return attemptResult{choice: choice, result: result, outcome: outcome}
 }
 
 // awaitAnswer waits for the attempts in flight and starts further ones.
@@ -266,7 +315,7 @@
 // computeHedgeDelay returns the delay after which an unanswered idempotent request is hedged;
 // it is an hour, in effect never, for a request that must not be hedged.
 func (t *attempts) computeHedgeDelay() core.Millis {
-	if max(1, t.route.MaxAttempts) < 2 || t.exchange.request.Rest != nil || !t.route.Idempotent {
+	if t.maxAttempts() < 2 || t.exchange.request.Rest != nil || !t.route.Idempotent {
 		return core.Hour
 	}
 	t.server.mutex.Lock()
@@ -275,19 +324,33 @@
 	return core.Millis(max(hedgeServiceTimes*float64(usual), hedgeDeadlineShare*float64(t.deadline-t.server.Now())))
 }
 
+// maxAttempts returns the number of endpoints that may run the request.
+func (t *attempts) maxAttempts() int {
+	return max(1, t.route.MaxAttempts)
+}
+
+// endpoint returns the name of the endpoint that the attempt went to.
+func (a attemptResult) endpoint() string {
+	if a.choice.Endpoint == nil {
+		return ""
+	}
+	return a.choice.Endpoint.ID
+}
+
 // noRetryReason returns the reason against a further attempt after one with this outcome.
-// It spends one attempt from the retry budget when there is none.
+// It spends one attempt from the retry budget when there is none, unless the host that gets the request next does.
 func (t *attempts) noRetryReason(ctx context.Context, outcome pick.Outcome) NoRetryReason {
+	t.handsOver = t.goesToHelper()
 	switch {
 	case ctx.Err() != nil:
 		return TimeOver
-	case t.record.Attempts >= max(1, t.route.MaxAttempts):
+	case t.reached >= t.maxAttempts() || t.record.Attempts >= t.maxAttempts() && !t.mayHandOver():
 		return MostAttempts
 	case t.exchange.request.Rest != nil:
 		return BodyPassedOn
 	case t.mayHaveRun && !t.route.Idempotent:
 		return MayHaveRun
-	case !t.spendRetry(outcome):
+	case !t.handsOver && !t.spendRetry(outcome):
 		return BudgetSpent
 	}
 	return ""
@@ -313,12 +376,18 @@
 	t.record.Ending, t.record.Detail = attempt.result.Ending.String(), attempt.result.Detail
 	if attempt.outcome == pick.Good {
 		t.record.NoRetryReason = ""
-		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer}
+		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer, endpoint: attempt.endpoint()}
+	}
+	if !attempt.outcome.MayHaveRun() {
+		t.reached--
 	}
 	t.mayHaveRun = t.mayHaveRun || attempt.outcome.MayHaveRun()
 	if t.inFlight > 0 {
 		return nil
 	}
+	if attempt.refusal != nil && (attempt.refusal.Ran != core.RanNo || !t.mayHaveRun) {
+		return refuse(t.record, attempt.refusal)
+	}
 	reason := t.noRetryReason(ctx, attempt.outcome)
 	retryAfter := core.Answers[core.Overloaded].RetryAfter
 	if reason == "" {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -11,6 +11,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/pick"
+	"clementinelock/core/reach"
 	"clementinelock/core/routes"
 	"clementinelock/io/pool"
 	"clementinelock/io/proto"
@@ -45,6 +46,11 @@
 	OnRequest func(RequestRecord)
 	// OnAcceptError is called with each temporary error of Accept; it must not block, and may be nil.
 	OnAcceptError func(error)
+	// Helpers are the entry hosts that serve this one's callers while it reaches no endpoint, HelperPool has the connections
+	// to them, at the addresses that HelperAddress returns for their names. Without Helpers no request is handed over.
+	Helpers       *reach.Helpers
+	HelperPool    *pool.Pool
+	HelperAddress func(name string) string
 
 	mutex    sync.Mutex
 	table    atomic.Pointer[routes.Table]
@@ -56,7 +62,8 @@
 	bytes     atomic.Uint64
 	conns     map[*conn]bool
 	crashes   crashes
-	listener  net.Listener
+	reach     reachState
+	listeners []net.Listener
 }
 
 // Update applies changes to the endpoint table and, unless table is nil, replaces the routes.
@@ -77,9 +84,20 @@
 // Serve accepts connections until the listener is closed; it returns nil after a
 // shutdown or the end of the context, else the error of Accept.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	return s.serve(ctx, listener, false)
+}
+
+// ServeHosts accepts connections of entry hosts that hand requests over, as Serve does those of callers.
+func (s *Server) ServeHosts(ctx context.Context, listener net.Listener) error {
+	return s.serve(ctx, listener, true)
+}
+
+func (s *Server) serve(ctx context.Context, listener net.Listener, handed bool) error {
 	s.mutex.Lock()
-	s.listener = listener
-	s.conns = map[*conn]bool{}
+	s.listeners = append(s.listeners, listener)
+	if s.conns == nil {
+		s.conns = map[*conn]bool{}
+	}
 	s.mutex.Unlock()
 	for {
 		accepted, err := listener.Accept()
@@ -97,6 +115,7 @@
 			continue
 		}
 		c := newConn(ctx, s, accepted)
+		c.handed = handed
 		s.mutex.Lock()
 		s.conns[c] = true
 		s.mutex.Unlock()
@@ -148,9 +167,9 @@
 func (s *Server) FinishShutdown(timeout time.Duration) (left int) {
 	s.finishing.Store(true)
 	s.mutex.Lock()
-	if s.listener != nil {
+	for _, listener := range s.listeners {
 		// Serve returns because of it; no one could handle an error here.
-		_ = s.listener.Close()
+		_ = listener.Close()
 	}
 	s.mutex.Unlock()
 	end := time.Now().Add(timeout)
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -9,6 +9,7 @@
 	"clementinelock/core"
 	"clementinelock/core/fleet"
 	"clementinelock/core/pick"
+	"clementinelock/core/reach"
 	"clementinelock/core/routes"
 	"clementinelock/io/entry"
 	"clementinelock/io/logs"
@@ -34,6 +35,8 @@
 	metrics *metrics
 	version uint64
 	ready   bool
+	// cut is set while this host reaches no endpoint.
+	cut bool
 }
 
 // NewEntry returns an entry host with these settings.
@@ -67,7 +70,11 @@
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
 	picks := &pick.Table{Name: s.Host, Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
-	e.pool.OnHeader, e.pool.OnClosed = e.server.RecordHeader, e.server.RecordClosed
+	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordClosed, e.server.RecordDial
+	e.server.Helpers = &reach.Helpers{Region: s.Region, Zone: s.Zone, Rand: newRand()}
+	e.server.HelperPool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
+	e.server.HelperAddress = s.peerAddress
+	e.metrics.observeReach(e.server.ReachCounts)
 	e.metrics.observeNotices(func() (counts pick.NoticeCounts) {
 		e.server.Update(nil, func(p *pick.Table) { counts = p.Notices })
 		return counts
@@ -94,7 +101,18 @@
 			e.failure <- err
 		}
 	}()
+	hosts, err := net.Listen("tcp", s.peerAddress(s.Host))
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := e.server.ServeHosts(ctx, hosts); err != nil {
+			e.failure <- err
+		}
+	}()
 	go e.pool.Sweep(ctx)
+	go e.server.HelperPool.Sweep(ctx)
+	go every(ctx, fleet.EntryTickInterval, func() { e.server.Probe(ctx) })
 	go every(ctx, fleet.EntryTickInterval, func() { e.step(e.tick) })
 	if err := e.listen(s.Readiness, e.Platform.ReadinessHandler(e.isReady)); err != nil {
 		return err
@@ -107,6 +125,7 @@
 type entryDump struct {
 	Known    fleet.EntryDump
 	Choices  pick.Dump
+	Reach    entry.ReachDump
 	Requests int
 	Stopping bool
 }
@@ -117,6 +136,7 @@
 	now := e.clock.Now()
 	d := entryDump{Known: e.machine.Dump(now), Requests: e.server.Active(), Stopping: e.server.Stopping()}
 	e.server.Update(nil, func(p *pick.Table) { d.Choices = p.Dump(now) })
+	d.Reach = e.server.ReachDump()
 	return d
 }
 
@@ -137,13 +157,28 @@
 	if changed {
 		e.updateServer(now)
 	}
-	for _, each := range []core.Effects{ended, more, e.machine.Tick(now)} {
+	for _, each := range []core.Effects{ended, more, e.reportCut(now), e.machine.Tick(now)} {
 		effects.Logs = append(effects.Logs, each.Logs...)
 		effects.Sends = append(effects.Sends, each.Sends...)
 	}
 	return effects
 }
 
+// reportCut tells the control host when this host can't reach endpoints, and when it can again.
+func (e *Entry) reportCut(now core.Millis) core.Effects {
+	cut := e.server.Cut()
+	if cut == e.cut {
+		return core.Effects{}
+	}
+	e.cut = cut
+	if cut {
+		e.Log.Info("reach", fmt.Sprintf("No endpoint can be reached; requests go to %d other entry hosts.", len(e.machine.View(now).Peers.Helpers)))
+	} else {
+		e.Log.Info("reach", "Endpoints can be reached again.")
+	}
+	return e.machine.SetCut(now, cut)
+}
+
 func (e *Entry) receive(from string, message core.Message) {
 	e.step(func(now core.Millis) core.Effects {
 		changed, effects := e.machine.Receive(now, from, message)
@@ -183,6 +218,7 @@
 	}
 	e.server.Update(table, func(p *pick.Table) { p.Update(now, view, current) })
 	e.server.SetQuarantined(view.Quarantined, view.Suspects)
+	e.server.SetPeers(view.Peers.Helpers, view.Peers.Cut)
 }
 
 func (e *Entry) isReady() bool {
@@ -221,5 +257,6 @@
 		"RequestID": record.RequestID, "Route": record.Route, "Service": record.Service, "Version": record.Version, "Attempts": record.Attempts, "Hedged": record.Hedged,
 		"Endpoint": record.Endpoint, "Zone": record.Zone, "Ending": record.Ending, "Status": record.Status, "Kind": record.Kind, "Detail": record.Detail, "NoMore": record.NoRetryReason,
 		"Wait": int64(record.Wait), "Load": record.Load, "LoadAge": int64(record.LoadAge), "Usable": record.Usable, "Cold": record.Cold, "Object": record.Object, "Place": record.Affinity, "Took": int64(record.Latency), "Patience": int64(record.CallerTimeout), "Caller": record.Caller, "Digest": record.Digest.String(),
+		"Helper": record.Helper, "Handovers": record.Handovers, "From": record.From,
 	})
 }
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"clementinelock/core/pick"
+	"clementinelock/core/reach"
 	"clementinelock/io/entry"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,10 @@
 	{"clementinelock_log_dropped_total", "Log lines that were dropped because the output was slow."},
 	{"clementinelock_peer_bytes_sent_total", "Bytes to other hosts."},
 	{"clementinelock_entry_notices_total", "Answers in which endpoints said something about themselves, by notice: Leaving, Backoff (503 with Retry-After), Limit (of requests from all hosts together) or Invalid (a Retry-After or limit that can't be read)."},
+	{"clementinelock_entry_cut", "1 while this host reaches no endpoint."},
+	{"clementinelock_entry_cuts_total", "How often this host was cut off from all endpoints."},
+	{"clementinelock_entry_handed_over_total", "Requests handed over to other entry hosts, by result: Took, Full (no room), Unwilling (cut off itself, stopping, or does not know of this host's cut) or Broken (not reached, or the answer broke off)."},
+	{"clementinelock_entry_helped_total", "Requests taken from entry hosts that are cut off."},
 }
 
 // MetricNames returns the names and help texts of the metrics, for the docs.
@@ -69,6 +74,24 @@
 	}
 }
 
+// observeReach registers the counters of cuts and handed-over requests, which read reads.
+func (m *metrics) observeReach(read func() entry.ReachCounts) {
+	gauge := prometheus.NewGaugeFunc(prometheus.GaugeOpts(counterOpts(6)), func() float64 {
+		if read().Current {
+			return 1
+		}
+		return 0
+	})
+	cuts := prometheus.NewCounterFunc(counterOpts(7), func() float64 { return float64(read().Cuts) })
+	helped := prometheus.NewCounterFunc(counterOpts(9), func() float64 { return float64(read().Helped) })
+	m.registry.MustRegister(gauge, cuts, helped)
+	for _, result := range []reach.Result{reach.Took, reach.Full, reach.Unwilling, reach.Broken} {
+		options := counterOpts(8)
+		options.ConstLabels = prometheus.Labels{"result": result.String()}
+		m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read().Handed[result]) }))
+	}
+}
+
 func (m *metrics) count(record entry.RequestRecord) {
 	m.requests.WithLabelValues(record.Service, strconv.Itoa(record.Status), string(record.Kind)).Inc()
 	m.attempts.WithLabelValues(record.Service).Add(float64(record.Attempts))
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -103,7 +103,7 @@
 	if !e.streamed {
 		if sent, err := c.write(r, t); err != nil && sent == 0 {
 			c.close()
-			return Result{Ending: NotSent, Detail: err.Error()}
+			return Result{Ending: NotSent, Detail: err.Error(), Reset: true}
 		}
 		close(e.written)
 	} else {
@@ -202,7 +202,7 @@
 			c.close()
 			switch {
 			case e != nil:
-				e.result <- Result{Ending: Broken, Detail: readErrorDetail(err)}
+				e.result <- Result{Ending: Broken, Detail: readErrorDetail(err), Reset: true}
 			case !closedHere && c.pool.OnClosed != nil:
 				c.pool.OnClosed(c.address)
 			}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -48,6 +48,8 @@
 	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller; it may be
 	// nil.
 	OnHeader func(endpoint string, status int, header http.Header)
+	// OnDial is called with the result of each attempt to open a connection that was not cancelled; it may be nil.
+	OnDial func(address string, err error)
 	// LocalIP is the address that connections come from; nil leaves it to the kernel.
 	LocalIP net.IP
 	// OnClosed is called when an endpoint has closed an idle connection to its address; it may be nil.
@@ -68,7 +70,7 @@
 
 // Do sends the request to the endpoint and waits for its answer until the context ends.
 func (p *Pool) Do(ctx context.Context, r *Request, t Target) Result {
-	c, reused, err := p.get(ctx, r, t.Address)
+	c, reused, err := p.get(ctx, r, t)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Result{Ending: NotSent, Detail: "no connection before the deadline"}
@@ -85,7 +87,8 @@
 }
 
 // get returns an idle connection that may be reused, or opens one.
-func (p *Pool) get(ctx context.Context, r *Request, address string) (c *connection, reused bool, err error) {
+func (p *Pool) get(ctx context.Context, r *Request, t Target) (c *connection, reused bool, err error) {
+	address := t.Address
 	idleLimit := maxIdle
 	if !r.Idempotent {
 		idleLimit = maxIdleNonIdempotent
@@ -93,6 +96,9 @@
 	now := time.Now()
 	p.mutex.Lock()
 	list := p.idle[address]
+	if t.Fresh {
+		list = nil
+	}
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
 		if now.Sub(c.idleSince) > idleLimit || now.After(c.expiresAt) {
@@ -103,7 +109,7 @@
 		if c.acquire() {
 			return c, true, nil
 		}
-		return p.get(ctx, r, address)
+		return p.get(ctx, r, t)
 	}
 	p.opened++
 	p.mutex.Unlock()
@@ -117,6 +123,9 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if p.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		p.OnDial(address, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -136,28 +145,20 @@
 // IsRefused reports whether the address refuses connections, as that of a process that has ended does. A connection that
 // is established is kept for a request.
 func (p *Pool) IsRefused(ctx context.Context, address string) bool {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	p.mutex.Lock()
-	p.opened++
-	p.mutex.Unlock()
-	c.unuse()
-	return false
+	return errors.Is(p.Probe(ctx, address), syscall.ECONNREFUSED)
 }
 
-// Reaches reports whether a new connection to the address can be opened; it is kept for a request.
-func (p *Pool) Reaches(ctx context.Context, address string) bool {
+// Probe opens a connection to the address, which is kept for a request; it returns the error if that is not possible.
+func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return false
+		return err
 	}
 	p.mutex.Lock()
 	p.opened++
 	p.mutex.Unlock()
 	c.unuse()
-	return true
+	return nil
 }
 
 // setSocketOptions makes the kernel end connections whose peer has gone without closing them, and choose the port of a
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -33,6 +33,10 @@
 	Address string
 	// Deadline is when the endpoint is to stop; it is sent to the endpoint as the time that remains.
 	Deadline time.Time
+	// Fresh requires a new connection.
+	Fresh bool
+	// Extra holds headers that replace the request's own of the same names, which are in canonical form.
+	Extra map[string]string
 	// Ready reports whether the endpoint still takes requests; it is called just before the request is sent, and may
 	// be nil.
 	Ready func() bool
@@ -87,6 +91,8 @@
 	Detail string
 	// Refused reports whether the address refused the connection.
 	Refused bool
+	// Reset reports whether the connection ended before the answer.
+	Reset bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
 }
@@ -121,10 +127,16 @@
 		if name == p.Dialect.Deadline || name == p.Dialect.ExpectInstance || IsHopByHop(name, r.Header) {
 			continue
 		}
+		if _, replaced := t.Extra[name]; replaced {
+			continue
+		}
 		for _, value := range values {
 			b.WriteString(name + ": " + value + "\r\n")
 		}
 	}
+	for name, value := range t.Extra {
+		b.WriteString(name + ": " + value + "\r\n")
+	}
 	left := max(1, core.Millis(t.Deadline.Sub(now).Milliseconds()))
 	b.WriteString(p.Dialect.Deadline + ": " + strconv.FormatInt(int64(left), 10) + "\r\n")
 	if t.ID != "" {
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -24,6 +24,9 @@
 	ServedBy       = "Clementinelock-Host"
 	Load           = "Clementinelock-Load"
 	Limit          = "Clementinelock-Limit"
+	// Handover marks a request that one entry host hands over to another, and Endpoint names the endpoint that answered it.
+	Handover = "Clementinelock-Handover"
+	Endpoint = "Clementinelock-Endpoint"
 	// RequestID identifies one attempt; upstreams that return it in their answers keep their connections.
 	RequestID = "Clementinelock-Request"
 )
