Control hosts tell of evacuations that have ended, and whether they could miss one

While a new leader is elected nothing is decided, so that a control host that hears from a majority of the voters misses nothing; and a host in contact again, or just started, need not mistrust all endpoints if it is told which zones have come back from an evacuation. The limit of isolated hosts ends with the contact again. Probes and the choice of others to probe have a file of their own.

--- a/core/edits/published.go
+++ b/core/edits/published.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"clementinelock/core"
 	"clementinelock/core/crash"
 	"clementinelock/core/routes"
 )
@@ -11,8 +12,19 @@
 type Evacuation struct {
 	Zone   string
 	Active bool
+	// At is the leader's time when it accepted the change.
+	At core.Millis
 }
 
+// ZoneReturn is the end of an availability zone's evacuation.
+type ZoneReturn struct {
+	Zone string
+	At   core.Millis
+}
+
+// returnRetention is how long the end of an evacuation is kept, for hosts that have missed it.
+const returnRetention = core.Minute
+
 // Published holds what is in force outside the tree: the document of routes and the evacuated availability zones that
 // operators publish, and the requests that are kept from endpoints.
 type Published struct {
@@ -20,6 +32,8 @@
 	Index     uint64
 	Document  routes.Document
 	Evacuated []string
+	// Returned holds the ends of evacuations of late.
+	Returned []ZoneReturn
 	// Quarantined holds the requests that crash endpoints, and QuarantineIndex the index of the log record that changed
 	// it last.
 	Quarantined     []crash.Quarantine
@@ -49,4 +63,8 @@
 		slices.Sort(next)
 	}
 	p.Evacuated, p.Index = next, index
+	p.Returned = slices.DeleteFunc(slices.Clone(p.Returned), func(r ZoneReturn) bool { return r.Zone == e.Zone || e.At-r.At > returnRetention })
+	if !e.Active {
+		p.Returned = append(p.Returned, ZoneReturn{e.Zone, e.At})
+	}
 }
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -74,8 +74,9 @@
 	heardAt         core.Millis
 	// contactAt is when the latest update came from a control host that this host reported to and that heard a leader.
 	contactAt core.Millis
-	// regainedAt is when contact began, at first or after a gap.
-	regainedAt core.Millis
+	// returned holds the evacuations that ended lately, as of the latest update, which came at returnedAt.
+	returned   []ZoneReturn
+	returnedAt core.Millis
 	// updateTimeout is how long the current control host may be silent.
 	updateTimeout core.Millis
 	// leaderless is set while the current control host hears no leader. Others are probed at leaderProbeAt, and
@@ -256,19 +257,21 @@
 	return e.apply(now, from, u, out), *out
 }
 
-// recordContact records an update of the current control host if that one hears a leader, and logs the end of a time
-// without: one that hears none may have missed changes.
+// recordContact records an update of the current control host, and logs the end of a time without. One that hears neither a
+// leader nor a majority may have missed changes.
 func (e *Entry) recordContact(now core.Millis, from string, u *Update, out *core.Effects) {
-	if !u.LeaderHeard {
+	at := now
+	switch {
+	case u.LeaderHeard:
+	case u.MajorityAge == 0:
 		return
+	default:
+		at = now - u.MajorityAge
 	}
-	if now-e.contactAt > contactTimeout {
-		e.regainedAt = now
-		if e.contactAt != 0 {
-			out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, now-e.contactAt, e.index, e.evacuated, e.list.Age(now))
-		}
+	if e.contactAt != 0 && at-e.contactAt > contactTimeout {
+		out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, at-e.contactAt, e.index, e.evacuated, e.list.Age(now))
 	}
-	e.contactAt = now
+	e.contactAt = max(e.contactAt, at)
 }
 
 // accepts reports whether an update is accepted: one from a control host that hears the leader, or any until a
@@ -357,6 +360,7 @@
 	if len(u.Evacuated) < len(e.evacuated) {
 		e.evacuationEndedAt = now
 	}
+	e.applyReturned(now, u)
 	if u.Index > e.index && u.Version <= e.document.Version {
 		e.index, e.evacuated = u.Index, u.Evacuated
 		changed = true
@@ -378,9 +382,8 @@
 	if changed {
 		e.reportAt = now
 	}
-	// While a zone returns from its evacuation, or after a time without contact, the decisions also depend on the age of
-	// the list.
-	return changed || now-max(e.evacuationEndedAt, e.regainedAt) < zoneReturnPeriod
+	// While a zone returns from its evacuation, the decisions also depend on the age of the list.
+	return changed || now-e.evacuationEndedAt < zoneReturnPeriod
 }
 
 // AddSeeds adds control hosts that changed settings name.
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -89,6 +89,18 @@
 	Ended []crash.Ended `cbor:"16,keyasint,omitempty"`
 	// Peers is left out when the entry host holds the same.
 	Peers *Peers `cbor:"17,keyasint,omitempty"`
+	// Returned holds the evacuations that ended lately.
+	Returned []ZoneReturn `cbor:"18,keyasint,omitempty"`
+	// MajorityAge is the time since the control host last heard from a majority of the voters, if it hears no leader; 0
+	// means that it did not, or is not known.
+	MajorityAge core.Millis `cbor:"19,keyasint,omitempty"`
+}
+
+// ZoneReturn is the end of an availability zone's evacuation.
+type ZoneReturn struct {
+	Zone string `cbor:"1,keyasint"`
+	// Age is the time since the end.
+	Age core.Millis `cbor:"2,keyasint,omitempty"`
 }
 
 // Peers is what an entry host knows of the others.
--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -116,7 +116,10 @@
 		c.answerOrder(now, p, &OrderAnswer{Ticket: m.Ticket, Done: true}, out)
 		return
 	}
-	command := edits.Command{Publish: m.Publish, Evacuation: m.Evacuation}
+	command := edits.Command{Publish: m.Publish}
+	if m.Evacuation != nil {
+		command.Evacuation = &edits.Evacuation{Zone: m.Evacuation.Zone, Active: m.Evacuation.Active, At: now}
+	}
 	index, ok := c.quorum.Propose(now, codec.Encode(command), out)
 	if !ok {
 		return
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -86,6 +86,7 @@
 	c.addDocument(now, e, u)
 	c.addList(now, e, u)
 	c.addQuarantines(e, u)
+	u.Returned, u.MajorityAge = c.returnedZones(now), c.majorityAge(now)
 	c.addPeers(e, u)
 	u.Ended = slices.Concat(c.relay.Ended(now), c.endedElsewhere.Ended(now))
 	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
@@ -142,7 +143,7 @@
 // sendShares sends the other control hosts this one's entry hosts and list.
 func (c *Control) sendShares(now core.Millis, out *core.Effects) {
 	c.shareAt = now + shareInterval
-	if c.readsList && c.quorum.IsLeader() {
+	if c.readsList && c.quorum.IsLeader() || !c.leaderHeard(now) {
 		c.shareAt = now + listShareInterval
 	}
 	names := map[string]bool{}
--- a/core/fleet/share_test.go
+++ b/core/fleet/share_test.go
@@ -122,16 +122,16 @@
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	e.Start(now)
-	if e.InContact(now) {
+	if e.ContactAt() == now {
 		t.Error("a host is in contact before it has heard anything")
 	}
 	e.Receive(now, "c", &fleet.Update{Process: 1, LeaderHeard: true, Index: 1})
-	if !e.InContact(now) {
+	if e.ContactAt() != now {
 		t.Error("a host is not in contact at an update of its control host")
 	}
 	now += 100
 	e.Receive(now, "d", &fleet.Update{Process: 2, ProbeAnswer: true})
-	if e.InContact(now) {
+	if e.ContactAt() == now {
 		t.Error("a host is in contact by another host's answer to a probe")
 	}
 }
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -14,6 +14,8 @@
 	Index     uint64
 	Document  routes.Document
 	Evacuated []string
+	// Returned holds the evacuations that ended lately.
+	Returned  []ZoneReturn
 	Endpoints []roster.Entry
 	// ListKnown is false before the first list.
 	ListKnown bool
@@ -37,15 +39,15 @@
 	}
 }
 
-// InContact reports whether an update of the current control host, which hears a leader, has come just now.
-func (e *Entry) InContact(now core.Millis) bool {
-	return e.contactAt == now
+// ContactAt returns when the control host that this host reports to could last know of all changes, as far as it has told.
+func (e *Entry) ContactAt() core.Millis {
+	return e.contactAt
 }
 
 // View returns the state in force at this host.
 func (e *Entry) View(now core.Millis) View {
 	return View{
-		Index: e.index, Document: e.document, Evacuated: e.evacuated, Endpoints: e.list.Entries(),
+		Index: e.index, Document: e.document, Evacuated: e.evacuated, Returned: e.returnedNow(now), Endpoints: e.list.Entries(),
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
 		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All), Rank: e.counts.Rank},
 		Quarantined: slices.Concat(e.quarantined, e.ownQuarantined), Suspects: e.suspects,
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -1,7 +1,6 @@
 package pick
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -38,58 +37,15 @@
 	isolatedTurn = 0.25
 )
 
-// contact holds when control hosts sent updates.
-type contact struct {
-	// at is the time of the latest update, 0 before the first.
-	at core.Millis
-	// lostAt is the last update before the latest gap, regainedAt the first one after it; regainedAt is 0 once the host
-	// knows what it has missed.
-	lostAt     core.Millis
-	regainedAt core.Millis
-}
-
-// RecordContact records that a control host has sent an update.
-func (t *Table) RecordContact(now core.Millis) {
-	c := &t.contact
-	if c.at == 0 || now-c.at > isolationTimeout {
-		c.lostAt, c.regainedAt = cmp.Or(c.at, now), now
-	}
-	c.at = now
-}
-
-// lastBeforeGap returns the last contact before the current or latest time without.
-func (c contact) lastBeforeGap(now core.Millis) core.Millis {
-	if now-c.at > isolationTimeout {
-		return c.at
-	}
-	return c.lostAt
-}
-
-// gap returns the length of the current or latest time without contact.
-func (c contact) gap(now core.Millis) core.Millis {
-	if now-c.at > isolationTimeout {
-		return now - c.at
-	}
-	return c.regainedAt - c.lostAt
-}
-
-// updateContact ends the time after a gap with a list that was read so late that it shows what turned cold in the gap.
-func (t *Table) updateContact(now, listAge core.Millis) {
-	if now-listAge > t.contact.regainedAt+maxListLag {
-		t.contact.regainedAt = 0
-	}
+// RecordContact records that a control host has sent an update, or when it last could know of all changes.
+func (t *Table) RecordContact(at core.Millis) {
+	t.contactAt = max(t.contactAt, at)
 }
 
 // isIsolated reports whether the host has had no contact with a control host for so long that an endpoint may have been
 // evacuated and turned cold without its knowledge.
 func (t *Table) isIsolated(now core.Millis) bool {
-	return t.contact.at != 0 && now-t.contact.at > isolationTimeout
-}
-
-// hasMissedChanges reports whether the host is isolated, or was and does not know yet what has turned cold meanwhile: an
-// update does not tell of an evacuation that has ended, and the list lags.
-func (t *Table) hasMissedChanges(now core.Millis) bool {
-	return t.isIsolated(now) || t.contact.regainedAt != 0 && now-t.contact.regainedAt <= returnColdTimeout
+	return t.contactAt != 0 && now-t.contactAt > isolationTimeout
 }
 
 // isWithinColdRate reports whether this host may send one more request to an endpoint that is cold, or that may be
@@ -98,7 +54,7 @@
 	switch {
 	case e.isCold(now):
 		return t.mayUseCold(now, e)
-	case t.hasMissedChanges(now):
+	case t.isIsolated(now):
 		return t.mayUseIsolated(now, e)
 	}
 	return true
@@ -123,8 +79,7 @@
 	return e.isWithinQuota(now, coldRateFraction*rate/float64(hosts))
 }
 
-// mayUseIsolated reports whether a host that has missed changes may send one more request to an endpoint that it takes for
-// warm.
+// mayUseIsolated reports whether an isolated host may send one more request to an endpoint that it takes for warm.
 func (t *Table) mayUseIsolated(now core.Millis, e *Endpoint) bool {
 	rate := t.coldRate(e)
 	if rate == 0 {
@@ -135,9 +90,9 @@
 		hosts, fraction, rank = t.maxHosts, isolatedRemoteFraction, 0
 	}
 	isolated := math.Ceil(maxIsolatedHosts * float64(max(1, hosts)))
-	if first := t.contact.lastBeforeGap(now); e.isolatedSince != first {
+	if e.isolatedSince != t.contactAt {
 		// Whether this host has used its turn is not known.
-		e.isolatedSince = first
+		e.isolatedSince = t.contactAt
 		e.coldSentAt = append(e.coldSentAt, now)
 	}
 	if fraction*rate < isolated {
--- a/core/pick/cold_test.go
+++ b/core/pick/cold_test.go
@@ -85,8 +85,6 @@
 					w.updateTablesExcept(isolated)
 				}
 			}
-			// A list that was read well after the first contact shows that nothing was missed before.
-			w.schedule(2*core.Second, update())
 			w.schedule(begin, update("r0-a"))
 			w.schedule(cold, func() {
 				for _, p := range w.endpoints {
--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -27,7 +27,7 @@
 		// cutOff is the number of hosts of each zone that are cut off, served the part of the requests that is answered.
 		cutOff int
 		served float64
-	}{{"few hosts", 2, 0, 24, 1, 0.9}, {"half of many", 4, 12, 72, 7, 0.9}, {"two thirds of many", 4, 12, 72, 9, 0.9}, {"nearly all of many", 4, 12, 72, 12, 0.8}} {
+	}{{"few hosts", 2, 0, 24, 1, 0.9}, {"half of many", 4, 12, 72, 7, 0.9}, {"two thirds of many", 4, 12, 72, 9, 0.9}, {"nearly all of many", 4, 12, 72, 12, 0.9}} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newSimulation(41, 3, [3]int{c.scale, c.scale, c.scale}, workload{"s", 120, 300, 800, constantRate(c.perZone)})
 			w.objects = 100
@@ -48,8 +48,12 @@
 				}
 			})
 			var evacuated []string
+			var returnedAt core.Millis
 			update := func() {
-				w.view.Evacuated = evacuated
+				w.view.Evacuated, w.view.Returned = evacuated, nil
+				if returnedAt != 0 {
+					w.view.Returned = []fleet.ZoneReturn{{Zone: "r0-a", Age: w.now - returnedAt}}
+				}
 				w.recordContacts(isolated)
 				w.updateTablesExcept(isolated)
 			}
@@ -61,7 +65,7 @@
 					}
 				}
 			})
-			w.schedule(end, func() { evacuated = nil; update() })
+			w.schedule(end, func() { evacuated, returnedAt = nil, w.now; update() })
 			w.schedule(healed, func() { clear(isolated); update() })
 			for at := core.Millis(0); at < until; at += updateInterval {
 				w.schedule(at, update)
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -1,10 +1,7 @@
 package pick
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 
 	"clementinelock/core"
 )
@@ -112,68 +109,10 @@
 	if e == nil || at <= e.endedAt {
 		return
 	}
-	if e.endedAt == 0 {
+	if at-e.endedAt > returnColdTimeout {
 		t.logf("Endpoint %s of %s in %s has ended; it counts as cold until a list that was read later.", e.ID, e.Service, e.Zone)
 	}
-	e.endedAt = at
-}
-
-// LastAnswered returns the addresses of at most count endpoints besides the one given, those that answered this host last
-// first.
-func (t *Table) LastAnswered(id string, count int) (addresses []string) {
-	var others []*Endpoint
-	for _, e := range t.endpoints {
-		if e.ID != id && e.answeredAt != 0 {
-			others = append(others, e)
-		}
-	}
-	slices.SortFunc(others, func(a, b *Endpoint) int {
-		return cmp.Or(cmp.Compare(b.answeredAt, a.answeredAt), cmp.Compare(a.ID, b.ID))
-	})
-	for _, e := range others[:min(count, len(others))] {
-		addresses = append(addresses, e.Address)
-	}
-	return addresses
-}
-
-// Probe is an endpoint to be probed.
-type Probe struct {
-	Address    string
-	HealthPath string
-}
-
-// Spread returns at most count endpoints to probe whether any can be reached: of as many services and availability zones as
-// possible, this host's zone first.
-func (t *Table) Spread(now core.Millis, count int) (probes []Probe) {
-	var candidates []*Endpoint
-	for _, name := range slices.Sorted(maps.Keys(t.endpoints)) {
-		if e := t.endpoints[name]; !e.gone && e.leavingSince == 0 {
-			candidates = append(candidates, e)
-		}
-	}
-	t.Rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	services, zones := map[string]int{}, map[string]int{}
-	for len(probes) < count && len(candidates) > 0 {
-		// Endpoints that may have ended tell little.
-		best := slices.MinFunc(candidates, func(a, b *Endpoint) int {
-			weight := func(e *Endpoint) int {
-				w := 2*services[e.Service] + 2*zones[e.Zone]
-				if e.Zone != t.Zone {
-					w++
-				}
-				if e.hasEnded(now) || now < e.ejectedUntil {
-					w += 2
-				}
-				return w
-			}
-			return weight(a) - weight(b)
-		})
-		services[best.Service]++
-		zones[best.Zone]++
-		probes = append(probes, Probe{best.Address, t.configured[best.Service].HealthPath})
-		candidates = slices.DeleteFunc(candidates, func(e *Endpoint) bool { return e == best })
-	}
-	return probes
+	e.endedAt, e.endListed = at, false
 }
 
 // recordFailure records a failure and logs when the endpoint is ejected for it.
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -46,14 +46,15 @@
 	coldUntil       core.Millis
 	// zoneColdUntil is until when the endpoint counts as cold after the evacuation of its zone.
 	zoneColdUntil core.Millis
-	// endedAt is when the endpoint's process was seen to have ended, 0 once a later list shows its state.
-	endedAt core.Millis
+	// endedAt is when the endpoint's process was last seen to have ended, endListed is set once a later list shows its state.
+	endedAt   core.Millis
+	endListed bool
 	// answeredAt is when the endpoint last answered this host.
 	answeredAt core.Millis
 	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold, or could be without
 	// this host's knowledge.
 	coldSentAt []core.Millis
-	// isolatedSince is the host's last contact before the gap in or after which it last used the endpoint.
+	// isolatedSince is the host's last contact before it was isolated when it last used the endpoint.
 	isolatedSince core.Millis
 	// objects holds when this host last sent the endpoint a request for each object.
 	objects map[string]core.Millis
@@ -84,7 +85,7 @@
 
 // hasEnded reports whether the endpoint's process has ended and may have started again since, cold under the same id.
 func (e *Endpoint) hasEnded(now core.Millis) bool {
-	return e.endedAt != 0 && now-e.endedAt <= returnColdTimeout
+	return e.endedAt != 0 && !e.endListed && now-e.endedAt <= returnColdTimeout
 }
 
 // isActive reports whether the endpoint takes part in its service.
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -152,7 +152,7 @@
 
 // updateTablesExcept applies the current state to the tables of all entry hosts but some.
 func (w *simulation) updateTablesExcept(isolated map[*pick.Table]bool) {
-	w.view = fleet.View{ListKnown: true, Entries: fleet.EntryCounts{Region: w.hosts() / 3, All: w.hosts()}, Evacuated: w.view.Evacuated}
+	w.view = fleet.View{ListKnown: true, Entries: fleet.EntryCounts{Region: w.hosts() / 3, All: w.hosts()}, Evacuated: w.view.Evacuated, Returned: w.view.Returned}
 	ids := make([]string, 0, len(w.endpoints))
 	for id := range w.endpoints {
 		ids = append(ids, id)
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -197,8 +197,8 @@
 			earliest = min(earliest, at)
 		}
 	}
-	if earliest == math.MaxInt64 && t.hasMissedChanges(now) {
-		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used within its cold rate: no control host with a leader heard for %s", r.Service, t.contact.gap(now))
+	if earliest == math.MaxInt64 && t.isIsolated(now) {
+		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used within its cold rate: no control host with a leader heard for %s", r.Service, now-t.contactAt)
 	}
 	if earliest == math.MaxInt64 {
 		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", r.Service, len(s.endpoints))
--- /dev/null
+++ b/core/pick/probe.go
@@ -0,0 +1,65 @@
+package pick
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"clementinelock/core"
+)
+
+// LastAnswered returns the addresses of at most count endpoints besides the one given, those that answered this host last
+// first.
+func (t *Table) LastAnswered(id string, count int) (addresses []string) {
+	var others []*Endpoint
+	for _, e := range t.endpoints {
+		if e.ID != id && e.answeredAt != 0 {
+			others = append(others, e)
+		}
+	}
+	slices.SortFunc(others, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(b.answeredAt, a.answeredAt), cmp.Compare(a.ID, b.ID))
+	})
+	for _, e := range others[:min(count, len(others))] {
+		addresses = append(addresses, e.Address)
+	}
+	return addresses
+}
+
+// Probe is an endpoint to be probed.
+type Probe struct {
+	Address    string
+	HealthPath string
+}
+
+// Spread returns at most count endpoints to probe whether any can be reached: of as many services and availability zones as
+// possible, this host's zone first. Endpoints that should get nothing, or little, are not among them, those that are cold or
+// may be down only where there are too few others.
+func (t *Table) Spread(now core.Millis, count int) (probes []Probe) {
+	var candidates []*Endpoint
+	for _, id := range slices.Sorted(maps.Keys(t.endpoints)) {
+		if e := t.endpoints[id]; e.isActive() && !e.inBackoff(now) && !e.limited {
+			candidates = append(candidates, e)
+		}
+	}
+	t.Rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	services, zones := map[string]int{}, map[string]int{}
+	weight := func(e *Endpoint) int {
+		w := 2*services[e.Service] + 2*zones[e.Zone]
+		if e.Zone != t.Zone {
+			w++
+		}
+		if e.isCold(now) || now < e.ejectedUntil {
+			w += 2 * count
+		}
+		return w
+	}
+	for len(probes) < count && len(candidates) > 0 {
+		best := slices.MinFunc(candidates, func(a, b *Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
+		services[best.Service]++
+		zones[best.Zone]++
+		probes = append(probes, Probe{best.Address, t.configured[best.Service].HealthPath})
+		candidates = slices.DeleteFunc(candidates, func(e *Endpoint) bool { return e == best })
+	}
+	return probes
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -105,7 +105,8 @@
 	// maxHosts is the largest number of entry hosts seen, maxRegionHosts that of the local region.
 	maxHosts       int
 	maxRegionHosts int
-	contact        contact
+	// contactAt is when a control host last had the newest state and told this host of it, 0 before the first.
+	contactAt core.Millis
 	// removed holds the notices of endpoints that were removed lately, by id and address.
 	removed map[string]readiness
 	// Notices counts what endpoints said about themselves.
@@ -139,7 +140,6 @@
 	t.entries = view.Entries
 	t.maxHosts = max(t.maxHosts, view.Entries.All)
 	t.maxRegionHosts = max(t.maxRegionHosts, view.Entries.Region)
-	t.updateContact(now, view.ListAge)
 	t.updateEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
@@ -194,8 +194,14 @@
 		}
 	}
 	t.evacuated = next
+	for _, each := range view.Returned {
+		// This host may have missed the evacuation.
+		if at := now - each.Age; !next[each.Zone] {
+			t.returnedAt[each.Zone] = max(t.returnedAt[each.Zone], at)
+		}
+	}
 	for zone, at := range t.returnedAt {
-		if now-view.ListAge > at+maxListLag || now-at > returnColdTimeout {
+		if next[zone] || now-view.ListAge > at+maxListLag || now-at > returnColdTimeout {
 			delete(t.returnedAt, zone)
 		}
 	}
@@ -218,9 +224,7 @@
 	if entry.Draining && !e.Draining {
 		t.logf("Endpoint %s of %s in %s is draining by a list read %s ago; it gets no new requests.", entry.ID, entry.Service, entry.Zone, age)
 	}
-	if e.endedAt != 0 && now-age > e.endedAt+maxListLag {
-		e.endedAt = 0
-	}
+	e.endListed = e.endListed || now-age > e.endedAt+maxListLag
 	e.updateLeaving(now-age, entry.Draining)
 	e.Entry, e.Region = entry, t.RegionByZone[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -35,6 +35,8 @@
 	metrics *metrics
 	version uint64
 	ready   bool
+	// contactAt is the latest contact that the endpoint table knows of.
+	contactAt core.Millis
 	// cut is set while this host reaches no endpoint.
 	cut bool
 }
@@ -182,8 +184,9 @@
 func (e *Entry) receive(from string, message core.Message) {
 	e.step(func(now core.Millis) core.Effects {
 		changed, effects := e.machine.Receive(now, from, message)
-		if e.machine.InContact(now) {
-			e.server.Update(nil, func(p *pick.Table) { p.RecordContact(now) })
+		if at := e.machine.ContactAt(); at != e.contactAt {
+			e.contactAt = at
+			e.server.Update(nil, func(p *pick.Table) { p.RecordContact(at) })
 		}
 		if !changed {
 			return effects
@@ -253,10 +256,16 @@
 // recordRequest logs and counts a request.
 func (e *Entry) recordRequest(record entry.RequestRecord) {
 	e.metrics.count(record)
-	e.Log.Line("request", "Answers.", logs.Fields{
+	fields := logs.Fields{
 		"RequestID": record.RequestID, "Route": record.Route, "Service": record.Service, "Version": record.Version, "Attempts": record.Attempts, "Hedged": record.Hedged,
 		"Endpoint": record.Endpoint, "Zone": record.Zone, "Ending": record.Ending, "Status": record.Status, "Kind": record.Kind, "Detail": record.Detail, "NoMore": record.NoRetryReason,
 		"Wait": int64(record.Wait), "Load": record.Load, "LoadAge": int64(record.LoadAge), "Usable": record.Usable, "Cold": record.Cold, "Object": record.Object, "Place": record.Affinity, "Took": int64(record.Latency), "Patience": int64(record.CallerTimeout), "Caller": record.Caller, "Digest": record.Digest.String(),
-		"Helper": record.Helper, "Handovers": record.Handovers, "From": record.From,
-	})
+	}
+	if record.Handovers > 0 {
+		fields["Helper"], fields["Handovers"] = record.Helper, record.Handovers
+	}
+	if record.From != "" {
+		fields["From"] = record.From
+	}
+	e.Log.Line("request", "Answers.", fields)
 }
