An endpoint that has ended gets no requests until a later list

Change: such an endpoint is not usable, as one that is ejected, until a list that was read a second later. Since that is more than a share, a host with an open connection to the endpoint does not believe the news, nor its own refused connection: a cut from a part of the endpoints looks like that to those behind it.

--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -110,7 +110,7 @@
 		return
 	}
 	if at-e.endedAt > returnColdTimeout {
-		t.logf("Endpoint %s of %s in %s has ended; it counts as cold until a list that was read later.", e.ID, e.Service, e.Zone)
+		t.logf("Endpoint %s of %s in %s has ended; it gets no requests until a list that was read later.", e.ID, e.Service, e.Zone)
 	}
 	e.endedAt, e.endListed = at, false
 }
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -80,10 +80,11 @@
 }
 
 func (e *Endpoint) isCold(now core.Millis) bool {
-	return now < e.coldUntil || now < e.zoneColdUntil || e.hasEnded(now)
+	return now < e.coldUntil || now < e.zoneColdUntil
 }
 
-// hasEnded reports whether the endpoint's process has ended and may have started again since, cold under the same id.
+// hasEnded reports whether the endpoint's process has ended and may have started again since, cold under the same id, without
+// a list that shows it.
 func (e *Endpoint) hasEnded(now core.Millis) bool {
 	return e.endedAt != 0 && !e.endListed && now-e.endedAt <= returnColdTimeout
 }
@@ -95,7 +96,7 @@
 
 // isUsable reports whether new requests may go to the endpoint now.
 func (e *Endpoint) isUsable(now core.Millis) bool {
-	return e.isActive() && now >= e.ejectedUntil && e.isReopened(now) && !e.isHeldBack(now)
+	return e.isActive() && !e.hasEnded(now) && now >= e.ejectedUntil && e.isReopened(now) && !e.isHeldBack(now)
 }
 
 func (e *Endpoint) isWarmFor(now core.Millis, object string) bool {
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -113,6 +113,9 @@
 	Notices NoticeCounts
 	// OnRemove is called with the address of an endpoint that is no longer used.
 	OnRemove func(address string)
+	// IsConnected reports whether there is an idle connection to an address, which ends with the endpoint's process; it may
+	// be nil.
+	IsConnected func(address string) bool
 	// Log receives changes in this host's view of an endpoint; it may be nil.
 	Log func(part, text string)
 }
@@ -155,7 +158,10 @@
 		}
 	}
 	for _, each := range view.Ended {
-		t.RecordEnded(now-each.Age, each.Endpoint)
+		// Another host may be cut off from an endpoint that has not ended.
+		if e := t.endpoints[each.Endpoint]; e != nil && (t.IsConnected == nil || !t.IsConnected(e.Address)) {
+			t.RecordEnded(now-each.Age, each.Endpoint)
+		}
 	}
 	t.groupByService()
 	t.updateLocalSlots(now)
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -168,7 +168,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		ended := s.Pool.IsRefused(ctx, address) && s.reachesOthers(ctx, endpoint)
+		ended := s.Pool.IsRefused(ctx, address) && !s.Pool.HasIdle(address) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
 	}()
 }
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -134,9 +134,9 @@
 	switch kind {
 	case core.CapReached:
 		return pick.Unreached, nil, reach.Full
-	case core.NotReady, core.Stopping:
+	case core.NotReady, core.Stopping, core.NoUpstream:
 		return pick.Unreached, nil, reach.Unwilling
-	case core.Overloaded, core.Quarantined, core.NoUpstream:
+	case core.Overloaded, core.Quarantined:
 	default:
 		kind = core.Overloaded
 	}
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -133,6 +133,7 @@
 		{"silent", func(net.Conn, *http.Request) bool { time.Sleep(2 * time.Second); return false }, 200, 504, 1, 0},
 		{"no room", refusal(503, "Clementinelock-Ran: No\r\nClementinelock-Kind: CapReached\r\n"), 200, 200, 1, 1},
 		{"cut off itself", refusal(503, "Clementinelock-Ran: No\r\nClementinelock-Kind: NotReady\r\n"), 200, 200, 1, 1},
+		{"without contact", refusal(503, "Clementinelock-Ran: No\r\nClementinelock-Kind: NoUpstream\r\n"), 200, 200, 1, 1},
 		{"stopping", refusal(503, "Clementinelock-Ran: No\r\nClementinelock-Kind: Stopping\r\n"), 200, 200, 1, 1},
 		{"endpoints busy", refusal(503, "Clementinelock-Ran: No\r\nClementinelock-Kind: Overloaded\r\n"), 503, 503, 0, 0},
 		{"may have run", refusal(502, "Clementinelock-Ran: Unknown\r\nClementinelock-Kind: UpstreamFailed\r\n"), 502, 502, 0, 0},
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -278,6 +278,10 @@
 	result := s.Pool.Do(ctx, t.exchange.request, target)
 	s.recordDone(e.Address, result)
 	outcome := s.classify(result)
+	if outcome == pick.Refused && s.Pool.HasIdle(e.Address) {
+		// The endpoint has not ended, since a connection to it is open.
+		outcome = pick.Unreached
+	}
 	if outcome == pick.GivenUp && errors.Is(context.Cause(ctx), errSuperseded) && s.Now()-began >= t.hedgeDelay {
 		outcome = pick.Lost
 	}
