--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	hosts, rate := t.entries.Zone, t.coldRate(e)
+	if rate <= 0 {
+		return false
+	}
 	if float64(hosts) > maxColdHostsPerRate*rate {
 		return t.hasTurn(now, e, turns{rank: t.entries.Rank, hosts: hosts, quota: coldRateFraction * rate / float64(hosts), length: coldTurn})
 	}
@@ -85,11 +88,11 @@
 	if rate == 0 {
 		return true
 	}
-	hosts, fraction, rank := t.maxRegionHosts, isolatedFraction, t.entries.Rank
+	hosts, fraction, rank := max(1, t.maxRegionHosts), isolatedFraction, t.entries.Rank
 	if e.Region != t.Region {
-		hosts, fraction, rank = t.maxHosts, isolatedRemoteFraction, 0
+		hosts, fraction, rank = max(1, t.maxHosts), isolatedRemoteFraction, 0
 	}
-	isolated := math.Ceil(maxIsolatedHosts * float64(max(1, hosts)))
+	isolated := math.Ceil(maxIsolatedHosts * float64(hosts))
 	if e.isolatedSince != t.contactAt {
 		// Whether this host has used its turn is not known.
 		e.isolatedSince = t.contactAt
--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -143,6 +143,30 @@
 	}
 }
 
+// TestColdEndpointWithoutARate guards against hosts that end by a division where no rate is configured, and against requests
+// to a cold endpoint whose rate is 0.
+func TestColdEndpointWithoutARate(t *testing.T) {
+	for _, hosts := range []int{0, 1, 20} {
+		c := newColdZone(t, hosts, nil)
+		for _, host := range c.hosts {
+			host.Bounds = pick.Bounds{}
+		}
+		c.table, _ = routes.NewTable(1, routes.Limits{}, []routes.Service{{Name: "s"}}, nil)
+		c.view.Endpoints[0].ColdFor = modelColdStart
+		c.update()
+		c.run(t, modelColdStart)
+		if len(c.arrivals) > 0 {
+			t.Errorf("%d hosts sent a cold endpoint without a rate %d requests", hosts, len(c.arrivals))
+		}
+	}
+	c := newColdZone(t, 1, func(table *pick.Table) { table.RecordContact(1) })
+	c.view.Entries = fleet.EntryCounts{}
+	c.table, _ = routes.NewTable(1, routes.Limits{}, []routes.Service{{Name: "s", ColdRequestsPerSecond: 0.1}}, nil)
+	c.hosts[0].Bounds = pick.Bounds{ColdOverrun: 1}
+	c.update()
+	c.run(t, 20*core.Second)
+}
+
 // coldZone is an availability zone with one endpoint whose hosts have more requests than it bears.
 type coldZone struct {
 	now      core.Millis
--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -17,6 +17,9 @@
 	fullTimeout      = 100 * core.Millisecond
 	unwillingTimeout = 250 * core.Millisecond
 	brokenTimeout    = core.Second
+	// A helper that has answered none of minSilentRequests for helperSilence gets requests only if there is no other.
+	minSilentRequests = 2
+	helperSilence     = 700 * core.Millisecond
 )
 
 // Helper is an entry host that may serve the callers of one that is cut off.
@@ -42,9 +45,11 @@
 	Unwilling
 	// Broken means that it can't be reached, or that its answer broke off.
 	Broken
+	// Unanswered means that the request was given up before its answer.
+	Unanswered
 )
 
-var resultNames = []string{"Took", "Full", "Unwilling", "Broken"}
+var resultNames = []string{"Took", "Full", "Unwilling", "Broken", "Unanswered"}
 
 // String returns the result's name.
 func (r Result) String() string {
@@ -65,6 +70,8 @@
 type helperState struct {
 	Helper
 	inFlight int
+	// silentSince is when the helper last answered, or got the first of the requests in flight.
+	silentSince core.Millis
 	// avoidUntil is until when the helper gets nothing.
 	avoidUntil core.Millis
 }
@@ -111,19 +118,34 @@
 		if !allowed || now < s.avoidUntil || s.inFlight >= maxPerHelper || slices.Contains(tried, s.Name) {
 			continue
 		}
-		if best == nil || h.compare(s, best) < 0 {
+		if best == nil || h.compare(now, s, best) < 0 {
 			best = s
 		}
 	}
 	if best == nil {
 		return Helper{}, false
 	}
+	if best.inFlight == 0 {
+		best.silentSince = now
+	}
 	best.inFlight++
 	return best.Helper, true
 }
 
-func (h *Helpers) compare(a, b *helperState) int {
-	return cmp.Or(cmp.Compare(h.distance(a.Helper), h.distance(b.Helper)), cmp.Compare(a.inFlight, b.inFlight))
+// compare orders helpers by preference. Those that may have stopped come last.
+func (h *Helpers) compare(now core.Millis, a, b *helperState) int {
+	silence := func(s *helperState) int {
+		if s.isSilent(now) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(silence(a), silence(b)), cmp.Compare(h.distance(a.Helper), h.distance(b.Helper)), cmp.Compare(a.inFlight, b.inFlight))
+}
+
+// isSilent reports whether the helper has answered none of several requests for some time.
+func (s *helperState) isSilent(now core.Millis) bool {
+	return s.inFlight >= minSilentRequests && now-s.silentSince > helperSilence
 }
 
 // Done records how a helper dealt with a request. One that may have been removed meanwhile is ignored.
@@ -134,8 +156,11 @@
 	}
 	s := h.states[i]
 	s.inFlight = max(0, s.inFlight-1)
+	if result != Unanswered {
+		s.silentSince = now
+	}
 	switch result {
-	case Took:
+	case Took, Unanswered:
 	case Full:
 		s.avoidUntil = now + fullTimeout
 	case Unwilling:
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -82,14 +82,13 @@
 func (t *attempts) sendHandover(ctx context.Context, name string, h handover) attemptResult {
 	s := t.server
 	target := pool.Target{Address: s.HelperAddress(name), Deadline: time.Now().Add((t.deadline - s.Now()).Duration()), Extra: map[string]string{proto.Handover: h.String()}}
-	a := attemptResult{result: s.HelperPool.Do(ctx, t.exchange.request, target)}
-	dealt := reach.Broken
-	a.outcome, a.refusal, dealt = s.classifyHandover(a.result)
+	result := s.HelperPool.Do(ctx, t.exchange.request, target)
+	outcome, refusal, dealt := s.classifyHandover(result)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.Helpers.Done(s.Now(), name, dealt)
 	s.reach.counts[dealt]++
-	return a
+	return attemptResult{result: result, outcome: outcome, refusal: refusal}
 }
 
 // classifyHandover returns what the result of a handover says about the request, and about the host that it went to.
@@ -98,9 +97,9 @@
 	case pool.NotSent:
 		return pick.Unreached, nil, reach.Broken
 	case pool.Cancelled:
-		return pick.GivenUp, nil, reach.Took
+		return pick.GivenUp, nil, reach.Unanswered
 	case pool.Silent:
-		return pick.Lost, nil, reach.Took
+		return pick.Lost, nil, reach.Unanswered
 	case pool.Answered:
 	default:
 		return pick.Lost, nil, reach.Broken
--- a/io/entry/handover_test.go
+++ b/io/entry/handover_test.go
@@ -46,6 +46,14 @@
 
 // startHelper starts an entry host that takes requests of the host that is cut off; it returns its address for hosts too.
 func startHelper(t *testing.T, endpoints int) (*host, string) {
+	t.Helper()
+	h, address := startUnawareHelper(t, endpoints)
+	h.server.SetPeers(nil, []string{cutHostIP})
+	return h, address
+}
+
+// startUnawareHelper starts an entry host that takes connections of hosts and knows of none that is cut off.
+func startUnawareHelper(t *testing.T, endpoints int) (*host, string) {
 	t.Helper()
 	h := startHost(t, endpoints)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -55,7 +63,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); _ = listener.Close() })
 	go func() { _ = h.server.ServeHosts(ctx, listener) }()
-	h.server.SetPeers(nil, []string{cutHostIP})
 	return h, listener.Addr().String()
 }
 
@@ -195,15 +202,13 @@
 	if status := get("known"); status != http.StatusOK {
 		t.Fatalf("a host that is known to be cut off gets %d", status)
 	}
-	other, otherAddress := startHelper(t, 2)
-	other.server.SetPeers(nil, []string{"127.0.4.9"})
-	h.server.SetPeers([]reach.Helper{{Name: otherAddress, Region: "r", Zone: "z"}}, nil)
-	// The retention of what was known at first must not admit it.
-	fresh, freshAddress := startFreshHelper(t)
-	h.server.SetPeers([]reach.Helper{{Name: freshAddress, Region: "r", Zone: "z"}}, nil)
-	if status := get("unknown"); status != http.StatusServiceUnavailable || fresh.runs() != 0 {
-		t.Errorf("a host that is not known to be cut off gets %d and %d runs", status, fresh.runs())
+	unaware, unawareAddress := startUnawareHelper(t, 2)
+	unaware.server.SetPeers(nil, []string{"127.0.4.9"})
+	h.server.SetPeers([]reach.Helper{{Name: unawareAddress, Region: "r", Zone: "z"}}, nil)
+	if status := get("unknown"); status != http.StatusServiceUnavailable || unaware.runs() != 0 {
+		t.Errorf("a host that is not known to be cut off gets %d and %d runs", status, unaware.runs())
 	}
+	other, otherAddress := startHelper(t, 2)
 	h.server.SetPeers([]reach.Helper{{Name: address, Region: "r", Zone: "z"}}, nil)
 	helper.server.Helpers = &reach.Helpers{Region: "r", Zone: "z", Rand: rand.New(rand.NewPCG(1, 2))}
 	helper.server.HelperPool = &pool.Pool{Dialect: dialect, LocalIP: net.ParseIP("127.0.4.2")}
@@ -227,21 +232,6 @@
 	}
 }
 
-// startFreshHelper starts an entry host that knows of no host that is cut off.
-func startFreshHelper(t *testing.T) (*host, string) {
-	t.Helper()
-	h, address := startHelper(t, 2)
-	fresh := startHost(t, 2)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = fresh.server.ServeHosts(context.Background(), listener) }()
-	_, _ = h, address
-	return fresh, listener.Addr().String()
-}
-
 // TestHelperWithoutRoom guards against a helper whose own callers wait behind those of other hosts.
 func TestHelperWithoutRoom(t *testing.T) {
 	helper, address := startHelper(t, 40)
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -24,7 +24,7 @@
 	cutHosts map[string]core.Millis
 	room     reach.Room
 	// counts holds how the helpers have dealt with this host's requests, helped the number of requests of other hosts.
-	counts [4]uint64
+	counts [5]uint64
 	helped uint64
 }
 
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -30,7 +30,7 @@
 	{"clementinelock_entry_notices_total", "Answers in which endpoints said something about themselves, by notice: Leaving, Backoff (503 with Retry-After), Limit (of requests from all hosts together) or Invalid (a Retry-After or limit that can't be read)."},
 	{"clementinelock_entry_cut", "1 while this host reaches no endpoint."},
 	{"clementinelock_entry_cuts_total", "How often this host was cut off from all endpoints."},
-	{"clementinelock_entry_handed_over_total", "Requests handed over to other entry hosts, by result: Took, Full (no room), Unwilling (cut off itself, stopping, or does not know of this host's cut) or Broken (not reached, or the answer broke off)."},
+	{"clementinelock_entry_handed_over_total", "Requests handed over to other entry hosts, by result: Took, Full (no room), Unwilling (cut off itself, stopping, or does not know of this host's cut) Broken (not reached, or the answer broke off) or Unanswered (given up before)."},
 	{"clementinelock_entry_helped_total", "Requests taken from entry hosts that are cut off."},
 }
 
@@ -85,7 +85,7 @@
 	cuts := prometheus.NewCounterFunc(counterOpts(7), func() float64 { return float64(read().Cuts) })
 	helped := prometheus.NewCounterFunc(counterOpts(9), func() float64 { return float64(read().Helped) })
 	m.registry.MustRegister(gauge, cuts, helped)
-	for _, result := range []reach.Result{reach.Took, reach.Full, reach.Unwilling, reach.Broken} {
+	for _, result := range []reach.Result{reach.Took, reach.Full, reach.Unwilling, reach.Broken, reach.Unanswered} {
 		options := counterOpts(8)
 		options.ConstLabels = prometheus.Labels{"result": result.String()}
 		m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(read().Handed[result]) }))
