--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -39,11 +39,6 @@
 	}
 }
 
-// ContactAt returns when the control host that this host reports to could last know of all changes, as far as it has told.
-func (e *Entry) ContactAt() core.Millis {
-	return e.contactAt
-}
-
 // View returns the state in force at this host.
 func (e *Entry) View(now core.Millis) View {
 	return View{
