--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -110,7 +110,8 @@
 	s.reach.watch.RecordAnswer(s.Now())
 }
 
-// reachProbeTimeout is the timeout of a probe: an endpoint with a free slot answers within a few round trips to the farthest region.
+// reachProbeTimeout is the timeout of a probe: an endpoint with a free slot answers within a few round trips to the farthest
+// region.
 const reachProbeTimeout = 400 * time.Millisecond
 
 // Probe begins the probes of endpoints that are due; the driver calls it regularly.
