--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -8,7 +8,9 @@
 	"clementinelock/core/crash"
 	"clementinelock/core/edits"
 	"clementinelock/core/quorum"
+	"clementinelock/core/quota"
 	"clementinelock/core/roster"
+	"clementinelock/core/routes"
 )
 
 // Timing of a control host, derived from two bounds: a configuration is in force within 2.5 s, and an endpoint
@@ -55,6 +57,11 @@
 	Rand    *rand.Rand
 	// Seeds names the control hosts that are known at the start.
 	Seeds []string
+	// QuotaBounds are the deployment's bounds of quotas; Founding is set at its first start.
+	QuotaBounds quota.Bounds
+	Founding    bool
+	// QuotasOf returns the customers' quotas of a document, or an error if it can't be decoded; nil means that there are none.
+	QuotasOf func(document routes.Document) (map[string]quota.Limit, error)
 	// ListCallsPerSecond is the rate of calls that the platform's list accepts from all hosts together.
 	ListCallsPerSecond float64
 
@@ -111,6 +118,9 @@
 	orders         orderTable
 	// currentSeeds are the seeds of the current settings.
 	currentSeeds []string
+	// pool is this host's part of the customers' quotas, by the routes of version quotaVersion.
+	pool         quota.Pool
+	quotaVersion uint64
 }
 
 // entryState is the state of an entry host that reports here.
@@ -160,6 +170,8 @@
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
 	c.orders = orderTable{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}}
+	c.pool = quota.Pool{Name: c.Name, Bounds: c.QuotaBounds, Full: c.Founding}
+	c.pool.Start(now)
 	c.store = edits.NewStore()
 	c.quorum = &quorum.Replica{
 		Self: c.Name, Rand: c.Rand, StateMachine: c.store, InitialVoters: c.Seeds, OnRead: c.onRead,
@@ -189,6 +201,7 @@
 		c.sendEnded(now, out)
 		c.sendCut(now, out)
 		c.resend(now, out)
+		c.pool.Tick(now, out)
 	})
 }
 
@@ -197,6 +210,7 @@
 	out := &core.Effects{}
 	index, quarantineIndex, number := c.store.Published().Index, c.store.Published().QuarantineIndex, c.list.Number()
 	input(out)
+	c.updateQuotas(now, out)
 	c.finishOrders(now, out)
 	if c.store.Published().Index != index {
 		out.Logf("config", "Applied version %d, evacuated %v, index %d.", c.store.Published().Document.Version, c.store.Published().Evacuated, c.store.Published().Index)
@@ -239,7 +253,9 @@
 			c.allowJoin(from)
 			c.quorum.Receive(now, from, message, out)
 		default:
-			c.quorum.Receive(now, from, message, out)
+			if !c.pool.Receive(now, from, message, out) {
+				c.quorum.Receive(now, from, message, out)
+			}
 		}
 	})
 }
--- a/core/fleet/dump.go
+++ b/core/fleet/dump.go
@@ -6,6 +6,7 @@
 	"clementinelock/core"
 	"clementinelock/core/crash"
 	"clementinelock/core/quorum"
+	"clementinelock/core/quota"
 )
 
 // ControlDump is a control host's state for operators.
@@ -30,6 +31,8 @@
 	// Quarantined holds the requests that are kept from endpoints, Suspects those that several endpoints ended under.
 	Quarantined []crash.QuarantineDump
 	Suspects    []crash.Digest
+	// Quotas are this host's parts of the customers' quotas.
+	Quotas []quota.BucketDump
 }
 
 // Dump returns the host's state for operators.
@@ -40,7 +43,7 @@
 		Version: published.Document.Version, Index: published.Index, Evacuated: published.Evacuated,
 		Entries: c.readyEntries(), Controls: c.controlHosts(), ReadsList: c.readsList, ListNumber: c.list.Number(),
 		ListAge: c.list.Age(now), Endpoints: c.list.Len(), Orders: len(c.orders.pending),
-		Quarantined: crash.Dump(now, published.Quarantined), Suspects: c.suspects,
+		Quarantined: crash.Dump(now, published.Quarantined), Suspects: c.suspects, Quotas: c.pool.Dump(now),
 	}
 }
 
--- a/core/host/messages.go
+++ b/core/host/messages.go
@@ -14,6 +14,7 @@
 	"clementinelock/core/ledger"
 	"clementinelock/core/member"
 	"clementinelock/core/quorum"
+	"clementinelock/core/quota"
 	"clementinelock/core/relay"
 	"clementinelock/core/slots"
 )
@@ -106,6 +107,10 @@
 	newMessageType[fleet.Order](fleetPart),
 	newMessageType[fleet.OrderAnswer](fleetPart),
 	newMessageType[crash.News](crashPart),
+	newMessageType[quota.Draw](fleetPart),
+	newMessageType[quota.Grant](fleetPart),
+	newMessageType[quota.Borrow](fleetPart),
+	newMessageType[quota.Lend](fleetPart),
 }
 
 var numberOf = indexMessageTypes()
--- a/core/kinds.go
+++ b/core/kinds.go
@@ -30,6 +30,9 @@
 	NoLeader        Kind = "NoLeader"
 	NotFound        Kind = "NotFound"
 	Quarantined     Kind = "Quarantined"
+	Unauthorized    Kind = "Unauthorized"
+	QuotaExceeded   Kind = "QuotaExceeded"
+	QuotaUnreached  Kind = "QuotaUnreached"
 	Internal        Kind = "Internal"
 )
 
@@ -76,6 +79,9 @@
 	NoLeader:        {503, 500, "No control leader can be reached; resend with the same edit id."},
 	NotFound:        {404, 0, "Nothing of that name is known."},
 	Quarantined:     {503, 600_000, "Several endpoints have crashed while they ran this request, so that it is sent to none for a while."},
+	Unauthorized:    {401, 0, "The route needs a customer's key, and the request has none that is in force."},
+	QuotaExceeded:   {429, 1000, "The customer's quota over all hosts is used up."},
+	QuotaUnreached:  {503, 300, "No control host gave a token of the customer's quota in time; ask another entry host."},
 	Internal:        {500, 0, "A fault of this program; the log of the host names it."},
 }
 
--- a/core/routes/table.go
+++ b/core/routes/table.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"clementinelock/core"
+	"clementinelock/core/creds"
 )
 
 // MaxTimeout is the longest timeout that a route may have; a longer one is taken for a typing error.
@@ -43,6 +44,8 @@
 	Affinity bool
 	// Regions lists the regions in which requests may be served; empty allows all.
 	Regions []string
+	// Public lets requests without a customer's key in.
+	Public bool
 }
 
 // Service holds the settings of one service in a document.
@@ -70,8 +73,10 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
-	hosts    map[string][]*Route
-	count    int
+	// Customers identifies callers by their keys; nil means that requests need none.
+	Customers *creds.Directory
+	hosts     map[string][]*Route
+	count     int
 }
 
 // NewTable builds a table; it returns an error for the first invalid route.
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -56,6 +56,7 @@
 	digest crash.Digest
 	// handover is set if another entry host has handed the request over.
 	handover *handover
+	identity identity
 	closes   bool
 	conn     *conn
 	// started is set once the request may reach an endpoint; the connection's mutex guards it.
--- a/io/entry/digest.go
+++ b/io/entry/digest.go
@@ -7,13 +7,13 @@
 	"clementinelock/core/crash"
 )
 
-// digestOf returns the digest by which repetitions of a request are recognised. A caller is known by its credentials
-// alone, since one caller may use many addresses. Of a long body the digest covers the length and the part that is
+// digestOf returns the digest by which repetitions of a request are recognised. A caller is known by its credentials, or as
+// a customer, alone, since one caller may use many addresses. Of a long body the digest covers the length and the part that is
 // buffered.
 func (c *conn) digestOf(x *exchange) crash.Digest {
 	r := x.request
 	return crash.NewDigest(
-		[]byte(r.Header.Get("Authorization")), []byte(r.Method), []byte(hostOf(r.Host)), []byte(r.Target), []byte(strconv.FormatInt(r.Length, 10)), r.Body,
+		[]byte(c.credentialOf(r.Header, x.handover)), []byte(r.Method), []byte(hostOf(r.Host)), []byte(r.Target), []byte(strconv.FormatInt(r.Length, 10)), r.Body,
 	)
 }
 
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"clementinelock/core"
@@ -24,16 +26,33 @@
 	counted bool
 	// version is that of the routes by which it was handed over.
 	version uint64
+	// customer is the one that the request's key belongs to, whose quota was charged; empty if it was not identified.
+	customer string
 }
 
+// handoverCustomer precedes the quoted name of the customer, which only hosts that know customers write.
+const handoverCustomer = " Customer="
+
 // String encodes the handover as the value of the header proto.Handover.
 func (h handover) String() string {
-	return fmt.Sprintf("Reached=%d Counted=%t Version=%d", h.reached, h.counted, h.version)
+	text := fmt.Sprintf("Reached=%d Counted=%t Version=%d", h.reached, h.counted, h.version)
+	if h.customer != "" {
+		text += handoverCustomer + strconv.Quote(h.customer)
+	}
+	return text
 }
 
 // parseHandover decodes the value of the header proto.Handover; what can't be read is that of a first attempt.
 func parseHandover(text string) *handover {
 	h := &handover{}
+	text, customer, found := strings.Cut(text, handoverCustomer)
+	if found {
+		// A name that can't be read is that of no customer, so that the request is refused.
+		if name, err := strconv.Unquote(customer); err == nil {
+			customer = name
+		}
+		h.customer = customer
+	}
 	_, _ = fmt.Sscanf(text, "Reached=%d Counted=%t Version=%d", &h.reached, &h.counted, &h.version)
 	return h
 }
@@ -60,7 +79,7 @@
 	defer s.mutex.Unlock()
 	helper, found := reach.Helper{}, false
 	if len(t.triedHelpers) < maxHandovers {
-		helper, found = s.Helpers.Choose(s.Now(), t.triedHelpers, t.route.Regions)
+		helper, found = s.Helpers.Choose(s.Now(), t.triedHelpers, t.pickRequest.Regions)
 	}
 	if !found {
 		if !s.reach.watch.IsCut() {
@@ -71,7 +90,7 @@
 	t.triedHelpers = append(t.triedHelpers, helper.Name)
 	record.Handovers++
 	record.Helper = helper.Name
-	h := handover{reached: t.reached, counted: t.counted, version: record.Version}
+	h := handover{reached: t.reached, counted: t.counted, version: record.Version, customer: t.exchange.identity.name()}
 	t.inFlight++
 	t.reached++
 	go func() { t.results <- t.sendHandover(ctx, helper.Name, h) }()
@@ -135,7 +154,7 @@
 		return pick.Unreached, nil, reach.Full
 	case core.NotReady, core.Stopping, core.NoUpstream:
 		return pick.Unreached, nil, reach.Unwilling
-	case core.Overloaded, core.Quarantined:
+	case core.Overloaded, core.Quarantined, core.Unauthorized:
 	default:
 		kind = core.Overloaded
 	}
--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -76,6 +76,9 @@
 	if r.retryAfter > 0 {
 		write(c.writer, "Retry-After: ", strconv.FormatFloat(float64(r.retryAfter)/float64(core.Second), 'f', -1, 64), "\r\n")
 	}
+	if r.status == http.StatusUnauthorized {
+		write(c.writer, "WWW-Authenticate: Bearer\r\n")
+	}
 	write(c.writer, "Content-Length: 0\r\n\r\n")
 }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,6 +8,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/crash"
+	"clementinelock/core/creds"
 	"clementinelock/core/pick"
 	"clementinelock/core/routes"
 	"clementinelock/io/pool"
@@ -47,6 +48,8 @@
 	Helper    string
 	Handovers int
 	From      string
+	// Customer is the name of the customer whose key the request had.
+	Customer string
 }
 
 // serve handles one request and hands its reply to the writer.
@@ -95,6 +98,10 @@
 	}
 	record.Route = route.Name
 	x.request.Idempotent = route.Idempotent
+	if refusal := s.identify(x, table, route); refusal != nil {
+		return refuse(record, refusal)
+	}
+	record.Customer = x.identity.name()
 	if !route.Idempotent {
 		select {
 		case <-x.precedingWritten:
@@ -111,7 +118,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
-	return s.runAttempts(ctx, x, route, deadline, record)
+	regions, ok := creds.IntersectRegions(route.Regions, x.identity.regions())
+	if !ok {
+		return refuse(record, core.Refuse(core.NoUpstream, core.RanNo, "route %q allows regions %v and customer %q %v, which have none in common", route.Name, route.Regions, record.Customer, x.identity.regions()))
+	}
+	if refusal := s.charge(ctx, x); refusal != nil {
+		return refuse(record, refusal)
+	}
+	return s.settle(x, record.Customer, s.runAttempts(ctx, x, route, regions, deadline, record))
 }
 
 // timeoutFor returns how long after its arrival a request must have its final answer.
@@ -175,11 +189,11 @@
 }
 
 // runAttempts sends the request to one endpoint after another until one answers or no further attempt is allowed.
-func (s *Server) runAttempts(ctx context.Context, x *exchange, route *routes.Route, deadline core.Millis, record *RequestRecord) *reply {
+func (s *Server) runAttempts(ctx context.Context, x *exchange, route *routes.Route, regions []string, deadline core.Millis, record *RequestRecord) *reply {
 	service := route.Choose(rand.Float64())
 	record.Service = service
 	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult, max(1, route.MaxAttempts)+maxHandovers)}
-	t.pickRequest = pick.Request{Service: service, Regions: route.Regions, Objective: route.Objective, Priority: route.Priority}
+	t.pickRequest = pick.Request{Service: service, Regions: regions, Objective: route.Objective, Priority: x.identity.priority(route)}
 	if route.Affinity && x.object != "" {
 		t.pickRequest.Object = route.Prefix + x.object
 	}
@@ -223,6 +237,9 @@
 	if refusal := s.quarantine(t.exchange.digest); refusal != nil {
 		return refusal
 	}
+	if refusal := s.checkKey(t.exchange); refusal != nil {
+		return refusal
+	}
 	if t.handsOver {
 		if started, refusal := t.startHandover(ctx); started || refusal != nil {
 			return refusal
@@ -243,15 +260,16 @@
 	t.pickRequest.Tried = append(t.pickRequest.Tried, choice.Endpoint.ID)
 	t.inFlight++
 	t.reached++
-	go func() { t.results <- t.send(ctx, choice) }()
+	extra := s.customerHeader(t.exchange)
+	go func() { t.results <- t.send(ctx, choice, extra) }()
 	return nil
 }
 
-// send sends the request to the chosen endpoint and reports the outcome to the endpoint table.
-func (t *attempts) send(ctx context.Context, choice pick.Choice) attemptResult {
+// send sends the request, with extra headers, to the chosen endpoint and reports the outcome to the endpoint table.
+func (t *attempts) send(ctx context.Context, choice pick.Choice, extra map[string]string) attemptResult {
 	s, e := t.server, choice.Endpoint
 	began := s.Now()
-	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration())}
+	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration()), Extra: extra}
 	target.Ready = func() bool {
 		if s.quarantine(t.exchange.digest) != nil {
 			return false
@@ -326,7 +344,7 @@
 		if refusal == nil {
 			return nil
 		}
-		if refusal.Kind == core.Quarantined && !t.mayHaveRun {
+		if (refusal.Kind == core.Quarantined || refusal.Kind == core.Unauthorized) && !t.mayHaveRun {
 			return refuse(t.record, refusal)
 		}
 		reason, retryAfter = NoneFree, refusal.RetryAfter
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -51,6 +51,11 @@
 	Helpers       *reach.Helpers
 	HelperPool    *pool.Pool
 	HelperAddress func(name string) string
+	// Quotas decides on requests of customers with a quota; nil sets no limit.
+	Quotas Quotas
+	// MaxKeyAge is how long customers' keys hold without contact to a control host, after which one may have been revoked; 0
+	// sets no limit.
+	MaxKeyAge core.Millis
 
 	mutex    sync.Mutex
 	table    atomic.Pointer[routes.Table]
@@ -60,6 +65,8 @@
 	active    atomic.Int64
 	arrived   atomic.Uint64
 	bytes     atomic.Uint64
+	// contactAt is when a control host could last tell of all changes, 0 before the first contact.
+	contactAt atomic.Int64
 	conns     map[*conn]bool
 	crashes   crashes
 	reach     reachState
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -11,6 +11,7 @@
 	"clementinelock/core"
 	"clementinelock/core/edits"
 	"clementinelock/core/fleet"
+	"clementinelock/core/quota"
 	"clementinelock/core/routes"
 	"clementinelock/io/disk"
 	"clementinelock/io/logs"
@@ -83,6 +84,7 @@
 	c.machine = &fleet.Control{
 		ControlHost: fleet.ControlHost{Name: s.Host, Region: s.Region, Zone: s.Zone},
 		Process:     uint64(now), Rand: newRand(), Seeds: s.seedHosts(), ListCallsPerSecond: s.ListCallsPerSecond,
+		QuotaBounds: s.QuotaBounds.bounds(), Founding: s.Founding, QuotasOf: c.quotasOf,
 	}
 	effects, err := c.machine.Start(now, stored)
 	if err != nil {
@@ -115,6 +117,15 @@
 	})
 }
 
+// quotasOf returns the customers' quotas of a document.
+func (c *Control) quotasOf(document routes.Document) (map[string]quota.Limit, error) {
+	table, err := c.Platform.Decode(document)
+	if err != nil || table.Customers == nil {
+		return nil, err
+	}
+	return table.Customers.Quotas(), nil
+}
+
 // dump returns the state of the host.
 func (c *Control) dump() any {
 	c.mutex.Lock()
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -9,6 +9,7 @@
 	"clementinelock/core"
 	"clementinelock/core/fleet"
 	"clementinelock/core/pick"
+	"clementinelock/core/quota"
 	"clementinelock/core/reach"
 	"clementinelock/core/routes"
 	"clementinelock/io/entry"
@@ -39,6 +40,9 @@
 	contactAt core.Millis
 	// cut is set while this host reaches no endpoint.
 	cut bool
+	// quotas holds the tokens of customers' quotas, acquiring the requests that wait for one.
+	quotas    quota.Client
+	acquiring map[uint64]chan quota.Decision
 }
 
 // NewEntry returns an entry host with these settings.
@@ -94,6 +98,10 @@
 		Rand:      newRand(), Seeds: s.seedHosts(), RequestCapacity: requestsPerCore * s.Cores, ByteCapacity: bytesPerMbps * s.LinkMbps,
 	}
 	e.machine.Start(now)
+	e.quotas = quota.Client{Rand: newRand(), Pools: e.machine.QuotaPools}
+	e.acquiring = map[uint64]chan quota.Decision{}
+	e.server.Quotas, e.server.MaxKeyAge = e, core.Millis(s.MaxKeyAgeMillis)
+	e.metrics.observeQuotas(e.quotaCounts)
 	listener, err := net.Listen("tcp", s.Callers)
 	if err != nil {
 		return err
@@ -130,13 +138,15 @@
 	Reach    entry.ReachDump
 	Requests int
 	Stopping bool
+	// Quotas is what this host holds of customers' quotas.
+	Quotas []quota.AccountDump
 }
 
 func (e *Entry) dump() any {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.clock.Now()
-	d := entryDump{Known: e.machine.Dump(now), Requests: e.server.Active(), Stopping: e.server.Stopping()}
+	d := entryDump{Known: e.machine.Dump(now), Requests: e.server.Active(), Stopping: e.server.Stopping(), Quotas: e.quotas.Dump(now)}
 	e.server.Update(nil, func(p *pick.Table) { d.Choices = p.Dump(now) })
 	d.Reach = e.server.ReachDump()
 	return d
@@ -153,6 +163,7 @@
 	e.machine.Traffic.Requests, e.machine.Traffic.Bytes = e.server.Traffic()
 	crashes, served := e.server.TakeReports(now)
 	effects := e.machine.RecordCrashes(now, crashes)
+	e.decide(e.quotas.Tick(now, &effects))
 	e.machine.RecordServed(now, served)
 	ended := e.machine.RecordEnded(now, e.server.TakeEnded(now))
 	changed, more := e.machine.DecideAlone(now)
@@ -183,10 +194,14 @@
 
 func (e *Entry) receive(from string, message core.Message) {
 	e.step(func(now core.Millis) core.Effects {
+		if grant, ok := message.(*quota.Grant); ok {
+			return e.receiveGrant(now, from, grant)
+		}
 		changed, effects := e.machine.Receive(now, from, message)
 		if at := e.machine.ContactAt(); at != e.contactAt {
 			e.contactAt = at
 			e.server.Update(nil, func(p *pick.Table) { p.RecordContact(at) })
+			e.server.RecordContact(at)
 		}
 		if !changed {
 			return effects
@@ -267,5 +282,8 @@
 	if record.From != "" {
 		fields["From"] = record.From
 	}
+	if record.Customer != "" {
+		fields["Customer"] = record.Customer
+	}
 	e.Log.Line("request", "Answers.", fields)
 }
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 
 	"clementinelock/core/pick"
+	"clementinelock/core/quota"
 	"clementinelock/core/reach"
 	"clementinelock/io/entry"
 
@@ -18,6 +20,10 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	// customers counts requests by customer, named holds the customers that are counted by name.
+	customers *prometheus.CounterVec
+	mutex     sync.Mutex
+	named     map[string]bool
 }
 
 // metricTable lists the names and help texts of the metrics; docs/METRICS.md is generated from it.
@@ -32,8 +38,17 @@
 	{"clementinelock_entry_cuts_total", "How often this host was cut off from all endpoints."},
 	{"clementinelock_entry_handed_over_total", "Requests handed over to other entry hosts, by result: Took, Full (no room), Unwilling (cut off itself, stopping, or does not know of this host's cut) Broken (not reached, or the answer broke off) or Unanswered (given up before)."},
 	{"clementinelock_entry_helped_total", "Requests taken from entry hosts that are cut off."},
+	{"clementinelock_entry_customer_requests_total", "Answered requests by customer and status, for the first 200 customers of a process; the others are counted together as other."},
+	{"clementinelock_entry_quota_decisions_total", "Requests of customers with a quota, by result: Granted, Exceeded or Unreached (no control host answered in time)."},
+	{"clementinelock_entry_quota_draws_total", "Draws of quota tokens from control hosts, by result: Sent, or Unanswered (given up)."},
 }
 
+// maxCustomers bounds the customers that are counted by name, since each takes memory in every process.
+const maxCustomers = 200
+
+// otherCustomers is the label of the customers beyond maxCustomers.
+const otherCustomers = "other"
+
 // MetricNames returns the names and help texts of the metrics, for the docs.
 func MetricNames() [][2]string {
 	return metricTable
@@ -52,10 +67,11 @@
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricTable[2][0], Help: metricTable[2][1], Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"service"}),
+		customers: prometheus.NewCounterVec(counterOpts(10), []string{"customer", "status"}), named: map[string]bool{},
 	}
 	dropped := prometheus.NewCounterFunc(counterOpts(3), func() float64 { return float64(h.Log.Dropped()) })
 	sent := prometheus.NewCounterFunc(counterOpts(4), func() float64 { return float64(h.network.Stats.Read().SentBytes) })
-	registry.MustRegister(m.requests, m.attempts, m.latency, dropped, sent)
+	registry.MustRegister(m.requests, m.attempts, m.latency, m.customers, dropped, sent)
 	return m
 }
 
@@ -96,6 +112,36 @@
 	m.requests.WithLabelValues(record.Service, strconv.Itoa(record.Status), string(record.Kind)).Inc()
 	m.attempts.WithLabelValues(record.Service).Add(float64(record.Attempts))
 	m.latency.WithLabelValues(record.Service).Observe(record.Latency.Duration().Seconds())
+	m.countCustomer(record)
+}
+
+// countCustomer counts a request of a customer.
+func (m *metrics) countCustomer(record entry.RequestRecord) {
+	if record.Customer == "" {
+		return
+	}
+	m.mutex.Lock()
+	name := record.Customer
+	if !m.named[name] && len(m.named) >= maxCustomers {
+		name = otherCustomers
+	}
+	m.named[name] = true
+	m.mutex.Unlock()
+	m.customers.WithLabelValues(name, strconv.Itoa(record.Status)).Inc()
+}
+
+// observeQuotas registers the counters of decisions by quota, which read reads.
+func (m *metrics) observeQuotas(read func() quota.ClientCounts) {
+	register := func(index int, result string, field func(quota.ClientCounts) uint64) {
+		options := counterOpts(index)
+		options.ConstLabels = prometheus.Labels{"result": result}
+		m.registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(field(read())) }))
+	}
+	register(11, "Granted", func(c quota.ClientCounts) uint64 { return c.Granted })
+	register(11, "Exceeded", func(c quota.ClientCounts) uint64 { return c.Exceeded })
+	register(11, "Unreached", func(c quota.ClientCounts) uint64 { return c.Unreached })
+	register(12, "Sent", func(c quota.ClientCounts) uint64 { return c.Draws })
+	register(12, "Unanswered", func(c quota.ClientCounts) uint64 { return c.Unanswered })
 }
 
 func (m *metrics) handler() http.Handler {
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -8,6 +8,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/pick"
+	"clementinelock/core/quota"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -45,6 +46,23 @@
 	LinkMbps float64
 	Regions  map[string]string
 	Bounds   pick.Bounds
+	// QuotaBounds is how far requests may exceed customers' quotas.
+	QuotaBounds QuotaSettings
+	// MaxKeyAgeMillis is how long customers' keys hold at a host without contact to a control host, in milliseconds; 0 sets no
+	// limit.
+	MaxKeyAgeMillis int64
+}
+
+// QuotaSettings bounds the requests of a customer in any WindowSeconds seconds: they may exceed the quota by the share
+// Overrun and by Slack requests.
+type QuotaSettings struct {
+	WindowSeconds float64
+	Overrun       float64
+	Slack         float64
+}
+
+func (q QuotaSettings) bounds() quota.Bounds {
+	return quota.Bounds{Window: core.Millis(q.WindowSeconds * float64(core.Second)), Overrun: q.Overrun, Slack: q.Slack}
 }
 
 // ReadSettings reads a settings file; it returns an error if the file is not TOML or a required setting is missing.
@@ -77,6 +95,10 @@
 		missing = "Cores and LinkMbps (not negative)"
 	case s.Bounds.MaxShift < 0 || s.Bounds.MaxShift > 1:
 		missing = "MaxShift (a share from 0 to 1)"
+	case s.QuotaBounds.WindowSeconds < 0 || s.QuotaBounds.Overrun < 0 || s.QuotaBounds.Slack < 0:
+		missing = "QuotaBounds (not negative)"
+	case s.MaxKeyAgeMillis < 0:
+		missing = "MaxKeyAgeMillis (not negative)"
 	}
 	if missing != "" {
 		return fmt.Errorf("settings %q: missing or invalid %s", path, missing)
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -134,6 +134,8 @@
 	Leaving string
 	// Limit holds how many requests per second the endpoint takes from all hosts together.
 	Limit string
+	// Customer tells an endpoint the name of the customer whose key the request had.
+	Customer string
 }
 
 // IsLeaving reports whether an answer's header says that its endpoint is about to stop.
