--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -16,17 +16,15 @@
 	stockTime = 500 * core.Millisecond
 	// minStockRate is the number of requests a second from which tokens are held in advance.
 	minStockRate = 2.0
-	// rateWindow is the time over which the rate of a customer's requests is averaged.
-	rateWindow = 2 * core.Second
 	// answerTimeout is longer than a pool's search for tokens and a round trip to another region.
-	answerTimeout = 190 * core.Millisecond
+	answerTimeout = 250 * core.Millisecond
 	// acquireTimeout is how long a request waits for a token: one pool's answer, and another one's if the first is silent.
-	acquireTimeout = 450 * core.Millisecond
+	acquireTimeout = 550 * core.Millisecond
 	// silentPoolDelay is how long a pool that has not answered is avoided.
 	silentPoolDelay = 2 * core.Second
 	// shortDelay bounds the time in which a customer's requests are rejected after a pool was short of tokens, without
 	// asking again.
-	shortDelay = 100 * core.Millisecond
+	shortDelay = 50 * core.Millisecond
 	// returnSpread spreads the callers that were told to return over this time.
 	returnSpread = 600 * core.Millisecond
 	// idleRetention is how long a customer without requests is kept.
@@ -83,8 +81,7 @@
 	returned int
 	// shortUntil is until when requests are rejected without asking.
 	shortUntil core.Millis
-	rate       float64
-	countedAt  core.Millis
+	rate       rate
 }
 
 type waitingRequest struct {
@@ -106,7 +103,7 @@
 func (c *Client) Take(now core.Millis, customer string, version uint64, out *core.Effects) Decision {
 	a := c.account(customer)
 	c.version = max(c.version, version)
-	a.count(now)
+	a.rate.add(now, 1)
 	c.lastID++
 	d := Decision{ID: c.lastID}
 	switch {
@@ -152,13 +149,6 @@
 	return a
 }
 
-// count updates the rate of the customer's requests.
-func (a *account) count(now core.Millis) {
-	elapsed := float64(now - a.countedAt)
-	a.rate = a.rate*math.Exp(-elapsed/float64(rateWindow)) + float64(core.Second)/float64(rateWindow)
-	a.countedAt = now
-}
-
 // held returns the number of tokens, after those that have expired are due to be returned.
 func (a *account) held(now core.Millis) int {
 	if a.tokens > 0 && now >= a.expires {
@@ -170,10 +160,10 @@
 
 // wanted returns how many tokens the host holds in advance.
 func (a *account) wanted() int {
-	if a.rate < minStockRate {
+	if a.rate.perSecond < minStockRate {
 		return 0
 	}
-	return min(maxExtra, int(math.Ceil(a.rate*float64(stockTime)/float64(core.Second))))
+	return min(maxExtra, int(math.Ceil(a.rate.perSecond*float64(stockTime)/float64(core.Second))))
 }
 
 // ask draws tokens from the most suitable pool.
@@ -285,7 +275,7 @@
 				out.Send(pool, &Draw{Customer: customer, Returned: a.returned, Version: c.version})
 			}
 			a.returned = 0
-		case a.tokens == 0 && now-a.countedAt > idleRetention:
+		case a.tokens == 0 && now-a.rate.at > idleRetention:
 			delete(c.accounts, customer)
 		}
 	}
@@ -322,7 +312,9 @@
 	var out []AccountDump
 	for _, customer := range c.customers() {
 		a := c.accounts[customer]
-		d := AccountDump{Customer: customer, Tokens: a.held(now), Waiting: len(a.waiting), PerSecond: a.rate * math.Exp(-float64(now-a.countedAt)/float64(rateWindow))}
+		current := a.rate
+		current.decay(now)
+		d := AccountDump{Customer: customer, Tokens: a.held(now), Waiting: len(a.waiting), PerSecond: current.perSecond}
 		if a.tokens > 0 {
 			d.ExpiresIn = a.expires - now
 		}
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -12,13 +12,17 @@
 // Timing of pools.
 const (
 	// drawTimeout is how long a draw waits for tokens of other pools. Two round trips between regions fit in.
-	drawTimeout = 120 * core.Millisecond
+	drawTimeout = 170 * core.Millisecond
 	// lendTimeout is how long a pool waits for another one's answer, silentDelay how long it then asks that one for nothing.
 	lendTimeout = 70 * core.Millisecond
 	silentDelay = core.Second
+	// maxMisses is the number of pools without tokens in a row after which a search ends.
+	maxMisses = 3
+	// keptTime is the time for whose requests a pool keeps its tokens when others ask for them.
+	keptTime = 300 * core.Millisecond
 	// borrowDelay is the time after a search for tokens that found too few; it bounds the messages between pools where
 	// a customer sends far more than its quota.
-	borrowDelay = 150 * core.Millisecond
+	borrowDelay = 60 * core.Millisecond
 	// stockWindow is how long tokens given in advance count as held by their entry host: their lifetime and the delay of
 	// messages.
 	stockWindow = stockLifetime + 500*core.Millisecond
@@ -66,6 +70,8 @@
 	stocked []stocked
 	waiting []waitingDraw
 	search  search
+	// used is the rate of the tokens that this pool's entry hosts draw.
+	used rate
 	// heard is what other pools had when they last told.
 	heard map[string]heardLevel
 	// granted and rejected count requests since the start of the process, lent and borrowed tokens.
@@ -91,7 +97,8 @@
 	number uint64
 	asked  string
 	until  core.Millis
-	tried  []string
+	// misses counts the answers without tokens in a row.
+	misses int
 	// nextAt is when the next search may begin.
 	nextAt core.Millis
 }
@@ -246,6 +253,7 @@
 	if m.Number == 0 {
 		return
 	}
+	b.used.add(now, m.Need)
 	given := 0
 	if len(b.waiting) == 0 {
 		given = b.take(m.Need)
@@ -310,21 +318,21 @@
 		want += w.need - w.given
 	}
 	best, bestLevel := "", 1.0
-	for _, name := range p.holders(customer, b) {
-		if name == p.Name || slices.Contains(b.search.tried, name) || now < p.silentUntil[name] {
+	holders := p.holders(customer, b)
+	for _, name := range holders {
+		if name == p.Name || now < p.silentUntil[name] {
 			continue
 		}
-		if level := b.expectedLevel(now, name, len(p.holders(customer, b))); level >= bestLevel && (best == "" || level > bestLevel) {
+		if level := b.expectedLevel(now, name, len(holders)); level >= bestLevel && (best == "" || level > bestLevel) {
 			best, bestLevel = name, level
 		}
 	}
-	if best == "" || want == 0 {
+	if best == "" || want == 0 || b.search.misses >= maxMisses {
 		p.endSearch(now, customer, b, out)
 		return
 	}
 	p.lastNumber++
 	b.search.number, b.search.asked, b.search.until = p.lastNumber, best, now+lendTimeout
-	b.search.tried = append(b.search.tried, best)
 	out.Send(best, &Borrow{Customer: customer, Number: p.lastNumber, Want: want})
 }
 
@@ -382,13 +390,15 @@
 	}
 }
 
-// onBorrow lends another pool up to half of the tokens.
+// onBorrow lends another pool the tokens that this one does not need by itself shortly, at most half of them if it needs more.
 func (p *Pool) onBorrow(now core.Millis, from string, m *Borrow, out *core.Effects) {
 	l := &Lend{Customer: m.Customer, Number: m.Number}
 	if b := p.buckets[m.Customer]; b != nil && b.removedAt == 0 {
 		b.refill(now)
 		if len(b.waiting) == 0 {
-			l.Count = b.take(min(m.Want, max(1, int(b.level/2))))
+			b.used.decay(now)
+			kept := min(b.level/2, b.used.perSecond*float64(keptTime)/float64(core.Second))
+			l.Count = b.take(min(m.Want, int(b.level-kept)))
 			b.lent += uint64(l.Count)
 		}
 		l.Level = int(b.level)
@@ -406,6 +416,10 @@
 	b.heard[from] = heardLevel{level: float64(m.Level), at: now}
 	b.level += float64(m.Count)
 	b.borrowed += uint64(m.Count)
+	b.search.misses++
+	if m.Count > 0 {
+		b.search.misses = 0
+	}
 	p.serveWaiting(m.Customer, b, out)
 	if b.search.number != m.Number {
 		b.level = min(b.level, b.capacity)
@@ -432,6 +446,7 @@
 		})
 		if b.search.number != 0 && now >= b.search.until {
 			p.silentUntil[b.search.asked] = now + silentDelay
+			b.search.misses++
 			p.search(now, customer, b, out)
 		}
 	}
