--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -32,6 +32,10 @@
 	published   uint64
 	evacuated   map[string]bool
 	unconfirmed map[string]bool
+	// OnControl is called with each control host before its start; it may be nil.
+	OnControl func(c *fleet.Control)
+	// OnEntry returns the process that runs an entry host; nil runs the host by itself.
+	OnEntry func(e *entryHost) fake.Process
 }
 
 // entryHost checks that versions and indexes never go back within one process.
@@ -110,6 +114,9 @@
 		Process:     s.process, Rand: rand.New(rand.NewPCG(s.Rand.Uint64(), 1)), Seeds: s.seeds, ListCallsPerSecond: 40,
 	}
 	s.controls[name] = c
+	if s.OnControl != nil {
+		s.OnControl(c)
+	}
 	effects, err := c.Start(s.Now, s.disks[name].Stored)
 	if err != nil {
 		s.t.Fatal(err)
@@ -126,6 +133,10 @@
 	}}
 	e.Entry.Start(s.Now)
 	s.entries[name] = e
+	if s.OnEntry != nil {
+		s.Start(name, s.OnEntry(e))
+		return
+	}
 	s.Start(name, e)
 }
 
