--- a/core/pick/shift.go
+++ b/core/pick/shift.go
@@ -24,6 +24,8 @@
 	shiftMargin = 0.9
 	// minShiftRequests may shift at any time, so that hosts with few requests can shift any.
 	minShiftRequests = 3.0
+	// minKeeperShiftRequests is the same for requests to the region that keeps their object.
+	minKeeperShiftRequests = 4.0
 	// minShiftAge is the age in bins of the shortest time that is compared with the window before it.
 	minShiftAge = 10
 	// initialWeight is the weight of the initial shares in the earlier window, in requests.
@@ -135,7 +137,10 @@
 func (l *shiftLimiter) advance(now core.Millis) {
 	bin := int(now / shiftBin)
 	if bin-l.bin > shiftBins {
-		l.bin = bin - shiftBins
+		for _, p := range l.regions {
+			p.bins, p.recent = [shiftBins]int{}, 0
+		}
+		l.bin = bin
 	}
 	for l.bin < bin {
 		l.bin++
@@ -161,6 +166,11 @@
 // moment must not differ by more than the bound from those of the window before that moment, unless the request brings
 // them closer.
 func (l *shiftLimiter) excess(now core.Millis, region string) float64 {
+	return l.excessBeyond(now, region, minShiftRequests)
+}
+
+// excessBeyond returns the excess where that number of requests may shift at any time.
+func (l *shiftLimiter) excessBeyond(now core.Millis, region string, least float64) float64 {
 	if l.isLifted(now) {
 		return 0
 	}
@@ -184,7 +194,7 @@
 		before, _ := l.distance("")
 		after, requests := l.distance(region)
 		if after >= before {
-			largest = math.Max(largest, after*requests-math.Max(minShiftRequests, shiftMargin*l.maxShift*requests))
+			largest = math.Max(largest, after*requests-math.Max(least, shiftMargin*l.maxShift*requests))
 		}
 	}
 	return largest
