--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -63,7 +63,8 @@
 // regions, and counts the request there until Done. It refuses requests that cannot be answered in time.
 func (t *Table) Choose(now core.Millis, r Request) (Choice, *core.Refusal) {
 	s := t.service(r.Service)
-	best := t.chooseRegion(now, s, r, t.bestPerRegion(now, s, r))
+	keeper := s.keeperOf(r.Object, r.Regions)
+	best := t.chooseRegion(now, s, r, keeper, t.bestPerRegion(now, s, r, keeper))
 	if best.Endpoint == nil {
 		return best.Choice, t.refuseUnavailable(now, s, r)
 	}
@@ -83,8 +84,9 @@
 	cost float64
 }
 
-// bestPerRegion returns the best endpoint of each region, the cheapest first.
-func (t *Table) bestPerRegion(now core.Millis, s *service, r Request) []candidate {
+// bestPerRegion returns the best endpoint of each region, the cheapest first. Regions other than the object's keeper have to
+// fetch the object's data.
+func (t *Table) bestPerRegion(now core.Millis, s *service, r Request, keeper string) []candidate {
 	prefs := t.preferencesOf(now, s, r.Object)
 	found := make([]candidate, 0, expectedRegions)
 	for _, e := range s.endpoints {
@@ -95,6 +97,9 @@
 			continue
 		}
 		cost, wait := t.cost(now, s, e, r.Object, prefs)
+		if keeper != "" && e.Region != keeper && !e.isWarmFor(now, r.Object) {
+			cost += s.otherRegionCost(r)
+		}
 		if r.FreeOnly && wait > 0 {
 			continue
 		}
@@ -117,8 +122,9 @@
 // which requests may shift. If the limit on shifts excludes all that can, a request goes where it exceeds the limit
 // least, provided that the local region can answer in time, and is refused otherwise. A request that the cheapest region
 // of all can't answer in time is refused too: under overload a dearer one takes slots from other requests for it, and
-// more of them end without an answer.
-func (t *Table) chooseRegion(now core.Millis, s *service, r Request, found []candidate) candidate {
+// more of them end without an answer. The limit is wider for a request whose cheapest region keeps its object: the objects of
+// a region are the same at all hosts, while by chance alone the few requests of one host differ by more.
+func (t *Table) chooseRegion(now core.Millis, s *service, r Request, keeper string, found []candidate) candidate {
 	if len(found) == 0 {
 		return candidate{}
 	}
@@ -130,6 +136,8 @@
 		return candidate{}
 	case local < 0, len(found) == 1, !inTime(found[0]):
 		return found[0]
+	case found[0].Endpoint.Region == keeper && t.shift.excessBeyond(now, keeper, minKeeperShiftRequests) == 0:
+		return found[0]
 	}
 	least, leastExcess := -1, math.Inf(1)
 	for i, c := range found {
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -127,7 +127,9 @@
 	serviceTime float64
 	// objectiveShare is the share of the objective that queueing and service may take.
 	objectiveShare float64
-	budget         retry.Budget
+	// shares are the regions' shares in the objects; without any, each region keeps the data of all.
+	shares []regionShare
+	budget retry.Budget
 }
 
 // Update applies a new view, and a new routing table unless it is nil.
@@ -165,6 +167,7 @@
 	}
 	t.groupByService()
 	t.updateLocalSlots(now)
+	t.updateShares()
 }
 
 // updateLocalSlots lifts the limit on shifts when the slots of the local region have changed.
