--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	go test ./io/feed -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	go test ./io/proto -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZTIME)
 	go test ./core/host -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	go test ./core/creds -run '^$$' -fuzz FuzzParseBearer -fuzztime $(FUZZTIME)
 	go test ./core/ledger -run '^$$' -fuzz FuzzParseKey -fuzztime $(FUZZTIME)
 
 clean:
