--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -62,7 +62,9 @@
 	allowed := usedFraction * ((l.PerSecond*window+l.Burst)*(1+b.Overrun) + b.Slack)
 	// What the capacity does not need raises the rate: requests below what the window allows need not be rejected.
 	spare := allowed - l.PerSecond*(1+overrunFraction*b.Overrun)*window
-	capacity := max(l.Burst, min(minBurst, spare), minCapacityFraction*allowed)
+	// The rate stays near the quota's where the bounds allow nothing beyond it.
+	burst := min(l.Burst, allowed-usedFraction*l.PerSecond*window)
+	capacity := max(burst, min(minBurst, spare), minCapacityFraction*allowed)
 	rate := (allowed - capacity) / window
 	s := shape{rate: rate, capacity: (1 - stockFraction) * capacity, stock: stockFraction * capacity}
 	if s.capacity < 1 {
