Parts of isolated hosts in a cold endpoint's rate add up with those of all others

Cause: an endpoint that turns cold during an evacuation is warm to a host without contact, which therefore keeps to a part of the cold rate. The parts were made for two thirds of the hosts of the endpoint's region, beside 0.1 of the rate for other regions, and without the 0.7 of the rate that the hosts of the availability zone use which know of the cold start: 0.7 + 0.85 + 0.1, and more where all hosts of a region are isolated.

TestColdEndpointBesideIsolatedHosts, which tries isolated availability zones in all combinations and random hosts, failed on in 15 of 17 layouts, with up to 21 requests in a second (12.8 allowed; three hosts a region, endpoint in the availability zone of one). TestAllOfThreeHostsIsolated failed with 15.

Change: a host of the endpoint's availability zone uses the same part whether it knows of the cold start or not, so that it counts once; the other hosts of the region divide what these parts leave, by rank; hosts of other regions send isolated requests to endpoints of their own region only. No subset of isolated hosts exceeds the rate then.

After: both tests pass.

--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -22,19 +22,9 @@
 	// isolationTimeout is the time without an update from a control host after which a host counts as isolated: more
 	// than two of its reports.
 	isolationTimeout = 2 * core.Second
-	// maxIsolatedHosts is the part of the hosts that may be isolated at once.
-	maxIsolatedHosts = 2.0 / 3
-	// isolatedFraction is the part of the cold rate that the isolated hosts of an endpoint's region use,
-	// isolatedTurnsFraction that where hosts take turns, since those that began lately add up, and isolatedRemoteFraction
-	// that of the others for an endpoint of another region.
-	isolatedFraction       = 0.85
-	isolatedTurnsFraction  = 0.5
-	isolatedRemoteFraction = 0.1
 	// coldTurn is the length of a turn at a cold endpoint: in one second begin the turns that use up the fraction of the
-	// rate, and those that began up to a turn's length before may still be used. isolatedTurn is the part of their period
-	// that turns of isolated hosts last, which are longer so that few requests are refused.
-	coldTurn     = 450 * core.Millisecond
-	isolatedTurn = 0.25
+	// rate, and those that began up to a turn's length before may still be used, together at most the whole rate.
+	coldTurn = 450 * core.Millisecond
 )
 
 // RecordContact records that a control host has sent an update, or when it last could know of all changes.
@@ -71,38 +61,82 @@
 	if e.Zone != t.Zone || t.entries.Zone == 0 {
 		return false
 	}
-	hosts, rate := t.entries.Zone, t.coldRate(e)
-	if rate <= 0 {
-		return false
-	}
-	if float64(hosts) > maxColdHostsPerRate*rate {
-		return t.hasTurn(now, e, turns{rank: t.entries.Rank, hosts: hosts, quota: coldRateFraction * rate / float64(hosts), length: coldTurn})
+	rate := t.coldRate(e)
+	if takesTurns(t.entries.Zone, rate) {
+		return rate > 0 && t.hasTurn(now, e, turns{rank: t.entries.Rank, hosts: t.entries.Zone, quota: coldRateFraction * rate / float64(t.entries.Zone), length: coldTurn})
 	}
 	// Hosts whose quota is below 1 stay within the rate even if all send theirs in the same second.
-	return e.isWithinQuota(now, coldRateFraction*rate/float64(hosts))
+	return e.isWithinQuota(now, coldRateFraction*rate/float64(t.entries.Zone))
+}
+
+// takesTurns reports whether an availability zone has so many hosts that they take turns at a cold endpoint.
+func takesTurns(hosts int, rate float64) bool {
+	return float64(hosts) > maxColdHostsPerRate*rate
 }
 
-// mayUseIsolated reports whether an isolated host may send one more request to an endpoint that it takes for warm.
+// mayUseIsolated reports whether an isolated host may send one more request to an endpoint that it takes for warm. The
+// parts of all hosts add up to no more than the rate, whichever of them are isolated: a host of the endpoint's availability
+// zone keeps to its share of a cold endpoint, and the other hosts of the region divide what these shares leave.
 func (t *Table) mayUseIsolated(now core.Millis, e *Endpoint) bool {
 	rate := t.coldRate(e)
 	if rate == 0 {
 		return true
 	}
-	hosts, fraction, rank := max(1, t.maxRegionHosts), isolatedFraction, t.entries.Rank
-	if e.Region != t.Region {
-		hosts, fraction, rank = max(1, t.maxHosts), isolatedRemoteFraction, 0
-	}
-	isolated := math.Ceil(maxIsolatedHosts * float64(hosts))
 	if e.isolatedSince != t.contactAt {
-		// Whether this host has used its turn is not known.
+		// Whether this host has used its part is not known.
 		e.isolatedSince = t.contactAt
 		e.coldSentAt = append(e.coldSentAt, now)
 	}
-	if fraction*rate < isolated {
-		quota := min(fraction, isolatedTurnsFraction) * rate / isolated
-		return t.hasTurn(now, e, turns{rank: rank, hosts: hosts, quota: quota, length: core.Millis(isolatedTurn * float64(coldWindow) / quota)})
+	hosts := t.entries.Zone
+	switch {
+	case e.Region != t.Region || hosts == 0:
+		return false
+	case e.Zone != t.Zone:
+		return e.isWithinQuota(now, float64(t.sparePart(e, rate)))
+	case t.maxRegionHosts <= hosts && !takesTurns(hosts, rate):
+		// No other host of the region shares the endpoint.
+		return e.isWithinQuota(now, math.Floor(rate)/float64(hosts))
 	}
-	return e.isWithinQuota(now, fraction*rate/isolated)
+	return t.mayUseCold(now, e)
+}
+
+// sparePart returns how many requests in a second this host may send to an endpoint of another availability zone of its
+// region while it is isolated: its part of what the hosts of that zone leave of the endpoint's rate.
+func (t *Table) sparePart(e *Endpoint, rate float64) int {
+	zones := 0
+	for _, region := range t.RegionByZone {
+		if region == t.Region {
+			zones++
+		}
+	}
+	remote := t.maxRegionHosts - t.entries.Zone
+	if zones == 2 {
+		spare, hosts := spareRequests(remote, rate), t.entries.Zone
+		part := spare / hosts
+		// Ranks of the hosts of one availability zone follow each other.
+		if rank := uint64(t.entries.Rank); rank > 0 && int((rank+rendezvous("spare", e.ID))%uint64(hosts)) < spare%hosts {
+			part++
+		}
+		return part
+	}
+	// How the hosts are spread over the other availability zones is not known.
+	part := int(rate)
+	for hosts := range remote + 1 {
+		part = min(part, spareRequests(hosts, rate)/(t.maxRegionHosts-hosts))
+	}
+	return part
+}
+
+// spareRequests returns how many requests in a second the hosts of an endpoint's availability zone leave of its rate.
+func spareRequests(hosts int, rate float64) int {
+	if takesTurns(hosts, rate) {
+		return 0
+	}
+	used := 0
+	if hosts > 0 {
+		used = hosts * max(1, int(coldRateFraction*rate/float64(hosts)))
+	}
+	return max(0, int(rate)-used)
 }
 
 // turns is how many hosts share an endpoint. In each period they begin their turns one after the other, by their ranks and
@@ -137,6 +171,9 @@
 // isWithinQuota reports whether this host has sent the endpoint fewer requests than a quota per second; for a quota below
 // 1 it may send one request per longer time.
 func (e *Endpoint) isWithinQuota(now core.Millis, quota float64) bool {
+	if quota <= 0 {
+		return false
+	}
 	window := coldWindow
 	if quota < 1 {
 		window = core.Millis(float64(window) / quota)
