A request that is handed over keeps its route's attempts across all hosts

What callers saw: requests ran at more endpoints than their route allows (BUDGET): 3 endpoints where 2 are allowed, 7 and 9 where 4 are.

Attempts that endpoints ran before the host was recognised as cut off were in the count of the hosts.

--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -4,21 +4,27 @@
 	"fmt"
 
 	"clementinelock/core"
+	"clementinelock/core/retry"
 )
 
 // SpendRetry takes one extra attempt out of this host's share of the service's budget; it returns false when
 // none is left.
 func (t *Table) SpendRetry(name string) bool {
-	return t.service(name).budget.Spend()
+	return t.budget(name).Spend()
 }
 
 // CountRequest adds a caller's request to the service's budget of extra attempts.
 func (t *Table) CountRequest(name string) {
-	s := t.service(name)
-	s.budget.Ratio = retryBudgetFraction * t.Bounds.RetryRatio
-	s.budget.MaxTokens = max(1, retryBudgetFraction*t.Bounds.RetrySlack/float64(t.budgetHosts()))
-	s.budget.SetInitial(initialBudgetFraction * s.budget.MaxTokens)
-	s.budget.RecordFirst()
+	t.budget(name).RecordFirst()
+}
+
+// budget returns this host's share of the service's budget of extra attempts.
+func (t *Table) budget(name string) *retry.Budget {
+	b := &t.service(name).budget
+	b.Ratio = retryBudgetFraction * t.Bounds.RetryRatio
+	b.MaxTokens = max(1, retryBudgetFraction*t.Bounds.RetrySlack/float64(t.budgetHosts()))
+	b.SetInitial(initialBudgetFraction * b.MaxTokens)
+	return b
 }
 
 // budgetHosts returns the number of hosts among which the deployment's budget is divided: the largest number
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -9,8 +9,10 @@
 type Budget struct {
 	Ratio float64
 	// MaxTokens is how many unspent extra attempts are kept; 0 means defaultMaxTokens.
-	MaxTokens     float64
-	tokens        float64
+	MaxTokens float64
+	tokens    float64
+	// initialized is set once SetInitial was called.
+	initialized   bool
 	extraAttempts uint64
 	firstAttempts uint64
 }
@@ -31,10 +33,10 @@
 	return true
 }
 
-// SetInitial sets the extra attempts that a budget without a first attempt starts with.
+// SetInitial sets the extra attempts that the budget starts with; later calls have no effect.
 func (b *Budget) SetInitial(tokens float64) {
-	if b.firstAttempts == 0 {
-		b.tokens = tokens
+	if !b.initialized {
+		b.initialized, b.tokens = true, tokens
 	}
 }
 
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -122,6 +122,7 @@
 	}
 	table, err := routes.NewTable(1, routes.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, IdleTimeout: core.Second, HeaderTimeout: 300}, []routes.Service{{Name: "s"}}, []routes.Route{
 		{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, Timeout: 600, Destinations: []routes.Destination{{Service: "s", Weight: 1}}, MaxAttempts: 2, Affinity: true},
+		{Name: "many", Host: "h", Prefix: "/many/", Idempotent: true, Timeout: 600, Destinations: []routes.Destination{{Service: "s", Weight: 1}}, MaxAttempts: 4},
 		{Name: "write", Host: "h", Prefix: "/write/", Timeout: 600, Destinations: []routes.Destination{{Service: "s", Weight: 1}}, MaxAttempts: 2},
 	})
 	if err != nil {
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -26,6 +26,8 @@
 	counted bool
 	// version is that of the routes by which it was handed over.
 	version uint64
+	// attempts is the number of further attempts that may reach endpoints; hosts of builds that don't tell it count one.
+	attempts int
 	// customer is the one that the request's key belongs to, whose quota was charged; empty if it was not identified.
 	customer string
 }
@@ -35,7 +37,7 @@
 
 // String encodes the handover as the value of the header proto.Handover.
 func (h handover) String() string {
-	text := fmt.Sprintf("Reached=%d Counted=%t Version=%d", h.reached, h.counted, h.version)
+	text := fmt.Sprintf("Reached=%d Counted=%t Version=%d Attempts=%d", h.reached, h.counted, h.version, h.attempts)
 	if h.customer != "" {
 		text += handoverCustomer + strconv.Quote(h.customer)
 	}
@@ -53,7 +55,8 @@
 		}
 		h.customer = customer
 	}
-	_, _ = fmt.Sscanf(text, "Reached=%d Counted=%t Version=%d", &h.reached, &h.counted, &h.version)
+	_, _ = fmt.Sscanf(text, "Reached=%d Counted=%t Version=%d Attempts=%d", &h.reached, &h.counted, &h.version, &h.attempts)
+	h.reached, h.attempts = max(0, h.reached), max(1, h.attempts)
 	return h
 }
 
@@ -90,24 +93,51 @@
 	t.triedHelpers = append(t.triedHelpers, helper.Name)
 	record.Handovers++
 	record.Helper = helper.Name
-	h := handover{reached: t.reached, counted: t.counted, version: record.Version, customer: t.exchange.identity.name()}
+	// A helper counts the request before its first attempt.
+	h := handover{reached: t.reached, counted: t.counted || t.reached > 0, version: record.Version, attempts: t.attemptsForHelper(), customer: t.exchange.identity.name()}
 	t.inFlight++
-	t.reached++
+	t.reached += h.attempts
 	go func() { t.results <- t.sendHandover(ctx, helper.Name, h) }()
 	return true, nil
 }
 
+// attemptsForHelper returns how many of the remaining attempts the helper that was chosen last gets: all but one for each
+// further helper, since one that falls silent may have used all of its own.
+func (t *attempts) attemptsForHelper() int {
+	further := min(maxHandovers, t.server.Helpers.Len()) - len(t.triedHelpers)
+	return max(1, t.mayReach()-t.reached-max(0, further))
+}
+
 // sendHandover sends the request to another entry host.
 func (t *attempts) sendHandover(ctx context.Context, name string, h handover) attemptResult {
 	s := t.server
 	target := pool.Target{Address: s.HelperAddress(name), Deadline: time.Now().Add((t.deadline - s.Now()).Duration()), Extra: map[string]string{proto.Handover: h.String()}}
 	result := s.HelperPool.Do(ctx, t.exchange.request, target)
+	unused, told := unusedAttempts(result.Answer, h.attempts)
 	outcome, refusal, dealt := s.classifyHandover(result)
+	if told && refusal != nil && refusal.Kind == core.UpstreamFailed {
+		// The helper has used its attempts; others may remain.
+		refusal = nil
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.Helpers.Done(s.Now(), name, dealt)
 	s.reach.counts[dealt]++
-	return attemptResult{result: result, outcome: outcome, refusal: refusal}
+	return attemptResult{result: result, outcome: outcome, refusal: refusal, counted: h.attempts, unused: unused}
+}
+
+// unusedAttempts returns how many of the attempts that another entry host was allowed have reached no endpoint, and whether
+// its answer tells; that is not passed on.
+func unusedAttempts(answer *pool.Answer, allowed int) (unused int, told bool) {
+	if answer == nil {
+		return 0, false
+	}
+	reached, err := strconv.Atoi(answer.Header.Get(proto.Reached))
+	answer.Header.Del(proto.Reached)
+	if err != nil || reached < 0 {
+		return 0, false
+	}
+	return max(0, allowed-reached), true
 }
 
 // classifyHandover returns what the result of a handover says about the request, and about the host that it went to.
--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -24,6 +24,8 @@
 	kind  core.Kind
 	ran   core.Ran
 	close bool
+	// reached is the number of attempts that endpoints may have run, for the host that handed the request over.
+	reached int
 }
 
 const copyBufferBytes = 16 << 10
@@ -71,7 +73,7 @@
 		write(c.writer, c.server.Dialect.RequestID, ": ", x.request.ID, "\r\n")
 	}
 	if c.handed {
-		write(c.writer, proto.Kind, ": ", string(r.kind), "\r\n", proto.Ran, ": ", string(r.ran), "\r\n")
+		write(c.writer, proto.Kind, ": ", string(r.kind), "\r\n", proto.Ran, ": ", string(r.ran), "\r\n", proto.Reached, ": ", strconv.Itoa(r.reached), "\r\n")
 	}
 	if r.retryAfter > 0 {
 		write(c.writer, "Retry-After: ", strconv.FormatFloat(float64(r.retryAfter)/float64(core.Second), 'f', -1, 64), "\r\n")
@@ -85,10 +87,10 @@
 func (c *conn) sendAnswer(x *exchange, r *reply) error {
 	w, a := c.writer, r.answer
 	if c.handed {
-		write(w, proto.Endpoint, ": ", r.endpoint, "\r\n")
+		write(w, proto.Endpoint, ": ", r.endpoint, "\r\n", proto.Reached, ": ", strconv.Itoa(r.reached), "\r\n")
 	}
 	for name, values := range a.Header {
-		if pool.IsHopByHop(name, a.Header) || name == c.server.Dialect.Load || c.handed && name == proto.Endpoint {
+		if pool.IsHopByHop(name, a.Header) || name == c.server.Dialect.Load || c.handed && (name == proto.Endpoint || name == proto.Reached) {
 			continue
 		}
 		for _, value := range values {
--- a/io/entry/retry.go
+++ b/io/entry/retry.go
@@ -41,11 +41,20 @@
 	return core.Millis(max(hedgeServiceTimes*float64(usual), hedgeDeadlineShare*float64(t.deadline-t.server.Now())))
 }
 
-// maxAttempts returns the number of endpoints that may run the request.
+// maxAttempts returns the number of endpoints that the route lets run the request.
 func (t *attempts) maxAttempts() int {
 	return max(1, t.route.MaxAttempts)
 }
 
+// mayReach returns how many attempts may reach endpoints, those of other entry hosts included: what the route allows, and no
+// more than the host that handed the request over.
+func (t *attempts) mayReach() int {
+	if h := t.exchange.handover; h != nil {
+		return min(t.maxAttempts(), h.reached+h.attempts)
+	}
+	return t.maxAttempts()
+}
+
 // noRetryReason returns the reason against a further attempt after one with this outcome.
 // It spends one attempt from the retry budget when there is none, unless the host that gets the request next does.
 func (t *attempts) noRetryReason(ctx context.Context, outcome pick.Outcome) NoRetryReason {
@@ -53,7 +62,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return TimeOver
-	case t.reached >= t.maxAttempts() || t.record.Attempts >= t.maxAttempts() && !t.mayHandOver():
+	case t.reached >= t.mayReach() || t.record.Attempts >= t.maxAttempts() && !t.mayHandOver():
 		return MostAttempts
 	case t.exchange.request.Rest != nil:
 		return BodyPassedOn
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -153,6 +153,9 @@
 	outcome pick.Outcome
 	// refusal is that of the entry host which the request was handed over to.
 	refusal *core.Refusal
+	// counted is how many attempts it counted for in attempts.reached, unused how many of them have reached no endpoint.
+	counted int
+	unused  int
 }
 
 // endpoint returns the name of the endpoint that the attempt went to.
@@ -173,7 +176,8 @@
 	pickRequest pick.Request
 	results     chan attemptResult
 	inFlight    int
-	// reached counts the attempts that endpoints may have run, and those in flight.
+	// reached counts the attempts that endpoints may have run, and those in flight; an entry host that the request was handed
+	// over to counts for all attempts that it was allowed.
 	reached int
 	// counted is set once the request is in a budget of extra attempts.
 	counted bool
@@ -201,6 +205,9 @@
 	if x.handover != nil {
 		t.counted, t.reached = x.handover.counted, x.handover.reached
 		t.count()
+		if t.reached >= t.mayReach() {
+			return refuse(record, core.Refuse(core.Overloaded, core.RanNo, "no attempt left of a request that was handed over after %d", t.reached))
+		}
 		if t.reached > 0 && !t.spendRetry(pick.Lost) {
 			return refuse(record, core.Refuse(core.Overloaded, core.RanNo, "no budget for a further attempt of a request that was handed over"))
 		}
@@ -214,7 +221,12 @@
 	if refusal := t.start(ctx); refusal != nil {
 		return refuse(record, refusal)
 	}
-	return t.awaitAnswer(ctx)
+	r := t.awaitAnswer(ctx)
+	r.reached = t.reached
+	if x.handover != nil {
+		r.reached -= x.handover.reached
+	}
+	return r
 }
 
 // count adds the request to the budget of extra attempts of its service, once.
@@ -286,7 +298,9 @@
 		// The endpoint has not ended, since a connection to it is open.
 		outcome = pick.Unreached
 	}
-	if outcome == pick.GivenUp && errors.Is(context.Cause(ctx), errSuperseded) && s.Now()-began >= t.hedgeDelay {
+	// The host that handed the request over may have superseded this attempt by one of another helper.
+	superseded := errors.Is(context.Cause(ctx), errSuperseded) || t.exchange.handover != nil
+	if outcome == pick.GivenUp && superseded && s.Now()-began >= t.hedgeDelay {
 		outcome = pick.Lost
 	}
 	var report *core.Report
@@ -300,7 +314,7 @@
 	if outcome == pick.Misled {
 		s.Pool.CloseIdle(e.Address)
 	}
-	return attemptResult{choice: choice, result: result, outcome: outcome}
+	return attemptResult{choice: choice, result: result, outcome: outcome, counted: 1}
 }
 
 // awaitAnswer waits for the attempts in flight and starts further ones.
@@ -328,8 +342,9 @@
 		return &reply{status: attempt.result.Answer.Status, answer: attempt.result.Answer, endpoint: attempt.endpoint()}
 	}
 	if !attempt.outcome.MayHaveRun() {
-		t.reached--
+		attempt.unused = attempt.counted
 	}
+	t.reached -= attempt.unused
 	t.mayHaveRun = t.mayHaveRun || attempt.outcome.MayHaveRun()
 	if t.inFlight > 0 {
 		return nil
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -25,8 +25,10 @@
 	Load           = "Clementinelock-Load"
 	Limit          = "Clementinelock-Limit"
 	// Handover marks a request that one entry host hands over to another, and Endpoint names the endpoint that answered it.
+	// Reached is the number of attempts by which the other host's endpoints may have run it.
 	Handover = "Clementinelock-Handover"
 	Endpoint = "Clementinelock-Endpoint"
+	Reached  = "Clementinelock-Reached"
 	// RequestID identifies one attempt; upstreams that return it in their answers keep their connections.
 	RequestID = "Clementinelock-Request"
 )
