Contact with a control host is as old as what it knows

Cause: an entry host took the arrival of an update for the time up to which it knows all changes. Its control host goes on answering for 1.2 s after it last heard the leader, and an update can be held up on its way, or in the socket of a frozen host.

Change: reports carry the time at which they were sent, updates return it and tell how long ago the control host heard from the leader, or as the leader from a majority. Messages of older builds lack these fields and count as before.

--- /dev/null
+++ b/core/fleet/contact_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+)
+
+// TestContactIsNoNewerThanWhatIsKnown guards against hosts that count as in contact for a second or more after the last
+// message by which their control host, cut off with them, could learn of an evacuation: evacuated endpoints that turn cold
+// within that time get their requests as if they were warm.
+func TestContactIsNoNewerThanWhatIsKnown(t *testing.T) {
+	// slack is the delay of a message between regions and a tick.
+	const slack = 100 * core.Millisecond
+	for seed := range uint64(20) {
+		s := newSite(t, seed)
+		s.RunFor(8*core.Second + core.Millis(seed)*70)
+		zone := controlZones[seed%uint64(len(controlZones))]
+		var inside, outside []string
+		for name, each := range s.zones {
+			if each == zone {
+				inside = append(inside, name)
+			} else {
+				outside = append(outside, name)
+			}
+		}
+		for _, name := range inside {
+			s.Isolate(name, outside, true)
+		}
+		cut := s.Now
+		latest := core.Millis(0)
+		for range 400 {
+			s.RunFor(10)
+			for name, e := range s.entries {
+				if s.zones[name] == zone {
+					latest = max(latest, e.ContactAt()-cut)
+				}
+			}
+		}
+		if latest > slack {
+			t.Errorf("seed %d: a host cut off with its control host takes itself to know all changes until %s after the cut", seed, latest)
+		}
+	}
+}
+
+// TestContactByADelayedUpdate guards against an update that was held up on its way, or in the socket of a host that was
+// frozen, and counts as contact at the time of its arrival.
+func TestContactByADelayedUpdate(t *testing.T) {
+	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	now := core.Hour
+	e.Start(now)
+	var report *fleet.Report
+	for report == nil {
+		now += fleet.EntryTickInterval
+		effects := e.Tick(now)
+		for _, m := range effects.Sends {
+			report, _ = m.Message.(*fleet.Report)
+		}
+	}
+	sent := now
+	answer := &fleet.Update{Process: 1, LeaderHeard: true, Index: 1, ReportSentAt: report.SentAt}
+	e.Receive(now+5, "c", answer)
+	if e.ContactAt() != sent {
+		t.Errorf("an answer to a report counts as contact %s after the report", e.ContactAt()-sent)
+	}
+	e.Receive(now+1500, "c", answer)
+	if e.ContactAt() != sent {
+		t.Errorf("an update that was 1.5 s on its way counts as contact %s after the report", e.ContactAt()-sent)
+	}
+	// Control hosts of older builds tell neither.
+	e.Receive(now+1600, "c", &fleet.Update{Process: 1, LeaderHeard: true, Index: 1})
+	if e.ContactAt() != now+1600 {
+		t.Error("an update of an older build is no contact")
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -197,7 +197,7 @@
 	r := &Report{
 		EntryHost: e.EntryHost, Index: e.index, Version: e.document.Version,
 		ListProcess: e.list.Process(), ListNumber: e.list.Number(), ControlsProcess: e.controlsProcess, ControlsNumber: e.controlsNumber, Probe: probe,
-		Load: e.currentLoad(now), QuarantineIndex: e.quarantineIndex, PeersNumber: e.peers.Number,
+		Load: e.currentLoad(now), QuarantineIndex: e.quarantineIndex, PeersNumber: e.peers.Number, SentAt: now,
 	}
 	if !probe {
 		r.Crashes, r.Served = e.relay.Reports(now)
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -56,6 +56,8 @@
 	Ended []crash.Ended `cbor:"22,keyasint,omitempty"`
 	// PeersNumber identifies the Peers that are held; 0 means none.
 	PeersNumber uint64 `cbor:"23,keyasint,omitempty"`
+	// SentAt is when the report was sent, by the sender's clock.
+	SentAt core.Millis `cbor:"24,keyasint,omitempty"`
 }
 
 // Update goes from a control host to an entry host.
@@ -94,6 +96,11 @@
 	// MajorityAge is the time since the control host last heard from a majority of the voters, if it hears no leader; 0
 	// means that it did not, or is not known.
 	MajorityAge core.Millis `cbor:"19,keyasint,omitempty"`
+	// LeaderAge is the time since the control host last heard from the leader or, as the leader, from a majority; 0 means that
+	// it is not known.
+	LeaderAge core.Millis `cbor:"20,keyasint,omitempty"`
+	// ReportSentAt is SentAt of the receiver's latest report, 0 if it is not known.
+	ReportSentAt core.Millis `cbor:"21,keyasint,omitempty"`
 }
 
 // ZoneReturn is the end of an availability zone's evacuation.
--- a/core/fleet/returned.go
+++ b/core/fleet/returned.go
@@ -38,6 +38,18 @@
 	return returned
 }
 
+// leaderAge returns the time since this host last heard from the leader or, as the leader, from a majority of the voters, at
+// least 1 ms: how old its knowledge of the newest changes may be. It returns 0 while it hears no leader.
+func (c *Control) leaderAge(now core.Millis) core.Millis {
+	if !c.leaderHeard(now) {
+		return 0
+	}
+	if c.quorum.IsLeader() {
+		return max(1, c.quorum.SinceMajorityContact(now))
+	}
+	return max(1, c.quorum.SinceLeaderContact(now))
+}
+
 // majorityAge returns the time since this host last heard from a majority of the voters, itself among them, at least 1 ms;
 // it returns 0 while it hears a leader, or if it has not heard so many. Without a majority, others may decide on changes.
 func (c *Control) majorityAge(now core.Millis) core.Millis {
--- a/core/quorum/status.go
+++ b/core/quorum/status.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	"clementinelock/core"
 )
 
@@ -65,6 +67,28 @@
 	return now - r.leaderContactAt
 }
 
+// SinceMajorityContact returns, at the leader, the time since it last heard from a majority of the voters, itself among them,
+// and core.Never if it has not.
+func (r *Replica) SinceMajorityContact(now core.Millis) core.Millis {
+	var ages []core.Millis
+	voters := 0
+	for _, member := range r.members {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if status := r.memberStatus(now, member); status.HeardAgo >= 0 {
+			ages = append(ages, status.HeardAgo)
+		}
+	}
+	needed := voters/2 + 1
+	if voters == 0 || len(ages) < needed {
+		return core.Never
+	}
+	slices.Sort(ages)
+	return ages[needed-1]
+}
+
 // Term returns the current term.
 func (r *Replica) Term() uint64 {
 	return r.vote.Term
