A connection carries no two requests of one id

What others reported: a faulty endpoint wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran (REFUSED), or such a request ran at a second endpoint (TWICE).

Shown here: TestRefusalWrittenOnceMore, directly and handed over, with the second copy at once, soon after, and when the next request has come, with and without its id, in place of the answer or before it. With another id it did not happen: the answer is told from the expected one by the id, and one that has none proves nothing. Where a request came back to the endpoint under the id of the refused one, its caller was told 503 while it ran, in 4 of 20 cases.

Change: a connection remembers the hashes of the ids of its requests, 1,024 at most, and is not used for one of them again.

After: the test passes.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +31,8 @@
 	closed    bool
 	idleSince time.Time
 	expiresAt time.Time
+	// carried holds the hashes of the ids of the requests so far.
+	carried []uint32
 }
 
 // exchange is the request whose answer a connection waits for.
@@ -67,6 +71,20 @@
 	return true
 }
 
+// hasCarried reports whether a request with the id may have been sent on the connection before. The endpoint may write the answer
+// to that one again, which could not be told from the answer to a later one.
+func (c *connection) hasCarried(id string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Contains(c.carried, hashOf(id))
+}
+
+func hashOf(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return h.Sum32()
+}
+
 // unuse returns a connection on which nothing was sent to the pool.
 func (c *connection) unuse() {
 	c.mutex.Lock()
@@ -99,6 +117,7 @@
 		return Result{Ending: NotSent, Detail: "connection was already closed"}
 	}
 	c.pending = e
+	c.carried = append(c.carried, hashOf(r.ID))
 	c.mutex.Unlock()
 	if !e.streamed {
 		if sent, err := c.write(r, t); err != nil && sent == 0 {
@@ -316,7 +335,7 @@
 	now := time.Now()
 	c.idleSince = now
 	c.applyKeepAlive(now, response)
-	keep := written && !response.Close && !c.pool.Dialect.IsLeaving(response.Header) && !c.closed && !c.expiresAt.Before(now) && c.reader.Buffered() == 0
+	keep := written && !response.Close && !c.pool.Dialect.IsLeaving(response.Header) && !c.closed && !c.expiresAt.Before(now) && c.reader.Buffered() == 0 && len(c.carried) < maxCarried
 	c.closed = c.closed || !keep
 	c.mutex.Unlock()
 	if keep {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -39,6 +39,8 @@
 	readBufferBytes   = 4 << 10
 	// maxBufferedBody is how much of an answer is read before any of it is forwarded.
 	maxBufferedBody = 256 << 10
+	// maxCarried is the number of requests on one connection, whose ids are remembered.
+	maxCarried      = 1024
 	copyBufferBytes = 16 << 10
 )
 
@@ -101,7 +103,7 @@
 	}
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
-		if now.Sub(c.idleSince) > idleLimit || now.After(c.expiresAt) {
+		if now.Sub(c.idleSince) > idleLimit || now.After(c.expiresAt) || c.hasCarried(r.ID) {
 			continue
 		}
 		p.idle[address] = append(list[:i:i], list[i+1:]...)
