Numbers from outside are bounded before they are converted

What others reported: numbers that one kind of processor converts otherwise than another.

By reading, without a run: the load that an endpoint reports, the time that it keeps connections, a caller's deadline.

Change: core.MillisOf converts times from outside and gives the same on all processors; counts are bounded as floating-point numbers. Loads, kept connections and deadlines have bounds.

--- a/core/clock.go
+++ b/core/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -19,9 +20,24 @@
 // Never is later than every instant that a process can reach.
 const Never Millis = 1<<62 - 1
 
-// Duration converts a length of time to a time.Duration.
+// MillisOf converts a number of milliseconds from outside. One that is out of range gives Never or its negative, and NaN gives 0:
+// what a plain conversion makes of them depends on the processor.
+func MillisOf(milliseconds float64) Millis {
+	switch {
+	case milliseconds >= float64(Never):
+		return Never
+	case milliseconds <= -float64(Never):
+		return -Never
+	case milliseconds != milliseconds:
+		return 0
+	}
+	return Millis(milliseconds)
+}
+
+// Duration converts a length of time to a time.Duration, at most the longest there is.
 func (m Millis) Duration() time.Duration {
-	return time.Duration(m) * time.Millisecond
+	const most = Millis(math.MaxInt64 / int64(time.Millisecond))
+	return time.Duration(min(max(m, -most), most)) * time.Millisecond
 }
 
 // Time converts an instant to a time.Time.
--- a/core/fleet/list.go
+++ b/core/fleet/list.go
@@ -99,7 +99,7 @@
 		// All control hosts may be reading, so the list's rate is divided among them.
 		readers = float64(len(c.controls) + 1)
 	}
-	return max(interval, core.Millis(listRateMargin*readers*float64(c.listCalls)/c.ListCallsPerSecond*float64(core.Second)))
+	return max(interval, core.MillisOf(listRateMargin*readers*float64(c.listCalls)/c.ListCallsPerSecond*float64(core.Second)))
 }
 
 // stagger keeps hosts that miss the same reader from all reading at once.
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "clementinelock/core"
+import (
+	"math"
+
+	"clementinelock/core"
+)
 
 const (
 	// fullLoad is the load that a host should have at most.
@@ -23,7 +27,7 @@
 	}
 	requests := float64(e.Traffic.Requests-e.measured.Requests) / elapsed / e.RequestCapacity
 	bytes := float64(e.Traffic.Bytes-e.measured.Bytes) / elapsed / e.ByteCapacity
-	e.load = uint32(fullLoad * max(requests, bytes))
+	e.load = uint32(min(fullLoad*max(requests, bytes), math.MaxUint32))
 	e.measuredAt, e.measured = now, e.Traffic
 	return e.load
 }
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -35,7 +35,7 @@
 	if r.Objective == 0 || budget < 0 {
 		return budget
 	}
-	byObjective := core.Millis(share*float64(r.Objective)) - serviceTime
+	byObjective := core.MillisOf(share*float64(r.Objective)) - serviceTime
 	return min(budget, max(byObjective, core.Millis(minWaitFactor*float64(serviceTime))))
 }
 
@@ -111,7 +111,7 @@
 		c := &found[i]
 		c.Usable++
 		if cost < c.cost {
-			*c = candidate{Choice{Endpoint: e, Wait: core.Millis(wait), ServiceTime: core.Millis(s.serviceTime), Cold: e.isCold(now), Load: e.load(now), Usable: c.Usable, Objective: r.Objective, Affinity: prefs.affinityOf(now, e, r.Object), LoadAge: e.reportAge(now)}, cost}
+			*c = candidate{Choice{Endpoint: e, Wait: core.MillisOf(wait), ServiceTime: core.Millis(s.serviceTime), Cold: e.isCold(now), Load: e.load(now), Usable: c.Usable, Objective: r.Objective, Affinity: prefs.affinityOf(now, e, r.Object), LoadAge: e.reportAge(now)}, cost}
 		}
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -22,6 +22,8 @@
 	// isolationTimeout is the time without an update from a control host after which a host counts as isolated: more
 	// than two of its reports.
 	isolationTimeout = 2 * core.Second
+	// maxColdRate is more than an endpoint takes when it is warm, in requests per second.
+	maxColdRate = 1e6
 	// coldTurn is the length of a turn at a cold endpoint: in one second begin the turns that use up the fraction of the
 	// rate, and those that began up to a turn's length before may still be used, together at most the whole rate.
 	coldTurn = 450 * core.Millisecond
@@ -52,7 +54,7 @@
 
 // coldRate returns how many requests per second a cold endpoint may get from all hosts together.
 func (t *Table) coldRate(e *Endpoint) float64 {
-	return t.configured[e.Service].ColdRequestsPerSecond*t.Bounds.ColdOverrun + t.Bounds.ColdSlack
+	return min(t.configured[e.Service].ColdRequestsPerSecond*t.Bounds.ColdOverrun+t.Bounds.ColdSlack, maxColdRate)
 }
 
 // mayUseCold reports whether this host may send one more request to a cold endpoint. Only hosts of the endpoint's
@@ -158,7 +160,7 @@
 	if rank == 0 {
 		rank = rendezvous(t.Name, "rank")
 	}
-	period := core.Millis(float64(coldWindow) / s.quota)
+	period := core.MillisOf(float64(coldWindow) / s.quota)
 	phase := core.Millis(rank%uint64(s.hosts))*period/core.Millis(s.hosts) + core.Millis(rendezvous("phase", e.ID)%uint64(period))
 	since := (now - phase) % period
 	if since < 0 {
@@ -176,7 +178,7 @@
 	}
 	window := coldWindow
 	if quota < 1 {
-		window = core.Millis(float64(window) / quota)
+		window = core.MillisOf(float64(window) / quota)
 		quota = 1
 	}
 	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at >= window })
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -163,7 +163,7 @@
 	if a.rate.perSecond < minStockRate {
 		return 0
 	}
-	return min(maxExtra, int(math.Ceil(a.rate.perSecond*float64(stockTime)/float64(core.Second))))
+	return int(min(maxExtra, math.Ceil(a.rate.perSecond*float64(stockTime)/float64(core.Second))))
 }
 
 // ask draws tokens from the most suitable pool.
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -38,6 +38,8 @@
 	// one, requests that come at once by chance would be rejected far below the rate.
 	minCapacityFraction = 0.05
 	minBurst            = 24
+	// maxRate bounds a quota's rate and burst, so that what is computed from them is a number.
+	maxRate = 1e12
 	// stockFraction of the capacity is for tokens that entry hosts hold in advance.
 	stockFraction = 0.25
 	// minPoolCapacity is the least capacity of a pool's bucket; where the pools are more than the capacity allows for, only
@@ -55,6 +57,7 @@
 
 // shapeOf returns buckets that keep the requests of any window within the quota and its bounds.
 func shapeOf(l Limit, b Bounds) shape {
+	l = Limit{PerSecond: min(l.PerSecond, maxRate), Burst: min(max(0, l.Burst), maxRate)}
 	window := float64(defaultWindow) / float64(core.Second)
 	if b.Window > 0 {
 		window = float64(b.Window) / float64(core.Second)
@@ -76,5 +79,5 @@
 
 // holders returns how many of the pools hold a part of a quota.
 func (s shape) holders(pools int) int {
-	return max(1, min(pools, int(math.Floor(s.capacity/minPoolCapacity))))
+	return max(1, int(min(float64(pools), math.Floor(s.capacity/minPoolCapacity))))
 }
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -491,3 +491,17 @@
 		}
 	}
 }
+
+// TestQuotaBeyondAllNumbers guards against customers whose requests are all rejected since their quota is larger than the whole
+// numbers of a processor.
+func TestQuotaBeyondAllNumbers(t *testing.T) {
+	for _, limit := range []quota.Limit{{PerSecond: 1e19}, {PerSecond: 1e300, Burst: 1e300}, {PerSecond: 1.7e308, Burst: 1.7e308}, {PerSecond: 50, Burst: 1e308}, {PerSecond: 50, Burst: -1e308}} {
+		w := newWorld(t, 1, 9, limit)
+		w.RunFor(core.Second)
+		w.load(20, 10*core.Second, w.anyHost)
+		w.RunFor(11 * core.Second)
+		if share := float64(w.served) / float64(max(1, w.asked)); share < minServed {
+			t.Errorf("with %g requests a second and a burst of %g %.3f of %d requests were served, expected %.2f", limit.PerSecond, limit.Burst, share, w.asked, minServed)
+		}
+	}
+}
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -212,7 +212,7 @@
 
 // take takes up to count whole tokens.
 func (b *bucket) take(count int) int {
-	taken := max(0, min(count, int(math.Floor(b.level))))
+	taken := max(0, int(min(float64(count), math.Floor(b.level))))
 	b.level -= float64(taken)
 	return taken
 }
@@ -308,7 +308,7 @@
 	if b.rate <= 0 {
 		return maxWait
 	}
-	return max(minWait, min(maxWait, core.Millis(math.Ceil((1-b.level)/b.rate*float64(core.Second)))))
+	return max(minWait, min(maxWait, core.MillisOf(math.Ceil((1-b.level)/b.rate*float64(core.Second)))))
 }
 
 // search asks the pool that is expected to have the most tokens, or ends the search if none is left to ask.
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -37,7 +37,7 @@
 		x.object = cookie.Value
 	}
 	if left, err := strconv.ParseInt(request.Header.Get(d.Deadline), 10, 64); err == nil && left > 0 {
-		x.timeout = core.Millis(left)
+		x.timeout = min(core.Millis(left), maxRequestTimeout)
 	}
 	accepted, refused := c.readBody(x, request, maxBody)
 	if accepted != nil {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -24,7 +24,9 @@
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
 	defaultRequestTimeout = 10 * core.Second
-	writeTimeout          = 10 * time.Second
+	// maxRequestTimeout bounds what a caller may name.
+	maxRequestTimeout = 24 * core.Hour
+	writeTimeout      = 10 * time.Second
 	// maxPipelined is how many requests of one connection run concurrently.
 	maxPipelined          = 16
 	readBufferBytes       = 4 << 10
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -62,7 +62,7 @@
 }
 
 func (q QuotaSettings) bounds() quota.Bounds {
-	return quota.Bounds{Window: core.Millis(q.WindowSeconds * float64(core.Second)), Overrun: q.Overrun, Slack: q.Slack}
+	return quota.Bounds{Window: core.MillisOf(q.WindowSeconds * float64(core.Second)), Overrun: q.Overrun, Slack: q.Slack}
 }
 
 // ReadSettings reads a settings file; it returns an error if the file is not TOML or a required setting is missing.
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -355,7 +355,7 @@
 		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		seconds, err := strconv.Atoi(text)
 		if found && err == nil && !c.expiresAt.IsZero() {
-			c.expiresAt = now.Add(time.Duration(seconds) * time.Second * 4 / 5)
+			c.expiresAt = now.Add(time.Duration(min(max(0, seconds), maxKeepAliveSeconds)) * time.Second * 4 / 5)
 		}
 	}
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -27,6 +27,8 @@
 	// or no longer knows.
 	maxIdleNonIdempotent = time.Second
 	sweepInterval        = time.Second
+	// maxKeepAliveSeconds bounds what an endpoint may grant, in seconds.
+	maxKeepAliveSeconds = 3600
 	// writeGracePeriod is how long to wait for a request to be written whole when its answer has come first.
 	writeGracePeriod = 20 * time.Millisecond
 	headBytes        = 1024
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -89,7 +89,7 @@
 		switch {
 		case name == "Cold":
 			report.Cold = text == "true"
-		case err != nil || number < 0:
+		case err != nil || !isLoad(number):
 			return nil
 		case name == "InFlight":
 			report.InFlight = number
@@ -115,6 +115,14 @@
 	return m, nil
 }
 
+// maxLoad is more requests than an endpoint has.
+const maxLoad = 1 << 20
+
+// isLoad reports whether a number can be that of the requests at an endpoint.
+func isLoad(number int) bool {
+	return number >= 0 && number <= maxLoad
+}
+
 // Dialect holds the names of the headers, and of one cookie, that a deployment's callers and upstreams use; the
 // platform's adapter sets them.
 type Dialect struct {
@@ -186,7 +194,7 @@
 	}
 	running, errRunning := strconv.Atoi(strings.TrimSpace(parts[0]))
 	waiting, errWaiting := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if errRunning != nil || errWaiting != nil {
+	if errRunning != nil || errWaiting != nil || !isLoad(running) || !isLoad(waiting) {
 		return nil
 	}
 	return &core.Report{InFlight: running, Queue: waiting}
