--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -106,10 +106,21 @@
 	address   string
 	server    *entry.Server
 	endpoints []*endpoint
+	view      fleet.View
+	routes    *routes.Table
+	now       func() core.Millis
 	mutex     sync.Mutex
 	records   []entry.RequestRecord
 }
 
+// change changes what the host knows of its endpoints, its routes and its bounds.
+func (h *host) change(change func(view *fleet.View, table *routes.Table, picks *pick.Table)) {
+	h.server.Update(h.routes, func(picks *pick.Table) {
+		change(&h.view, h.routes, picks)
+		picks.Update(h.now(), h.view, h.routes)
+	})
+}
+
 func startHost(t *testing.T, endpoints int) *host {
 	t.Helper()
 	h := &host{}
@@ -136,7 +147,8 @@
 		h.mutex.Unlock()
 	}}
 	p.OnHeader, p.OnClosed = h.server.RecordHeader, h.server.RecordClosed
-	h.server.Update(table, func(picks *pick.Table) { picks.Update(steady.Now(), view, table) })
+	h.view, h.routes, h.now = view, table, steady.Now
+	h.change(func(*fleet.View, *routes.Table, *pick.Table) {})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
