The id and the stamp stay with their message also where its Connection header names them

An answer whose Connection header names its stamp lost the stamp.

Cause: headers that Connection names belong to one connection and are not passed on, also those by which hosts tell messages apart.

Evidence and change: TestConnectionHeaderNamesTheID failed with 502, directly and handed over, and passes since both headers are excepted.

--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -90,7 +90,8 @@
 		write(w, proto.Endpoint, ": ", r.endpoint, "\r\n", proto.Reached, ": ", strconv.Itoa(r.reached), "\r\n")
 	}
 	for name, values := range a.Header {
-		if pool.IsHopByHop(name, a.Header) || name == c.server.Dialect.Load || c.handed && (name == proto.Endpoint || name == proto.Reached) {
+		d := c.server.Dialect
+		if pool.IsHopByHop(name, a.Header) && name != d.RequestID && name != d.Stamp || name == d.Load || c.handed && (name == proto.Endpoint || name == proto.Reached) {
 			continue
 		}
 		for _, value := range values {
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -124,7 +124,7 @@
 	b.Grow(headBytes + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
-		if name == p.Dialect.Deadline || name == p.Dialect.ExpectInstance || IsHopByHop(name, r.Header) {
+		if name == p.Dialect.Deadline || name == p.Dialect.ExpectInstance || IsHopByHop(name, r.Header) && name != p.Dialect.RequestID {
 			continue
 		}
 		if _, replaced := t.Extra[name]; replaced {
