Requests are refused at once while no control host answers draws of quotas

Evidence: TestRequestsWhileNoPoolAnswers, 363 of 363 and 14,520 of 14,520 requests of one and of 40 customers waited for a token after each of six control hosts had been asked once.

Change: a control host that does not answer a draw counts as silent until it answers. While all do, requests are refused at once, and one draw each 250 ms finds out whether one answers again.

--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -22,6 +22,8 @@
 	acquireTimeout = 550 * core.Millisecond
 	// silentPoolDelay is how long a pool that has not answered is avoided.
 	silentPoolDelay = 2 * core.Second
+	// silenceRetention is how long it counts that a pool has not answered: several rounds of draws from all pools.
+	silenceRetention = 10 * core.Second
 	// shortDelay bounds the time in which a customer's requests are rejected after a pool was short of tokens, without
 	// asking again.
 	shortDelay = 50 * core.Millisecond
@@ -63,7 +65,11 @@
 	lastID   uint64
 	version  uint64
 	avoid    map[string]core.Millis
-	counts   ClientCounts
+	// silent holds when the pools that have not answered their latest draw were last found silent; while all are, one draw each
+	// answerTimeout finds out whether one answers again.
+	silent  map[string]core.Millis
+	probeAt core.Millis
+	counts  ClientCounts
 }
 
 // ClientCounts counts requests by their decisions, draws, and those that no pool answered in time.
@@ -117,6 +123,13 @@
 	case now < a.shortUntil:
 		d.Result, d.RetryAfter = Exceeded, c.retryAfter(a.shortUntil-now)
 		c.counts.Exceeded++
+	case c.isUnreachable(now):
+		d.Result = Unreached
+		c.counts.Unreached++
+		if a.draw.number == 0 && now >= c.probeAt {
+			c.probeAt = now + answerTimeout
+			c.ask(now, customer, a, out)
+		}
 	default:
 		a.waiting = append(a.waiting, waitingRequest{id: d.ID, since: now})
 		if a.draw.number == 0 {
@@ -139,7 +152,7 @@
 
 func (c *Client) account(customer string) *account {
 	if c.accounts == nil {
-		c.accounts, c.avoid = map[string]*account{}, map[string]core.Millis{}
+		c.accounts, c.avoid, c.silent = map[string]*account{}, map[string]core.Millis{}, map[string]core.Millis{}
 	}
 	a := c.accounts[customer]
 	if a == nil {
@@ -177,13 +190,29 @@
 	for i := range a.waiting {
 		a.waiting[i].number = c.lastID
 	}
+	extra := 0
+	if len(a.waiting) == 0 {
+		// A draw that no request waits for still has to be answered with a token.
+		extra = 1
+	}
 	out.Send(pool, &Draw{
-		Customer: customer, Number: c.lastID, Need: len(a.waiting), Extra: max(0, a.wanted()-a.tokens), Returned: a.returned, Version: c.version,
+		Customer: customer, Number: c.lastID, Need: len(a.waiting), Extra: max(extra, a.wanted()-a.tokens), Returned: a.returned, Version: c.version,
 	})
 	a.returned = 0
 	c.counts.Draws++
 }
 
+// isUnreachable reports whether no pool has answered its latest draw, so that a request would wait in vain.
+func (c *Client) isUnreachable(now core.Millis) bool {
+	pools := c.Pools()
+	for _, name := range pools {
+		if at, silent := c.silent[name]; !silent || now-at > silenceRetention {
+			return false
+		}
+	}
+	return len(pools) > 0
+}
+
 // pool returns the first pool that is not avoided, or the one that may be asked again first.
 func (c *Client) pool(now core.Millis) string {
 	best := ""
@@ -201,6 +230,7 @@
 // Receive applies a pool's answer and returns the decisions that follow from it.
 func (c *Client) Receive(now core.Millis, from string, g *Grant, out *core.Effects) []Decision {
 	a := c.account(g.Customer)
+	delete(c.silent, from)
 	current := a.draw.number == g.Number
 	if current {
 		a.draw = draw{}
@@ -255,6 +285,7 @@
 		a.held(now)
 		if a.draw.number != 0 && now-a.draw.at >= answerTimeout {
 			c.avoid[a.draw.pool] = now + silentPoolDelay
+			c.silent[a.draw.pool] = now
 			c.counts.Unanswered++
 			a.draw = draw{}
 		}
