Hosts keep their turns at a cold endpoint while others are cut off

What callers saw: nothing yet; a cold endpoint would get more than its rate (FAILBACK) from a zone of many hosts of which some are cut off.

Cause: where a zone has more hosts than a cold endpoint bears requests in a second, hosts take turns by rank. Control hosts number those that they hear, so that the hosts in contact got the ranks, and so the turns, that isolated ones still have.

Change: a host takes over a new rank only when it is told that all hosts of its region are heard that it has known. What the hosts of a zone leave is divided in whole requests, without regard to ranks.

--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -65,7 +65,7 @@
 	}
 	rate := t.coldRate(e)
 	if takesTurns(t.entries.Zone, rate) {
-		return rate > 0 && t.hasTurn(now, e, turns{rank: t.entries.Rank, hosts: t.entries.Zone, quota: coldRateFraction * rate / float64(t.entries.Zone), length: coldTurn})
+		return rate > 0 && t.hasTurn(now, e, turns{rank: t.rank, hosts: t.entries.Zone, quota: coldRateFraction * rate / float64(t.entries.Zone), length: coldTurn})
 	}
 	// Hosts whose quota is below 1 stay within the rate even if all send theirs in the same second.
 	return e.isWithinQuota(now, coldRateFraction*rate/float64(t.entries.Zone))
@@ -94,7 +94,7 @@
 	case e.Region != t.Region || hosts == 0:
 		return false
 	case e.Zone != t.Zone:
-		return e.isWithinQuota(now, float64(t.sparePart(e, rate)))
+		return e.isWithinQuota(now, float64(t.sparePart(rate)))
 	case t.maxRegionHosts <= hosts && !takesTurns(hosts, rate):
 		// No other host of the region shares the endpoint.
 		return e.isWithinQuota(now, math.Floor(rate)/float64(hosts))
@@ -104,7 +104,7 @@
 
 // sparePart returns how many requests in a second this host may send to an endpoint of another availability zone of its
 // region while it is isolated: its part of what the hosts of that zone leave of the endpoint's rate.
-func (t *Table) sparePart(e *Endpoint, rate float64) int {
+func (t *Table) sparePart(rate float64) int {
 	zones := 0
 	for _, region := range t.RegionByZone {
 		if region == t.Region {
@@ -113,13 +113,7 @@
 	}
 	remote := t.maxRegionHosts - t.entries.Zone
 	if zones == 2 {
-		spare, hosts := spareRequests(remote, rate), t.entries.Zone
-		part := spare / hosts
-		// Ranks of the hosts of one availability zone follow each other.
-		if rank := uint64(t.entries.Rank); rank > 0 && int((rank+rendezvous("spare", e.ID))%uint64(hosts)) < spare%hosts {
-			part++
-		}
-		return part
+		return spareRequests(remote, rate) / t.entries.Zone
 	}
 	// How the hosts are spread over the other availability zones is not known.
 	part := int(rate)
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -105,6 +105,9 @@
 	// maxHosts is the largest number of entry hosts seen, maxRegionHosts that of the local region.
 	maxHosts       int
 	maxRegionHosts int
+	// rank is that of this host in its region, by which hosts take turns, as long as all hosts of the region were known: those in
+	// contact are numbered anew without the others, which keep their ranks.
+	rank int
 	// contactAt is when a control host last had the newest state and told this host of it, 0 before the first.
 	contactAt core.Millis
 	// removed holds the notices of endpoints that were removed lately, by id and address.
@@ -145,6 +148,9 @@
 	t.entries = view.Entries
 	t.maxHosts = max(t.maxHosts, view.Entries.All)
 	t.maxRegionHosts = max(t.maxRegionHosts, view.Entries.Region)
+	if view.Entries.Rank > 0 && (t.rank == 0 || view.Entries.Region >= t.maxRegionHosts) {
+		t.rank = view.Entries.Rank
+	}
 	t.updateEvacuations(now, view)
 	listed := make(map[string]bool, len(view.Endpoints))
 	for _, entry := range view.Endpoints {
