A host that starts beside isolated ones takes no more of a cold rate than its part

Cause: an isolated host took its availability zone for the only one with hosts of its region if it had heard of no others, as after a start while these were cut off, and used the whole rate.

Evidence: TestColdEndpointBesideIsolatedHosts with hosts that were told of their own zone's hosts only failed before.

Change: whether a region has other zones is read from the settings; at least one host is assumed in the other zone.

--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -95,7 +95,7 @@
 		return false
 	case e.Zone != t.Zone:
 		return e.isWithinQuota(now, float64(t.sparePart(rate)))
-	case t.maxRegionHosts <= hosts && !takesTurns(hosts, rate):
+	case t.zonesOfRegion() == 1 && !takesTurns(hosts, rate):
 		// No other host of the region shares the endpoint.
 		return e.isWithinQuota(now, math.Floor(rate)/float64(hosts))
 	}
@@ -105,20 +105,15 @@
 // sparePart returns how many requests in a second this host may send to an endpoint of another availability zone of its
 // region while it is isolated: its part of what the hosts of that zone leave of the endpoint's rate.
 func (t *Table) sparePart(rate float64) int {
-	zones := 0
-	for _, region := range t.RegionByZone {
-		if region == t.Region {
-			zones++
-		}
+	// A host that has just started may not know all others.
+	others := max(1, t.maxRegionHosts-t.entries.Zone)
+	if t.zonesOfRegion() == 2 {
+		return spareRequests(others, rate) / t.entries.Zone
 	}
-	remote := t.maxRegionHosts - t.entries.Zone
-	if zones == 2 {
-		return spareRequests(remote, rate) / t.entries.Zone
-	}
-	// How the hosts are spread over the other availability zones is not known.
+	// How the others are spread over the other availability zones is not known.
 	part := int(rate)
-	for hosts := range remote + 1 {
-		part = min(part, spareRequests(hosts, rate)/(t.maxRegionHosts-hosts))
+	for hosts := 1; hosts <= others; hosts++ {
+		part = min(part, spareRequests(hosts, rate)/(t.entries.Zone+others-hosts))
 	}
 	return part
 }
@@ -128,11 +123,7 @@
 	if takesTurns(hosts, rate) {
 		return 0
 	}
-	used := 0
-	if hosts > 0 {
-		used = hosts * max(1, int(coldRateFraction*rate/float64(hosts)))
-	}
-	return max(0, int(rate)-used)
+	return max(0, int(rate)-hosts*max(1, int(coldRateFraction*rate/float64(hosts))))
 }
 
 // turns is how many hosts share an endpoint. In each period they begin their turns one after the other, by their ranks and
--- a/core/pick/isolated_test.go
+++ b/core/pick/isolated_test.go
@@ -54,6 +54,10 @@
 					endpoint.ColdFor = core.Minute
 				}
 				view := fleet.View{ListKnown: true, Endpoints: []roster.Entry{endpoint}, Entries: fleet.EntryCounts{Zone: zones[i], Region: f.inRegion, All: 3 * f.inRegion, Rank: rank}}
+				if renumbered && f.inRegion <= 3 {
+					// The host has started while those of the other zone were cut off.
+					view.Entries.Region = zones[i]
+				}
 				host.Update(now, view, table)
 				if renumbered && isolated>>len(f.hosts)&1 == 0 {
 					inContact++
--- a/core/pick/limit.go
+++ b/core/pick/limit.go
@@ -89,13 +89,17 @@
 // regionHosts returns the number of hosts among which the limits of the region's endpoints are divided, by the rule of
 // budgetHosts.
 func (t *Table) regionHosts() int {
-	zones := 0
+	return max(t.maxRegionHosts, minHostsPerZone*t.zonesOfRegion())
+}
+
+// zonesOfRegion returns the number of availability zones of this host's region.
+func (t *Table) zonesOfRegion() (zones int) {
 	for _, region := range t.RegionByZone {
 		if region == t.Region {
 			zones++
 		}
 	}
-	return max(t.maxRegionHosts, minHostsPerZone*zones)
+	return zones
 }
 
 // spendLimit counts a request that is sent to an endpoint that named a limit.
