--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -55,6 +55,8 @@
 	Affinity Affinity
 	// LoadAge is the age of the endpoint's report that Load is based on; -1 without a report.
 	LoadAge core.Millis
+	// ContactAge is how old this host's contact with a control host was, -1 before the first.
+	ContactAge core.Millis
 	// chosenAt is when the endpoint was chosen.
 	chosenAt core.Millis
 }
@@ -73,7 +75,7 @@
 		refusal.RetryAfter = t.retryAfter(best.Wait)
 		return best.Choice, refusal
 	}
-	best.chosenAt = now
+	best.chosenAt, best.ContactAge = now, t.contactAge(now)
 	t.addInFlight(now, r, best.Choice)
 	return best.Choice, nil
 }
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -34,6 +34,14 @@
 	t.contactAt = max(t.contactAt, at)
 }
 
+// contactAge returns the time since the latest contact, -1 before the first.
+func (t *Table) contactAge(now core.Millis) core.Millis {
+	if t.contactAt == 0 {
+		return -1
+	}
+	return now - t.contactAt
+}
+
 // isIsolated reports whether the host has had no contact with a control host for so long that an endpoint may have been
 // evacuated and turned cold without its knowledge.
 func (t *Table) isIsolated(now core.Millis) bool {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -34,6 +34,8 @@
 	Wait          core.Millis
 	Load          float64
 	LoadAge       core.Millis
+	// ContactAge is how old the host's contact with a control host was when the endpoint was chosen, -1 before the first.
+	ContactAge    core.Millis
 	Usable        int
 	Cold          bool
 	Object        string
@@ -268,7 +270,7 @@
 	record.Attempts++
 	record.Endpoint, record.Zone = choice.Endpoint.ID, choice.Endpoint.Zone
 	record.Wait, record.Load, record.Usable, record.Cold, record.Affinity = choice.Wait, choice.Load, choice.Usable, choice.Cold, choice.Affinity
-	record.LoadAge = choice.LoadAge
+	record.LoadAge, record.ContactAge = choice.LoadAge, choice.ContactAge
 	t.pickRequest.Tried = append(t.pickRequest.Tried, choice.Endpoint.ID)
 	t.inFlight++
 	t.reached++
