--- a/core/fleet/contact_test.go
+++ b/core/fleet/contact_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// TestContactByTheAnswerToAProbe guards against a host that counts as in contact once a control host has answered its probe,
+// before it has got any state: for a moment it takes endpoints for warm that have turned cold behind a cut.
+func TestContactByTheAnswerToAProbe(t *testing.T) {
+	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
+	now := core.Hour
+	e.Start(now)
+	controls := []fleet.ControlHost{{Name: "c", Region: "r2", Zone: "z2"}, {Name: "nearer", Region: "r", Zone: "z"}}
+	e.Receive(now, "c", &fleet.Update{Process: 1, LeaderHeard: true, Index: 1, Controls: controls})
+	now += 5 * core.Second
+	e.Receive(now, "nearer", &fleet.Update{Process: 2, LeaderHeard: true, ProbeAnswer: true, Version: 1})
+	if e.CurrentControl() != "nearer" {
+		t.Fatalf("the host reports to %s, expected the nearer control host", e.CurrentControl())
+	}
+	if e.ContactAt() != now-5*core.Second {
+		t.Errorf("the answer to a probe counts as contact %s ago", now-e.ContactAt())
+	}
+}
+
 // TestContactByADelayedUpdate guards against an update that was held up on its way, or in the socket of a host that was
 // frozen, and counts as contact at the time of its arrival.
 func TestContactByADelayedUpdate(t *testing.T) {
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -248,7 +248,9 @@
 	}
 	if from == e.currentControl {
 		e.heardAt, e.updateTimeout = now, maxUpdateTimeout
-		e.recordContact(now, from, u, out)
+		if !u.ProbeAnswer {
+			e.recordContact(now, from, u, out)
+		}
 		e.recordLeader(now, u)
 	}
 	if u.ProbeAnswer {
