--- /dev/null
+++ b/core/fleet/cold_contact_test.go
@@ -0,0 +1,196 @@
+package fleet_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fake"
+	"clementinelock/core/fleet"
+	"clementinelock/core/pick"
+	"clementinelock/core/routes"
+)
+
+// Properties of the endpoint that turns cold, as the users' deployments state them.
+const (
+	coldStart   = 3 * core.Second
+	coldRate    = 5.2
+	coldOverrun = 1.5
+	coldSlack   = 5.0
+	// warmRate is what the endpoint's callers ask of it, in requests per second: three slots of 108 ms.
+	warmRate = 28.0
+	// listLag is by how much the platform's list lags.
+	listLag = 800 * core.Millisecond
+	// coldBeforeEnd is how long before the end of an evacuation endpoints may turn cold.
+	coldBeforeEnd = 200 * core.Millisecond
+)
+
+// coldSite is a deployment whose entry hosts send requests to its one endpoint as their endpoint tables allow.
+type coldSite struct {
+	*site
+	hosts    map[string]*coldHost
+	arrivals []core.Millis
+	cut      map[string]bool
+}
+
+// coldHost is an entry host with its endpoint table.
+type coldHost struct {
+	*entryHost
+	table  *pick.Table
+	routes *routes.Table
+	// rate is the number of requests per second that callers send.
+	rate float64
+}
+
+// Receive handles a message and applies what it changed to the endpoint table.
+func (h *coldHost) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	effects := h.entryHost.Receive(now, from, message)
+	applyContact(h.table, h.Entry)
+	h.table.Update(now, h.View(now), h.routes)
+	return effects
+}
+
+// applyContact tells an endpoint table of its host's contact.
+func applyContact(table *pick.Table, e *fleet.Entry) {
+	table.RecordContact(e.ContactAt(), e.ContactLease())
+}
+
+func newColdSite(t *testing.T, seed uint64, entries []string) *coldSite {
+	t.Helper()
+	table, err := routes.NewTable(1, routes.Limits{}, []routes.Service{{Name: "s", ColdStart: coldStart, ColdRequestsPerSecond: coldRate}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	regions := map[string]string{}
+	for _, zone := range controlZones {
+		regions[zone] = region(zone)
+	}
+	c := &coldSite{site: newSiteIn(t, seed, controlZones, entries), cut: map[string]bool{}, hosts: map[string]*coldHost{}}
+	total := 0.0
+	c.OnEntry = func(e *entryHost) fake.Process {
+		h := &coldHost{entryHost: e, routes: table, rate: c.Rand.ExpFloat64(), table: &pick.Table{
+			Name: e.Name, Region: e.Region, Zone: e.Zone, RegionByZone: regions, Rand: rand.New(rand.NewPCG(seed, uint64(len(c.hosts)))), OnRemove: func(string) {},
+			Bounds: pick.Bounds{ColdOverrun: coldOverrun, ColdSlack: coldSlack},
+		}}
+		if e.Region == "r0" {
+			// Most callers of an endpoint are those of its region.
+			h.rate *= 4
+		}
+		applyContact(h.table, h.Entry)
+		before := c.hosts[e.Name]
+		c.hosts[e.Name] = h
+		if before != nil {
+			h.rate = before.rate
+			c.schedule(h)
+			return h
+		}
+		total += h.rate
+		return h
+	}
+	c.RunFor(8 * core.Second)
+	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
+		h := c.hosts[name]
+		h.rate *= warmRate / total
+		c.schedule(h)
+	}
+	return c
+}
+
+// schedule lets a host send its next request, which then schedules its successor.
+func (c *coldSite) schedule(h *coldHost) {
+	c.At(c.Now+1+core.MillisOf(c.Rand.ExpFloat64()/h.rate*float64(core.Second)), func() {
+		if c.hosts[h.Name] != h || !c.Up(h.Name) {
+			return
+		}
+		c.schedule(h)
+		if !h.View(c.Now).ListKnown {
+			return
+		}
+		choice, refusal := h.table.Choose(c.Now, pick.Request{Service: "s", Remaining: core.Minute})
+		if refusal != nil {
+			return
+		}
+		h.table.Done(c.Now, choice, pick.Good, 1, nil)
+		c.arrivals = append(c.arrivals, c.Now+c.Delay(h.Name, "control-0"))
+	})
+}
+
+// cutOff cuts entry hosts off from all control hosts, or ends that.
+func (c *coldSite) cutOff(share float64, cut bool) {
+	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
+		h := c.hosts[name]
+		if cut && c.Rand.Float64() < share || !cut && c.cut[h.Name] {
+			c.cut[h.Name] = cut
+			for name := range c.controls {
+				c.Cut(h.Name, name, cut)
+				c.Cut(name, h.Name, cut)
+			}
+		}
+	}
+}
+
+// turnCold lets the list show, with its lag, that the endpoint is cold from a time on.
+func (c *coldSite) turnCold(from core.Millis) {
+	for at := from; at < from+coldStart+listLag; at += 100 {
+		c.At(at+listLag, func() { c.list[0].ColdFor = max(0, from+coldStart-at) })
+	}
+}
+
+// mostWhileCold returns the largest number of requests in one second that begins while the endpoint is cold.
+func (c *coldSite) mostWhileCold(from core.Millis) (most int) {
+	slices.Sort(c.arrivals)
+	for i, at := range c.arrivals {
+		if at < from || at >= from+coldStart {
+			continue
+		}
+		n := 0
+		for n < len(c.arrivals)-i && c.arrivals[i+n] < at+core.Second {
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestEvacuationRightAfterACut guards against an overload of endpoints that turn cold in an evacuation which begins and ends
+// before hosts that lost contact at its begin take themselves for isolated: they send as to warm endpoints.
+func TestEvacuationRightAfterACut(t *testing.T) {
+	many := slices.Repeat(entryZones, 5)
+	for _, c := range []struct {
+		name    string
+		entries []string
+		seeds   uint64
+	}{{"9 hosts", entryZones, 60}, {"45 hosts", many, 10}} {
+		t.Run(c.name, func(t *testing.T) {
+			broken, worst := 0, 0
+			for seed := range c.seeds {
+				s := newColdSite(t, seed, c.entries)
+				s.RunFor(core.Second + core.Millis(s.Rand.IntN(1000)))
+				s.cutOff([]float64{0.5, 0.9, 1}[seed%3], true)
+				// Most evacuations are short and begin soon.
+				s.RunFor(100 + core.Millis(min(s.Rand.IntN(1800), s.Rand.IntN(1800))))
+				length := 600 + core.Millis(min(s.Rand.IntN(1900), s.Rand.IntN(1900)))
+				cold := s.Now + length - coldBeforeEnd
+				s.turnCold(cold)
+				s.evacuate("r0-a", true)
+				s.RunFor(length)
+				s.evacuate("r0-a", false)
+				s.RunFor(2500)
+				s.cutOff(0, false)
+				s.RunFor(2 * core.Second)
+				most := s.mostWhileCold(cold)
+				worst = max(worst, most)
+				if float64(most) > coldRate*coldOverrun+coldSlack {
+					broken++
+				}
+			}
+			t.Log(fmt.Sprintf("at most %d requests in one second, the bound is %.1f", worst, coldRate*coldOverrun+coldSlack))
+			if broken > 0 {
+				t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, c.seeds, worst)
+			}
+		})
+	}
+}
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -87,7 +87,7 @@
 	c.addList(now, e, u)
 	c.addQuarantines(e, u)
 	u.Returned, u.MajorityAge = c.returnedZones(now), c.majorityAge(now)
-	u.LeaderAge, u.ReportSentAt = c.leaderAge(now), e.SentAt
+	u.LeaderAge, u.ReportSentAt, u.BeatInterval = c.leaderAge(now), e.SentAt, c.beatInterval()
 	c.addPeers(e, u)
 	u.Ended = slices.Concat(c.relay.Ended(now), c.endedElsewhere.Ended(now))
 	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -166,9 +166,7 @@
 	e.inFlight++
 	t.spendLimit(now, e)
 	t.shift.record(e.Region)
-	if c.Cold || t.isIsolated(now) {
-		e.coldSentAt = append(e.coldSentAt, now)
-	}
+	e.recordSent(now)
 	e.recordObject(now, r.Object)
 }
 
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -19,9 +20,9 @@
 	// maxColdHostsPerRate is the number of hosts per unit of the rate up to which each host of the zone may
 	// send one request at any moment.
 	maxColdHostsPerRate = 0.9
-	// isolationTimeout is the time without an update from a control host after which a host counts as isolated: more
+	// defaultContactLease is the time without contact after which a host counts as isolated, if it is told no other: more
 	// than two of its reports.
-	isolationTimeout = 2 * core.Second
+	defaultContactLease = 2 * core.Second
 	// maxColdRate is more than an endpoint takes when it is warm, in requests per second.
 	maxColdRate = 1e6
 	// coldTurn is the length of a turn at a cold endpoint: in one second begin the turns that use up the fraction of the
@@ -29,9 +30,10 @@
 	coldTurn = 450 * core.Millisecond
 )
 
-// RecordContact records that a control host has sent an update, or when it last could know of all changes.
-func (t *Table) RecordContact(at core.Millis) {
-	t.contactAt = max(t.contactAt, at)
+// RecordContact records that a control host has sent an update, or when it last could know of all changes. The host counts as
+// isolated when the lease that begins then has passed; 0 means the default.
+func (t *Table) RecordContact(at, lease core.Millis) {
+	t.contactAt, t.contactLease = max(t.contactAt, at), cmp.Or(lease, defaultContactLease)
 }
 
 // contactAge returns the time since the latest contact, -1 before the first.
@@ -45,7 +47,7 @@
 // isIsolated reports whether the host has had no contact with a control host for so long that an endpoint may have been
 // evacuated and turned cold without its knowledge.
 func (t *Table) isIsolated(now core.Millis) bool {
-	return t.contactAt != 0 && now-t.contactAt > isolationTimeout
+	return t.contactAt != 0 && now-t.contactAt > t.contactLease
 }
 
 // isWithinColdRate reports whether this host may send one more request to an endpoint that is cold, or that may be
@@ -92,11 +94,6 @@
 	if rate == 0 {
 		return true
 	}
-	if e.isolatedSince != t.contactAt {
-		// Whether this host has used its part is not known.
-		e.isolatedSince = t.contactAt
-		e.coldSentAt = append(e.coldSentAt, now)
-	}
 	hosts := t.entries.Zone
 	switch {
 	case e.Region != t.Region || hosts == 0:
@@ -159,8 +156,17 @@
 	if since < 0 {
 		since += period
 	}
-	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at > since })
-	return since < s.length && len(e.coldSentAt) == 0
+	e.sentAt = slices.DeleteFunc(e.sentAt, func(at core.Millis) bool { return now-at > since })
+	return since < s.length && len(e.sentAt) == 0
+}
+
+// recordSent records that this host sends the endpoint a request.
+func (e *Endpoint) recordSent(now core.Millis) {
+	first := 0
+	for first < len(e.sentAt)-1 && now-e.sentAt[first] >= coldWindow {
+		first++
+	}
+	e.sentAt = append(slices.Delete(e.sentAt, 0, first), now)
 }
 
 // isWithinQuota reports whether this host has sent the endpoint fewer requests than a quota per second; for a quota below
@@ -174,6 +180,6 @@
 		window = core.MillisOf(float64(window) / quota)
 		quota = 1
 	}
-	e.coldSentAt = slices.DeleteFunc(e.coldSentAt, func(at core.Millis) bool { return now-at >= window })
-	return len(e.coldSentAt) < int(quota)
+	e.sentAt = slices.DeleteFunc(e.sentAt, func(at core.Millis) bool { return now-at >= window })
+	return len(e.sentAt) < int(quota)
 }
--- a/core/pick/cold_test.go
+++ b/core/pick/cold_test.go
@@ -70,7 +70,7 @@
 				for _, zone := range w.zones {
 					for _, table := range w.tables[zone] {
 						if !isolated[table] {
-							table.RecordContact(w.now)
+							table.RecordContact(w.now, 0)
 						}
 					}
 				}
--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -101,7 +101,7 @@
 	t.Helper()
 	for _, hosts := range sizes {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
-			c := newColdZone(t, hosts, func(table *pick.Table) { table.RecordContact(1) })
+			c := newColdZone(t, hosts, func(table *pick.Table) { table.RecordContact(1, 0) })
 			c.run(t, 8*core.Second)
 			if most := maxWithinSecond(c.arrivals); float64(most) > coldBound {
 				t.Errorf("%d isolated hosts sent an endpoint %d requests in one second, the bound is %.1f", hosts, most, coldBound)
@@ -159,7 +159,7 @@
 			t.Errorf("%d hosts sent a cold endpoint without a rate %d requests", hosts, len(c.arrivals))
 		}
 	}
-	c := newColdZone(t, 1, func(table *pick.Table) { table.RecordContact(1) })
+	c := newColdZone(t, 1, func(table *pick.Table) { table.RecordContact(1, 0) })
 	c.view.Entries = fleet.EntryCounts{}
 	c.table, _ = routes.NewTable(1, routes.Limits{}, []routes.Service{{Name: "s", ColdRequestsPerSecond: 0.1}}, nil)
 	c.hosts[0].Bounds = pick.Bounds{ColdOverrun: 1}
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -51,11 +51,9 @@
 	endListed bool
 	// answeredAt is when the endpoint last answered this host.
 	answeredAt core.Millis
-	// coldSentAt holds when this host sent its latest requests to the endpoint while that was cold, or could be without
-	// this host's knowledge.
-	coldSentAt []core.Millis
-	// isolatedSince is the host's last contact before it was isolated when it last used the endpoint.
-	isolatedSince core.Millis
+	// sentAt holds when this host sent the endpoint requests in the latest coldWindow, and its last one before: when the
+	// endpoint turns cold, or may have, they count.
+	sentAt []core.Millis
 	// objects holds when this host last sent the endpoint a request for each object.
 	objects map[string]core.Millis
 }
--- a/core/pick/isolated_test.go
+++ b/core/pick/isolated_test.go
@@ -48,9 +48,9 @@
 				now := core.Hour
 				endpoint := roster.Entry{ID: "i-1", Service: "s", Zone: "r0-" + string("ab"[zone]), Address: "a", Slots: 1000}
 				if isolated>>len(f.hosts)&1 == 1 {
-					host.RecordContact(1)
+					host.RecordContact(1, 0)
 				} else {
-					host.RecordContact(now)
+					host.RecordContact(now, 0)
 					endpoint.ColdFor = core.Minute
 				}
 				view := fleet.View{ListKnown: true, Endpoints: []roster.Entry{endpoint}, Entries: fleet.EntryCounts{Zone: zones[i], Region: f.inRegion, All: 3 * f.inRegion, Rank: rank}}
@@ -76,7 +76,7 @@
 	for now := core.Hour; now < core.Hour+length; now += 25 {
 		for _, i := range random.Perm(len(f.hosts)) {
 			if isolated>>i&1 == 0 {
-				f.hosts[i].RecordContact(now)
+				f.hosts[i].RecordContact(now, 0)
 			}
 			if choice, refusal := f.hosts[i].Choose(now, pick.Request{Service: "s", Remaining: core.Minute}); refusal == nil {
 				arrivals = append(arrivals, now)
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -185,7 +185,7 @@
 	for _, tables := range w.tables {
 		for _, t := range tables {
 			if !isolated[t] {
-				t.RecordContact(w.now)
+				t.RecordContact(w.now, 0)
 			}
 		}
 	}
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -36,8 +36,6 @@
 	metrics *metrics
 	version uint64
 	ready   bool
-	// contactAt is the latest contact that the endpoint table knows of.
-	contactAt core.Millis
 	// cut is set while this host reaches no endpoint.
 	cut bool
 	// quotas holds the tokens of customers' quotas, acquiring the requests that wait for one.
@@ -198,11 +196,7 @@
 			return e.receiveGrant(now, from, grant)
 		}
 		changed, effects := e.machine.Receive(now, from, message)
-		if at := e.machine.ContactAt(); at != e.contactAt {
-			e.contactAt = at
-			e.server.Update(nil, func(p *pick.Table) { p.RecordContact(at) })
-			e.server.RecordContact(at)
-		}
+		e.recordContact()
 		if !changed {
 			return effects
 		}
@@ -217,6 +211,15 @@
 	})
 }
 
+// recordContact applies the latest contact with a control host to the server.
+func (e *Entry) recordContact() {
+	at, lease := e.machine.ContactAt(), e.machine.ContactLease()
+	e.server.Update(nil, func(p *pick.Table) { p.RecordContact(at, lease) })
+	if at != 0 {
+		e.server.RecordContact(at)
+	}
+}
+
 // updateServer applies the state machine's view to the server.
 func (e *Entry) updateServer(now core.Millis) {
 	view := e.machine.View(now)
