--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -194,3 +194,46 @@
 		})
 	}
 }
+
+// TestHostsStartedBehindACut guards against an overload of endpoints by hosts that start in an availability zone which is cut
+// off from the others: the state that they get there is old, and they have had no contact that could age.
+func TestHostsStartedBehindACut(t *testing.T) {
+	broken, worst := 0, 0
+	const seeds = 30
+	for seed := range uint64(seeds) {
+		s := newColdSite(t, seed, entryZones)
+		var inside, outside []string
+		for name, zone := range s.zones {
+			if zone == "r0-a" {
+				inside = append(inside, name)
+			} else {
+				outside = append(outside, name)
+			}
+		}
+		for _, name := range inside {
+			s.Isolate(name, outside, true)
+		}
+		s.RunFor(2 * core.Second)
+		s.evacuate("r0-a", true)
+		s.RunFor(core.Second)
+		for _, name := range inside {
+			if s.hosts[name] != nil {
+				s.crash(name, false)
+				s.startHost(name)
+			}
+		}
+		s.RunFor(500 + core.Millis(s.Rand.IntN(1500)))
+		cold := s.Now - coldBeforeEnd
+		s.turnCold(cold)
+		s.evacuate("r0-a", false)
+		s.RunFor(4 * core.Second)
+		most := s.mostWhileCold(cold)
+		worst = max(worst, most)
+		if float64(most) > coldRate*coldOverrun+coldSlack {
+			broken++
+		}
+	}
+	if broken > 0 {
+		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, seeds, worst)
+	}
+}
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -31,7 +31,8 @@
 )
 
 // RecordContact records that a control host has sent an update, or when it last could know of all changes. The host counts as
-// isolated when the lease that begins then has passed; 0 means the default.
+// isolated when the lease that begins then has passed; 0 means the default. At 0 it has had no contact since its start, and a
+// table to which contact is never recorded follows no control host.
 func (t *Table) RecordContact(at, lease core.Millis) {
 	t.contactAt, t.contactLease = max(t.contactAt, at), cmp.Or(lease, defaultContactLease)
 }
@@ -47,7 +48,7 @@
 // isIsolated reports whether the host has had no contact with a control host for so long that an endpoint may have been
 // evacuated and turned cold without its knowledge.
 func (t *Table) isIsolated(now core.Millis) bool {
-	return t.contactAt != 0 && now-t.contactAt > t.contactLease
+	return t.contactLease != 0 && now-t.contactAt > t.contactLease
 }
 
 // isWithinColdRate reports whether this host may send one more request to an endpoint that is cold, or that may be
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -110,7 +110,7 @@
 	rank int
 	// contactAt is when a control host last had the newest state and told this host of it, 0 before the first.
 	contactAt core.Millis
-	// contactLease is how long after a contact the host's knowledge of endpoints is used.
+	// contactLease is how long after a contact the host's knowledge of endpoints is used, 0 if contact is not recorded.
 	contactLease core.Millis
 	// removed holds the notices of endpoints that were removed lately, by id and address.
 	removed map[string]readiness
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -96,6 +96,7 @@
 		Rand:      newRand(), Seeds: s.seedHosts(), RequestCapacity: requestsPerCore * s.Cores, ByteCapacity: bytesPerMbps * s.LinkMbps,
 	}
 	e.machine.Start(now)
+	e.recordContact()
 	e.quotas = quota.Client{Rand: newRand(), Pools: e.machine.QuotaPools}
 	e.acquiring = map[uint64]chan quota.Decision{}
 	e.server.Quotas, e.server.MaxKeyAge = e, core.Millis(s.MaxKeyAgeMillis)
