--- a/core/fake/simulation.go
+++ b/core/fake/simulation.go
@@ -145,13 +145,18 @@
 func (w *Simulation) deliver(from, to string, message core.Message) {
 	switch {
 	case w.running[to] == nil || w.IsCut(from, to):
+	default:
+		w.receive(from, to, message, w.generation[to])
+	}
+}
+
+// receive passes a message to a process once it is not suspended; until then it waits at its host, whatever becomes of the
+// path.
+func (w *Simulation) receive(from, to string, message core.Message, generation int) {
+	switch {
+	case w.generation[to] != generation:
 	case w.frozen[to]:
-		generation := w.generation[to]
-		w.At(w.Now+w.TickInterval, func() {
-			if w.generation[to] == generation {
-				w.deliver(from, to, message)
-			}
-		})
+		w.At(w.Now+w.TickInterval, func() { w.receive(from, to, message, generation) })
 	default:
 		w.Apply(to, w.running[to].Receive(w.Now, from, message))
 	}
--- a/core/fleet/contact_test.go
+++ b/core/fleet/contact_test.go
@@ -93,3 +93,49 @@
 		t.Error("an update of an older build is no contact")
 	}
 }
+
+// TestContactThroughAHostThatWasFrozen guards against a control host that wakes up, reads what the leader sent before it froze
+// and, cut off meanwhile, takes that for news: its entry hosts count as in contact and miss an evacuation.
+func TestContactThroughAHostThatWasFrozen(t *testing.T) {
+	const slack = 300 * core.Millisecond
+	for seed := range uint64(20) {
+		s := newSite(t, seed)
+		s.RunFor(8*core.Second + core.Millis(seed)*70)
+		zone := controlZones[seed%uint64(len(controlZones))]
+		var inside, outside, frozen []string
+		for name, each := range s.zones {
+			if each != zone {
+				outside = append(outside, name)
+				continue
+			}
+			inside = append(inside, name)
+			if s.controls[name] != nil {
+				frozen = append(frozen, name)
+			}
+		}
+		for _, name := range frozen {
+			s.Freeze(name, true)
+		}
+		s.RunFor(300)
+		for _, name := range inside {
+			s.Isolate(name, outside, true)
+		}
+		cut := s.Now
+		s.RunFor(400 + core.Millis(seed)*60)
+		for _, name := range frozen {
+			s.Freeze(name, false)
+		}
+		latest := -core.Hour
+		for range 300 {
+			s.RunFor(10)
+			for name, e := range s.entries {
+				if s.zones[name] == zone {
+					latest = max(latest, e.ContactAt()-cut)
+				}
+			}
+		}
+		if latest > slack {
+			t.Errorf("seed %d: a host takes itself to know all changes until %s after it was cut off with its control host, which was frozen then", seed, latest)
+		}
+	}
+}
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -92,6 +92,10 @@
 	// tickedAt is the time of the latest tick, resumedAt the end of the latest pause of the process.
 	tickedAt  core.Millis
 	resumedAt core.Millis
+	// steppedAt is the time of the latest input; stallBeganAt and stallEndedAt are those of the latest stall.
+	steppedAt    core.Millis
+	stallBeganAt core.Millis
+	stallEndedAt core.Millis
 	startedAt core.Millis
 	// cutSent holds the names of the entry hosts that reach no endpoint, as all entry hosts were told last.
 	cutSent []string
@@ -166,6 +170,7 @@
 	c.controls = map[string]*controlState{}
 	c.peaks, c.startedAt = map[string]peak{}, now
 	c.tickedAt, c.resumedAt = now, now-resumeDelay
+	c.steppedAt, c.stallBeganAt, c.stallEndedAt = now, now, now-stallReadTime
 	c.entriesNumber, c.controlsNumber = 1, 1
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
@@ -208,6 +213,7 @@
 // step handles one input and sends the changes that it made to the entry hosts.
 func (c *Control) step(now core.Millis, input func(out *core.Effects)) core.Effects {
 	out := &core.Effects{}
+	c.noticeStall(now)
 	index, quarantineIndex, number := c.store.Published().Index, c.store.Published().QuarantineIndex, c.list.Number()
 	input(out)
 	c.updateQuotas(now, out)
--- a/core/fleet/returned.go
+++ b/core/fleet/returned.go
@@ -45,9 +45,36 @@
 		return 0
 	}
 	if c.quorum.IsLeader() {
-		return max(1, c.quorum.SinceMajorityContact(now))
+		return max(1, c.trueAge(now, c.quorum.SinceMajorityContact(now)))
 	}
-	return max(1, c.quorum.SinceLeaderContact(now))
+	return max(1, c.trueAge(now, c.quorum.SinceLeaderContact(now)))
+}
+
+const (
+	// maxStepGap is the time without a tick or message from which on what is read next may have waited for this process.
+	maxStepGap = 250 * core.Millisecond
+	// stallReadTime is how long after a stall such messages are read.
+	stallReadTime = 300 * core.Millisecond
+)
+
+// noticeStall records the end of a stall of this process.
+func (c *Control) noticeStall(now core.Millis) {
+	if now-c.steppedAt > maxStepGap {
+		if c.steppedAt >= c.stallEndedAt+stallReadTime {
+			c.stallBeganAt = c.steppedAt
+		}
+		c.stallEndedAt = now
+	}
+	c.steppedAt = now
+}
+
+// trueAge returns the age of a message that was read an age ago, as old as it may be: one that was read right after a stall may
+// have been sent at its begin.
+func (c *Control) trueAge(now, age core.Millis) core.Millis {
+	if at := now - age; at >= c.stallEndedAt && at < c.stallEndedAt+stallReadTime {
+		return now - c.stallBeganAt
+	}
+	return age
 }
 
 // majorityAge returns the time since this host last heard from a majority of the voters, itself among them, at least 1 ms;
@@ -74,5 +101,5 @@
 		return 0
 	}
 	slices.SortFunc(ages, cmp.Compare[core.Millis])
-	return ages[needed-1]
+	return c.trueAge(now, ages[needed-1])
 }
