--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -130,6 +130,9 @@
 	endpoints []*Endpoint
 	// serviceTime is the estimated service time, in milliseconds.
 	serviceTime float64
+	// longestRun is the longest run of late, at longestRunAt, in milliseconds.
+	longestRun   float64
+	longestRunAt core.Millis
 	// objectiveShare is the share of the objective that queueing and service may take.
 	objectiveShare float64
 	// shares are the regions' shares in the objects; without any, each region keeps the data of all.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -254,6 +254,9 @@
 	if refusal := s.checkKey(t.exchange); refusal != nil {
 		return refusal
 	}
+	if refusal := t.checkEnd(); refusal != nil {
+		return refusal
+	}
 	if t.handsOver {
 		if started, refusal := t.startHandover(ctx); started || refusal != nil {
 			return refusal
@@ -285,7 +288,7 @@
 	began := s.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration()), Extra: extra}
 	target.Ready = func() bool {
-		if s.quarantine(t.exchange.digest) != nil {
+		if s.quarantine(t.exchange.digest) != nil || t.checkEnd() != nil {
 			return false
 		}
 		s.mutex.Lock()
@@ -361,7 +364,7 @@
 		if refusal == nil {
 			return nil
 		}
-		if (refusal.Kind == core.Quarantined || refusal.Kind == core.Unauthorized) && !t.mayHaveRun {
+		if (refusal.Kind == core.Quarantined || refusal.Kind == core.Unauthorized || refusal.Kind == core.Stopping) && !t.mayHaveRun {
 			return refuse(t.record, refusal)
 		}
 		reason, retryAfter = NoneFree, refusal.RetryAfter
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -64,9 +64,11 @@
 	stopping atomic.Bool
 	// finishing is set once a planned stop takes no more requests.
 	finishing atomic.Bool
-	active    atomic.Int64
-	arrived   atomic.Uint64
-	bytes     atomic.Uint64
+	// answersEndAt is by when answers must have come in a planned stop, 0 before one.
+	answersEndAt atomic.Int64
+	active       atomic.Int64
+	arrived      atomic.Uint64
+	bytes        atomic.Uint64
 	// contactAt is when a control host could last tell of all changes, 0 before the first contact.
 	contactAt atomic.Int64
 	conns     map[*conn]bool
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"time"
 
 	"clementinelock/core"
 	"clementinelock/core/fleet"
@@ -19,14 +18,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Fractions of the time that a planned stop may take.
-const (
-	// drainFraction is the part in which the host still takes requests while callers learn that it stops; the rest
-	// is for those under way.
-	drainFraction   = 0.5
-	maxStopFraction = 0.9
-)
-
 // Entry is the process of an entry host. Set the exported fields before Run.
 type Entry struct {
 	host
@@ -262,13 +253,9 @@
 
 // stop tells callers to use other hosts, and returns when the requests in flight are answered or cut off.
 func (e *Entry) stop() {
-	timeout := e.Settings.stopTimeout().Duration()
-	end := time.Now().Add(time.Duration(maxStopFraction * float64(timeout)))
 	e.Log.Info("host", fmt.Sprintf("Planned stop begins with %d requests in flight.", e.server.Active()))
-	e.server.BeginShutdown()
-	e.step(func(now core.Millis) core.Effects { return e.machine.SetReady(now, false) })
-	time.Sleep(time.Duration(drainFraction * float64(timeout)))
-	left := e.server.FinishShutdown(time.Until(end))
+	go e.step(func(now core.Millis) core.Effects { return e.machine.SetReady(now, false) })
+	left := e.server.Shutdown(e.Settings.stopTimeout())
 	e.Log.Info("host", fmt.Sprintf("Planned stop ended with %d requests aborted.", left))
 }
 
