--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -96,7 +96,7 @@
 	steppedAt    core.Millis
 	stallBeganAt core.Millis
 	stallEndedAt core.Millis
-	startedAt core.Millis
+	startedAt    core.Millis
 	// cutSent holds the names of the entry hosts that reach no endpoint, as all entry hosts were told last.
 	cutSent []string
 	// ready caches the entry hosts that serve; readyCached is false after a change.
