--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -22,11 +22,13 @@
 	zones    map[string]string
 	disks    map[string]*fake.Disk
 	controls map[string]*fleet.Control
-	entries  map[string]*entryHost
-	process  uint64
-	ticket   uint64
-	replies  map[uint64]func(core.Reply)
-	list     []roster.Entry
+	// full holds the control hosts whose disks take no bytes.
+	full    map[string]bool
+	entries map[string]*entryHost
+	process uint64
+	ticket  uint64
+	replies map[uint64]func(core.Reply)
+	list    []roster.Entry
 	// acked is the highest version that an operator was told is in force.
 	acked       uint64
 	published   uint64
@@ -73,7 +75,7 @@
 func newSiteIn(t testing.TB, seed uint64, controls, entries []string) *site {
 	s := &site{
 		Simulation: fake.NewSimulation(seed), t: t, zones: map[string]string{}, disks: map[string]*fake.Disk{}, controls: map[string]*fleet.Control{},
-		entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
+		full: map[string]bool{}, entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
 	}
 	s.TickInterval = fleet.ControlTickInterval
 	s.Delay = func(from, to string) core.Millis {
@@ -146,12 +148,7 @@
 	if len(e.Writes) > 0 {
 		disk, last := s.disks[host], e.Writes[len(e.Writes)-1].Seq
 		disk.Queue(e.Writes...)
-		s.At(s.Now+1+core.Millis(s.Rand.IntN(20)), func() {
-			if s.controls[host] == c && s.Up(host) && s.disks[host] == disk {
-				disk.Sync(last)
-				s.Apply(host, c.Synced(s.Now, last))
-			}
-		})
+		s.At(s.Now+1+core.Millis(s.Rand.IntN(20)), func() { s.sync(host, c, disk, last) })
 	}
 	if c != nil && s.Up(host) && c.ListReadDue(s.Now) {
 		asked, entries := s.Now, slices.Clone(s.list)
@@ -169,6 +166,18 @@
 	}
 }
 
+// sync syncs the writes of a control host up to a number, once its disk has room.
+func (s *site) sync(host string, c *fleet.Control, disk *fake.Disk, last uint64) {
+	switch {
+	case s.controls[host] != c || !s.Up(host) || s.disks[host] != disk:
+	case s.full[host]:
+		s.At(s.Now+50, func() { s.sync(host, c, disk, last) })
+	default:
+		disk.Sync(last)
+		s.Apply(host, c.Synced(s.Now, last))
+	}
+}
+
 // crash ends a host's process; with powerLoss unsynced writes may be lost too.
 func (s *site) crash(name string, powerLoss bool) {
 	s.Crash(name)
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -15,12 +15,16 @@
 	minCampaignDelay   = 150 * core.Millisecond
 	maxCampaignDelay   = 600 * core.Millisecond
 	helloInterval      = 200 * core.Millisecond
-	resendTimeout      = 150 * core.Millisecond
-	maxAppendBytes     = 64 << 10
-	chunkBytes         = 64 << 10
-	snapshotRecords    = 1024
-	keptRecords        = 256
-	maxPromotionLag    = 16
+	// removedHelloInterval is how often a replica announces itself again that may have been removed, after it has heard no
+	// leader for removedElections elections.
+	removedHelloInterval = core.Second
+	removedElections     = 3
+	resendTimeout        = 150 * core.Millisecond
+	maxAppendBytes       = 64 << 10
+	chunkBytes           = 64 << 10
+	snapshotRecords      = 1024
+	keptRecords          = 256
+	maxPromotionLag      = 16
 )
 
 // Timing holds the intervals that depend on the latency between replicas and on the cost of their messages.
@@ -271,11 +275,21 @@
 		r.joined = false
 		return
 	}
+	if r.mayBeRemoved(now) {
+		r.sendHello(now, out)
+		r.helloAt = now + removedHelloInterval
+	}
 	if now >= r.electionAt {
 		r.campaign(now, true, out)
 	}
 }
 
+// mayBeRemoved reports whether the replica has heard no leader for so long that it may have been removed from the group: it is
+// not told, and no member answers its campaigns.
+func (r *Replica) mayBeRemoved(now core.Millis) bool {
+	return r.role != Leader && now-r.leaderContactAt > removedElections*r.Timing.MaxElectionTimeout && now >= r.helloAt
+}
+
 func (r *Replica) resetElectionTimer(now core.Millis) {
 	r.electionAt = now + r.Timing.MinElectionTimeout + core.Millis(r.Rand.Int64N(int64(r.Timing.MaxElectionTimeout-r.Timing.MinElectionTimeout)))
 }
