--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -187,7 +186,7 @@
 					broken++
 				}
 			}
-			t.Log(fmt.Sprintf("at most %d requests in one second, the bound is %.1f", worst, coldRate*coldOverrun+coldSlack))
+			t.Logf("at most %d requests in one second, the bound is %.1f", worst, coldRate*coldOverrun+coldSlack)
 			if broken > 0 {
 				t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, c.seeds, worst)
 			}
--- a/core/fleet/full_disk_test.go
+++ b/core/fleet/full_disk_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 
@@ -71,7 +70,7 @@
 					}
 				}
 				if voters < len(names) {
-					t.Error(fmt.Sprintf("seed %d: %d of %d control hosts vote in the end", seed, voters, len(names)))
+					t.Errorf("seed %d: %d of %d control hosts vote in the end", seed, voters, len(names))
 				}
 			}
 		})
