--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -34,6 +34,8 @@
 	RetryAfter core.Millis
 	// InvalidRetryAfter is the endpoint's text for RetryAfter, quoted, if it can't be read.
 	InvalidRetryAfter string
+	// ColdFor is for how long the endpoint remains cold.
+	ColdFor core.Millis
 	// Limit is how many requests per second the endpoint takes from all hosts together; it holds if LimitNamed is set.
 	Limit      float64
 	LimitNamed bool
@@ -90,6 +92,9 @@
 	if e == nil {
 		return
 	}
+	if n.ColdFor > 0 {
+		e.coldUntil = max(e.coldUntil, now+n.ColdFor+coldGraceInterval)
+	}
 	if n.Leaving {
 		t.Notices.Leaving++
 		t.recordLeaving(now, e)
--- a/core/pick/probe.go
+++ b/core/pick/probe.go
@@ -28,6 +28,7 @@
 
 // Probe is an endpoint to be probed.
 type Probe struct {
+	ID         string
 	Address    string
 	HealthPath string
 }
@@ -58,7 +59,7 @@
 		best := slices.MinFunc(candidates, func(a, b *Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
 		services[best.Service]++
 		zones[best.Zone]++
-		probes = append(probes, Probe{best.Address, t.configured[best.Service].HealthPath})
+		probes = append(probes, Probe{best.ID, best.Address, t.configured[best.Service].HealthPath})
 		candidates = slices.DeleteFunc(candidates, func(e *Endpoint) bool { return e == best })
 	}
 	return probes
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -28,7 +28,7 @@
 )
 
 var dialect = proto.Dialect{
-	RequestID: "Id", Deadline: "Deadline", ObjectCookie: "object", Stamp: "Stamp", ExpectInstance: "Expect-Instance", Load: "Load", NotRun: "Not-Run", Leaving: "Leaving",
+	RequestID: "Id", Deadline: "Deadline", ObjectCookie: "object", Stamp: "Stamp", ExpectInstance: "Expect-Instance", Load: "Load", NotRun: "Not-Run", Leaving: "Leaving", Cold: "Cold",
 }
 
 // endpoint is a scripted upstream on loopback.
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -31,7 +31,7 @@
 
 // noticeOf reads what an answer says about its endpoint.
 func (s *Server) noticeOf(status int, header http.Header) pick.Notice {
-	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header)}
+	notice := pick.Notice{Leaving: s.Dialect.IsLeaving(header), ColdFor: s.Dialect.ParseCold(header)}
 	limit, named, err := s.Dialect.ParseLimit(header)
 	if err != nil {
 		notice.InvalidLimit = strconv.Quote(header.Get(s.Dialect.Limit))
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -135,7 +135,7 @@
 	for i, e := range endpoints {
 		group.Go(func() {
 			request := &pool.Request{Method: http.MethodGet, Target: cmp.Or(e.HealthPath, "/"), Host: e.Address, Header: http.Header{}, Idempotent: true}
-			results[i] = s.Pool.Do(ctx, request, pool.Target{Address: e.Address, Deadline: time.Now().Add(reachProbeTimeout), Fresh: true})
+			results[i] = s.Pool.Do(ctx, request, pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add(reachProbeTimeout), Fresh: true})
 		})
 	}
 	group.Wait()
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -144,6 +144,8 @@
 	Leaving string
 	// Limit holds how many requests per second the endpoint takes from all hosts together.
 	Limit string
+	// Cold holds for how many milliseconds an endpoint remains cold; answers to health checks have it.
+	Cold string
 	// Customer tells an endpoint the name of the customer whose key the request had.
 	Customer string
 }
@@ -153,6 +155,22 @@
 	return d.Leaving != "" && header.Get(d.Leaving) == "1"
 }
 
+// maxColdTime bounds how long an endpoint may call itself cold.
+const maxColdTime = core.Hour
+
+// ParseCold returns for how long an endpoint remains cold by an answer's header; 0 if it doesn't tell, or by a text that is not a
+// number of 0 or more.
+func (d Dialect) ParseCold(header http.Header) core.Millis {
+	if d.Cold == "" {
+		return 0
+	}
+	left, err := strconv.ParseFloat(strings.TrimSpace(header.Get(d.Cold)), 64)
+	if err != nil || !(left > 0) {
+		return 0
+	}
+	return core.MillisOf(math.Ceil(min(left, float64(maxColdTime))))
+}
+
 // ParseLimit returns the limit that an answer's header names, in requests per second; it returns an error when the text
 // is not a number of 0 or more.
 func (d Dialect) ParseLimit(header http.Header) (perSecond float64, named bool, err error) {
