--- a/core/fleet/contact.go
+++ b/core/fleet/contact.go
@@ -18,7 +18,7 @@
 	default:
 		at -= u.MajorityAge
 	}
-	if e.contactAt != 0 && at-e.contactAt > contactTimeout {
+	if e.contactAt != 0 && at-e.contactAt > e.ContactLease() {
 		out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, at-e.contactAt, e.index, e.evacuated, e.list.Age(now))
 	}
 	e.contactAt = max(e.contactAt, at)
