--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -197,6 +197,8 @@
 	if len(r.members.voters()) == 1 && member.Voter {
 		return core.Refuse(core.Invalid, core.RanNo, "host %q is the last voter", name)
 	}
+	delete(r.joinAllowed, name)
+	delete(r.pendingJoins, name)
 	r.appendEntry(now, entry{Type: entryMembers, Members: r.members.without(name, member.Incarnation)}, out)
 	return nil
 }
