--- a/core/fleet/beat.go
+++ b/core/fleet/beat.go
@@ -9,7 +9,8 @@
 // Timing of beats, by which entry hosts learn between two updates that they have missed no change.
 const (
 	minBeatInterval = 200 * core.Millisecond
-	// beatIntervalPerHost keeps the beats of an entry host's control host within 0.5% of a core, 57 µs for each message.
+	// beatIntervalPerHost keeps the beats of a control host's entry hosts within 0.5% of a core, 57 µs for each message. Where
+	// they would be as rare as reports, reports take their place.
 	beatIntervalPerHost = 25 * core.Millisecond
 	// maxContactLag is how much older than a beat interval contact gets while nothing is wrong: the leader's heartbeat
 	// interval, the ticks of three hosts and two round trips between regions.
