--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -71,7 +71,7 @@
 	total := 0.0
 	c.OnEntry = func(e *entryHost) fake.Process {
 		h := &coldHost{entryHost: e, routes: table, rate: c.Rand.ExpFloat64(), table: &pick.Table{
-			Name: e.Name, Region: e.Region, Zone: e.Zone, RegionByZone: regions, Rand: rand.New(rand.NewPCG(seed, uint64(len(c.hosts)))), OnRemove: func(string) {},
+			Name: e.Name, StartedAt: c.Now, Region: e.Region, Zone: e.Zone, RegionByZone: regions, Rand: rand.New(rand.NewPCG(seed, uint64(len(c.hosts)))), OnRemove: func(string) {},
 			Bounds: pick.Bounds{ColdOverrun: coldOverrun, ColdSlack: coldSlack},
 		}}
 		if e.Region == "r0" {
@@ -236,3 +236,40 @@
 		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, seeds, worst)
 	}
 }
+
+// TestHostsRestartBesideAColdEndpoint guards against hosts that are killed and start again within a second, and use their parts
+// of a cold endpoint's rate once more, since they know of no request of their former processes.
+func TestHostsRestartBesideAColdEndpoint(t *testing.T) {
+	broken, worst, unused := 0, 0, 0
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		s := newColdSite(t, seed, entryZones)
+		s.evacuate("r0-a", true)
+		s.RunFor(2 * core.Second)
+		cold := s.Now - coldBeforeEnd
+		s.turnCold(cold)
+		s.evacuate("r0-a", false)
+		for range 2 {
+			s.RunFor(500 + core.Millis(s.Rand.IntN(300)))
+			for _, name := range slices.Sorted(maps.Keys(s.hosts)) {
+				if s.zones[name] == "r0-a" {
+					s.crash(name, false)
+					s.At(s.Now+100+core.Millis(s.Rand.IntN(200)), func() { s.startHost(name) })
+				}
+			}
+		}
+		s.RunFor(3 * core.Second)
+		most := s.mostWhileCold(cold)
+		worst = max(worst, most)
+		if float64(most) > coldRate*coldOverrun+coldSlack {
+			broken++
+		}
+		if most == 0 {
+			unused++
+		}
+	}
+	t.Logf("at most %d requests in one second", worst)
+	if broken > 0 || unused > 0 {
+		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second, and nothing with %d", broken, seeds, worst, unused)
+	}
+}
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -54,11 +54,13 @@
 // isWithinColdRate reports whether this host may send one more request to an endpoint that is cold, or that may be
 // without this host's knowledge; any other endpoint has no such limit.
 func (t *Table) isWithinColdRate(now core.Millis, e *Endpoint) bool {
+	// A former process of this host may have used its part in the latest window.
+	hasJustStarted := t.StartedAt != 0 && now-t.StartedAt < coldWindow
 	switch {
 	case e.isCold(now):
-		return t.mayUseCold(now, e)
+		return !hasJustStarted && t.mayUseCold(now, e)
 	case t.isIsolated(now):
-		return t.mayUseIsolated(now, e)
+		return !hasJustStarted && t.mayUseIsolated(now, e)
 	}
 	return true
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -84,9 +84,12 @@
 // Table is one entry host's view of all endpoints. Set the exported fields before use; calls must not overlap.
 type Table struct {
 	// Name is that of this host.
-	Name   string
-	Region string
-	Zone   string
+	Name string
+	// StartedAt is when this process started; until then a former one of the host may have sent requests. 0 means that there
+	// was none.
+	StartedAt core.Millis
+	Region    string
+	Zone      string
 	// RegionByZone maps availability zones to their regions.
 	RegionByZone map[string]string
 	Bounds       Bounds
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -63,7 +63,7 @@
 	defer e.mutex.Unlock()
 	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
-	picks := &pick.Table{Name: s.Host, Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnected: e.pool.HasIdle, Log: e.Log.Info}
+	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnected: e.pool.HasIdle, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
 	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordClosed, e.server.RecordDial
 	e.server.Helpers = &reach.Helpers{Region: s.Region, Zone: s.Zone, Rand: newRand()}
