--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -249,8 +249,8 @@
 		switch m := message.(type) {
 		case *Report:
 			c.onReport(now, from, m, out)
-		case *Beat:
-			c.onBeat(now, from, m, out)
+		case *Ping:
+			c.onPing(now, from, m, out)
 		case *Share:
 			c.onShare(now, from, m, out)
 		case *Order:
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -74,9 +74,9 @@
 	heardAt         core.Millis
 	// contactAt is when the latest update came from a control host that this host reported to and that heard a leader.
 	contactAt core.Millis
-	// beatInterval is how often this host sends beats, 0 while its control host answers none; the next one is due at beatAt.
-	beatInterval core.Millis
-	beatAt       core.Millis
+	// pingInterval is how often this host sends pings, 0 while its control host answers none; the next one is due at pingAt.
+	pingInterval core.Millis
+	pingAt       core.Millis
 	// returned holds the evacuations that ended lately, as of the latest update, which came at returnedAt.
 	returned   []ZoneReturn
 	returnedAt core.Millis
@@ -183,8 +183,8 @@
 	if now >= e.reportAt {
 		e.report(now, e.currentControl, false, out)
 	}
-	if e.beatInterval > 0 && now >= e.beatAt {
-		e.sendBeat(now, out)
+	if e.pingInterval > 0 && now >= e.pingAt {
+		e.sendPing(now, out)
 	}
 	if now >= e.nearerProbeAt {
 		e.probeNearer(now, out)
@@ -196,7 +196,7 @@
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	if !probe {
 		e.reportAt = now + reportInterval - core.Millis(e.Rand.Int64N(int64(maxReportJitter)))
-		e.beatAt = now + e.beatInterval
+		e.pingAt = now + e.pingInterval
 	}
 	if to == "" {
 		return
@@ -244,8 +244,8 @@
 // Receive handles a message from a control host. It reports whether the host's View may have changed.
 func (e *Entry) Receive(now core.Millis, from string, message core.Message) (changed bool, effects core.Effects) {
 	out := &core.Effects{}
-	if m, ok := message.(*Beat); ok {
-		e.onBeat(now, from, m, out)
+	if m, ok := message.(*Ping); ok {
+		e.onPing(now, from, m, out)
 		return false, *out
 	}
 	u, ok := message.(*Update)
@@ -261,7 +261,7 @@
 		e.heardAt, e.updateTimeout = now, maxUpdateTimeout
 		if !u.ProbeAnswer {
 			e.recordContact(now, from, u, out)
-			e.beatInterval = u.BeatInterval
+			e.pingInterval = u.PingInterval
 		}
 		e.recordLeader(now, u)
 	}
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -101,8 +101,8 @@
 	LeaderAge core.Millis `cbor:"20,keyasint,omitempty"`
 	// ReportSentAt is SentAt of the receiver's latest report, 0 if it is not known.
 	ReportSentAt core.Millis `cbor:"21,keyasint,omitempty"`
-	// BeatInterval is how often the receiver sends beats; 0 means that the sender answers none.
-	BeatInterval core.Millis `cbor:"22,keyasint,omitempty"`
+	// PingInterval is how often the receiver sends pings; 0 means that the sender answers none.
+	PingInterval core.Millis `cbor:"22,keyasint,omitempty"`
 }
 
 // ZoneReturn is the end of an availability zone's evacuation.
--- a/core/host/messages.go
+++ b/core/host/messages.go
@@ -111,7 +111,7 @@
 	newMessageType[quota.Grant](fleetPart),
 	newMessageType[quota.Borrow](fleetPart),
 	newMessageType[quota.Lend](fleetPart),
-	newMessageType[fleet.Beat](fleetPart),
+	newMessageType[fleet.Ping](fleetPart),
 }
 
 var numberOf = indexMessageTypes()
