--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -72,11 +72,14 @@
 	controlsNumber  uint64
 	currentControl  string
 	heardAt         core.Millis
-	// contactAt is when the latest update came from a control host that this host reported to and that heard a leader.
+	// contactAt is when a control host could last know of all changes and has told this host so.
 	contactAt core.Millis
 	// pingInterval is how often this host sends pings, 0 while its control host answers none; the next one is due at pingAt.
 	pingInterval core.Millis
 	pingAt       core.Millis
+	// askedAt is when this host last sent its control host a report or ping, answeredAt when it sent the latest one that was
+	// answered, and otherAskedAt when it last sent another control host a ping.
+	askedAt, answeredAt, otherAskedAt core.Millis
 	// returned holds the evacuations that ended lately, as of the latest update, which came at returnedAt.
 	returned   []ZoneReturn
 	returnedAt core.Millis
@@ -186,6 +189,9 @@
 	if e.pingInterval > 0 && now >= e.pingAt {
 		e.sendPing(now, out)
 	}
+	if e.pingInterval > 0 && e.isUnanswered(now) {
+		e.pingOther(now, out)
+	}
 	if now >= e.nearerProbeAt {
 		e.probeNearer(now, out)
 	}
@@ -196,7 +202,7 @@
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	if !probe {
 		e.reportAt = now + reportInterval - core.Millis(e.Rand.Int64N(int64(maxReportJitter)))
-		e.pingAt = now + e.pingInterval
+		e.pingAt, e.askedAt = now+e.pingInterval, now
 	}
 	if to == "" {
 		return
@@ -262,6 +268,7 @@
 		if !u.ProbeAnswer {
 			e.recordContact(now, from, u, out)
 			e.pingInterval = u.PingInterval
+			e.recordAnswer(from, u.ReportSentAt)
 		}
 		e.recordLeader(now, u)
 	}
--- a/core/fleet/ping.go
+++ b/core/fleet/ping.go
@@ -17,6 +17,9 @@
 	maxContactLag = 550 * core.Millisecond
 	// maxPingDelay is how much older than a ping interval contact gets before other control hosts are asked.
 	maxPingDelay = 350 * core.Millisecond
+	// maxPingTime is how long an answer of the control host takes before another one is asked: a round trip between regions
+	// and a tick.
+	maxPingTime = 90 * core.Millisecond
 )
 
 // Ping goes from an entry host to a control host and back. It asks how new the control host's knowledge is.
@@ -50,14 +53,25 @@
 	})
 }
 
-// sendPing sends the control host a ping, and another one if contact has become old: the control host or its leader may be
-// down, or only the path to it.
+// sendPing sends the control host a ping, and another one too if contact has become old: the leader may be down, or the path to
+// it.
 func (e *Entry) sendPing(now core.Millis, out *core.Effects) {
-	e.pingAt = now + e.pingInterval
+	e.pingAt, e.askedAt = now+e.pingInterval, now
 	out.Send(e.currentControl, &Ping{SentAt: now})
-	if now-e.contactAt <= e.pingInterval+maxPingDelay {
-		return
+	if now-e.contactAt > e.pingInterval+maxPingDelay {
+		e.pingOther(now, out)
 	}
+}
+
+// isUnanswered reports whether the control host has not answered this host's latest report or ping in time, and no other one was
+// asked in its place.
+func (e *Entry) isUnanswered(now core.Millis) bool {
+	return e.answeredAt < e.askedAt && e.otherAskedAt < e.askedAt && now-e.askedAt >= maxPingTime
+}
+
+// pingOther sends a ping to a control host that this host does not report to.
+func (e *Entry) pingOther(now core.Millis, out *core.Effects) {
+	e.otherAskedAt = now
 	others := slices.DeleteFunc(slices.Clone(e.controls), func(c ControlHost) bool { return c.Name == e.currentControl })
 	if len(others) > 0 {
 		out.Send(others[e.Rand.IntN(len(others))].Name, &Ping{SentAt: now})
@@ -66,12 +80,23 @@
 
 // onPing records contact through the answer to a ping of a control host that knows of no change which this host lacks.
 func (e *Entry) onPing(now core.Millis, from string, m *Ping, out *core.Effects) {
-	if !m.Answer || m.Index > e.index {
+	if !m.Answer {
+		return
+	}
+	e.recordAnswer(from, m.SentAt)
+	if m.Index > e.index {
 		return
 	}
 	e.recordContact(now, from, &Update{LeaderHeard: m.LeaderHeard, LeaderAge: m.LeaderAge, MajorityAge: m.MajorityAge, ReportSentAt: m.SentAt}, out)
 }
 
+// recordAnswer records that a control host has answered what this host sent it at a time.
+func (e *Entry) recordAnswer(from string, sentAt core.Millis) {
+	if from == e.currentControl {
+		e.answeredAt = max(e.answeredAt, sentAt)
+	}
+}
+
 // ContactLease returns how old this host's contact may be before it must take endpoints for cold: little more than it gets
 // while nothing is wrong.
 func (e *Entry) ContactLease() core.Millis {
