--- a/core/fleet/lease_test.go
+++ b/core/fleet/lease_test.go
@@ -61,3 +61,20 @@
 		}
 	}
 }
+
+// TestContactLeaseWhileALeaderIsElected guards against hosts that count as isolated in each change of the leader.
+func TestContactLeaseWhileALeaderIsElected(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSite(t, 900+seed)
+		s.RunFor(10 * core.Second)
+		leader := s.leader()
+		skip := map[string]bool{}
+		for name, e := range s.entries {
+			skip[name] = e.CurrentControl() == leader
+		}
+		s.Freeze(leader, true)
+		if most, longest := s.worstOverrun(6*core.Second, skip); most > 0 {
+			t.Errorf("seed %d: contact was older than its lease by up to %s, for %s at a time", seed, most, longest)
+		}
+	}
+}
--- a/core/fleet/returned_test.go
+++ b/core/fleet/returned_test.go
@@ -50,10 +50,11 @@
 	}
 }
 
-// TestContactWhileALeaderIsElected guards against hosts that count as isolated, and use endpoints less, in each change of
-// the leader, though nothing can be decided without them in it.
+// TestContactWhileALeaderIsElected guards against hosts that are without contact in each change of the leader for so long that
+// they count as isolated beside control hosts that answer no pings, though nothing can be decided without them in it.
+// TestContactLeaseWhileALeaderIsElected has the bound beside those that do.
 func TestContactWhileALeaderIsElected(t *testing.T) {
-	// A host counts as isolated from then on (core/pick).
+	// A host that was told no lease counts as isolated from then on (core/pick).
 	const isolationTimeout = 2 * core.Second
 	for seed := range uint64(20) {
 		s := newSite(t, seed)
