--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -145,6 +145,8 @@
 	switch result.Ending {
 	case pool.NotSent:
 		return pick.Unreached, nil, reach.Broken
+	case pool.Withdrawn:
+		return pick.Withdrawn, nil, reach.Unanswered
 	case pool.Cancelled:
 		return pick.GivenUp, nil, reach.Unanswered
 	case pool.Silent:
