--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -254,6 +254,8 @@
 // stop tells callers to use other hosts, and returns when the requests in flight are answered or cut off.
 func (e *Entry) stop() {
 	e.Log.Info("host", fmt.Sprintf("Planned stop begins with %d requests in flight.", e.server.Active()))
+	// A host that is not ready yet must not become so any more. Its time to stop does not wait for a step that is under way.
+	e.server.BeginShutdown()
 	go e.step(func(now core.Millis) core.Effects { return e.machine.SetReady(now, false) })
 	left := e.server.Shutdown(e.Settings.stopTimeout())
 	e.Log.Info("host", fmt.Sprintf("Planned stop ended with %d requests aborted.", left))
