--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 
 	"clementinelock/core"
 	"clementinelock/core/retry"
@@ -151,28 +150,6 @@
 	s.serviceTime += weight * (float64(took) - s.serviceTime)
 }
 
-// longestRunHalfLife is how fast the longest run is forgotten while all are shorter.
-const longestRunHalfLife = 20 * core.Second
-
-// updateLongestRun records how long a run took.
-func (t *Table) updateLongestRun(now core.Millis, service string, took core.Millis) {
-	if float64(took) >= t.decayedLongestRun(now, service) {
-		s := t.service(service)
-		s.longestRun, s.longestRunAt = float64(took), now
-	}
-}
-
-func (t *Table) decayedLongestRun(now core.Millis, service string) float64 {
-	s := t.service(service)
-	return s.longestRun * math.Exp2(-float64(now-s.longestRunAt)/float64(longestRunHalfLife))
-}
-
-// LongestRun returns how long the runs of a service took at most lately, with their time in queues of endpoints; 0 means that
-// it is not known.
-func (t *Table) LongestRun(now core.Millis, service string) core.Millis {
-	return core.MillisOf(t.decayedLongestRun(now, service))
-}
-
 // updateObjectiveShare adjusts the share of the objective that queueing and service may take, by the requests
 // that were expected to wait.
 func (t *Table) updateObjectiveShare(c Choice, took core.Millis) {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -254,7 +254,7 @@
 	if refusal := s.checkKey(t.exchange); refusal != nil {
 		return refusal
 	}
-	if refusal := t.checkEnd(); refusal != nil {
+	if refusal := t.checkStopTime(); refusal != nil {
 		return refusal
 	}
 	if t.handsOver {
@@ -288,7 +288,7 @@
 	began := s.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration()), Extra: extra}
 	target.Ready = func() bool {
-		if s.quarantine(t.exchange.digest) != nil || t.checkEnd() != nil {
+		if s.quarantine(t.exchange.digest) != nil || t.checkStopTime() != nil {
 			return false
 		}
 		s.mutex.Lock()
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -64,8 +64,8 @@
 	stopping atomic.Bool
 	// finishing is set once a planned stop takes no more requests.
 	finishing atomic.Bool
-	// answersEndAt is by when answers must have come in a planned stop, 0 before one.
-	answersEndAt atomic.Int64
+	// lastAnswerAt is by when answers must have come in a planned stop, 0 before one.
+	lastAnswerAt atomic.Int64
 	active       atomic.Int64
 	arrived      atomic.Uint64
 	bytes        atomic.Uint64
