--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -154,17 +155,46 @@
 	return most
 }
 
+// overloads counts the runs in which a cold endpoint got more than its rate.
+type overloads struct {
+	runs, broken int
+	// unused counts the runs in which the endpoint got nothing while it was cold.
+	unused int
+	// worst is the largest number of requests in one second.
+	worst int
+}
+
+// add adds a run in which the endpoint was cold from a time on.
+func (o *overloads) add(s *coldSite, cold core.Millis) {
+	most := s.mostWhileCold(cold)
+	o.runs++
+	o.worst = max(o.worst, most)
+	if float64(most) > coldRate*coldOverrun+coldSlack {
+		o.broken++
+	}
+	if most == 0 {
+		o.unused++
+	}
+}
+
+func (o *overloads) check(t *testing.T) {
+	t.Helper()
+	t.Logf("at most %d requests in one second, the bound is %.1f", o.worst, coldRate*coldOverrun+coldSlack)
+	if o.broken > 0 {
+		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", o.broken, o.runs, o.worst)
+	}
+}
+
 // TestEvacuationRightAfterACut guards against an overload of endpoints that turn cold in an evacuation which begins and ends
 // before hosts that lost contact at its begin take themselves for isolated: they send as to warm endpoints.
 func TestEvacuationRightAfterACut(t *testing.T) {
-	many := slices.Repeat(entryZones, 5)
 	for _, c := range []struct {
 		name    string
 		entries []string
 		seeds   uint64
-	}{{"9 hosts", entryZones, 60}, {"45 hosts", many, 10}} {
+	}{{"9 hosts", entryZones, 60}, {"45 hosts", slices.Repeat(entryZones, 5), 10}} {
 		t.Run(c.name, func(t *testing.T) {
-			broken, worst := 0, 0
+			o := &overloads{}
 			for seed := range c.seeds {
 				s := newColdSite(t, seed, c.entries)
 				s.RunFor(core.Second + core.Millis(s.Rand.IntN(1000)))
@@ -180,16 +210,9 @@
 				s.RunFor(2500)
 				s.cutOff(0, false)
 				s.RunFor(2 * core.Second)
-				most := s.mostWhileCold(cold)
-				worst = max(worst, most)
-				if float64(most) > coldRate*coldOverrun+coldSlack {
-					broken++
-				}
-			}
-			t.Logf("at most %d requests in one second, the bound is %.1f", worst, coldRate*coldOverrun+coldSlack)
-			if broken > 0 {
-				t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, c.seeds, worst)
+				o.add(s, cold)
 			}
+			o.check(t)
 		})
 	}
 }
@@ -197,21 +220,10 @@
 // TestHostsStartedBehindACut guards against an overload of endpoints by hosts that start in an availability zone which is cut
 // off from the others: the state that they get there is old, and they have had no contact that could age.
 func TestHostsStartedBehindACut(t *testing.T) {
-	broken, worst := 0, 0
-	const seeds = 30
-	for seed := range uint64(seeds) {
+	o := &overloads{}
+	for seed := range uint64(30) {
 		s := newColdSite(t, seed, entryZones)
-		var inside, outside []string
-		for name, zone := range s.zones {
-			if zone == "r0-a" {
-				inside = append(inside, name)
-			} else {
-				outside = append(outside, name)
-			}
-		}
-		for _, name := range inside {
-			s.Isolate(name, outside, true)
-		}
+		inside := s.cutZone("r0-a")
 		s.RunFor(2 * core.Second)
 		s.evacuate("r0-a", true)
 		s.RunFor(core.Second)
@@ -226,50 +238,49 @@
 		s.turnCold(cold)
 		s.evacuate("r0-a", false)
 		s.RunFor(4 * core.Second)
-		most := s.mostWhileCold(cold)
-		worst = max(worst, most)
-		if float64(most) > coldRate*coldOverrun+coldSlack {
-			broken++
-		}
-	}
-	if broken > 0 {
-		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second", broken, seeds, worst)
+		o.add(s, cold)
 	}
+	o.check(t)
 }
 
 // TestHostsRestartBesideAColdEndpoint guards against hosts that are killed and start again within a second, and use their parts
 // of a cold endpoint's rate once more, since they know of no request of their former processes.
 func TestHostsRestartBesideAColdEndpoint(t *testing.T) {
-	broken, worst, unused := 0, 0, 0
-	const seeds = 40
-	for seed := range uint64(seeds) {
-		s := newColdSite(t, seed, entryZones)
-		s.evacuate("r0-a", true)
-		s.RunFor(2 * core.Second)
-		cold := s.Now - coldBeforeEnd
-		s.turnCold(cold)
-		s.evacuate("r0-a", false)
-		for range 2 {
-			s.RunFor(500 + core.Millis(s.Rand.IntN(300)))
-			for _, name := range slices.Sorted(maps.Keys(s.hosts)) {
-				if s.zones[name] == "r0-a" {
-					s.crash(name, false)
-					s.At(s.Now+100+core.Millis(s.Rand.IntN(200)), func() { s.startHost(name) })
+	for _, c := range []struct {
+		restarts int
+		// used is set if the hosts live for long enough before the endpoint is warm.
+		used bool
+	}{{2, true}, {3, false}} {
+		t.Run(fmt.Sprint(c.restarts), func(t *testing.T) {
+			o := &overloads{}
+			for seed := range uint64(40) {
+				s := newColdSite(t, seed, entryZones)
+				s.evacuate("r0-a", true)
+				s.RunFor(2 * core.Second)
+				cold := s.Now - coldBeforeEnd
+				s.turnCold(cold)
+				s.evacuate("r0-a", false)
+				for range c.restarts {
+					s.RunFor(500 + core.Millis(s.Rand.IntN(300)))
+					s.restartEntries("r0-a")
 				}
+				s.RunFor(3 * core.Second)
+				o.add(s, cold)
 			}
-		}
-		s.RunFor(3 * core.Second)
-		most := s.mostWhileCold(cold)
-		worst = max(worst, most)
-		if float64(most) > coldRate*coldOverrun+coldSlack {
-			broken++
-		}
-		if most == 0 {
-			unused++
-		}
+			o.check(t)
+			if c.used && o.unused > 0 {
+				t.Errorf("a cold endpoint got nothing with %d of %d seeds", o.unused, o.runs)
+			}
+		})
 	}
-	t.Logf("at most %d requests in one second", worst)
-	if broken > 0 || unused > 0 {
-		t.Errorf("a cold endpoint got more than its rate with %d of %d seeds, at most %d requests in one second, and nothing with %d", broken, seeds, worst, unused)
+}
+
+// restartEntries kills the entry hosts of an availability zone, and starts them again within 0.3 s.
+func (c *coldSite) restartEntries(zone string) {
+	for _, name := range slices.Sorted(maps.Keys(c.hosts)) {
+		if c.zones[name] == zone {
+			c.crash(name, false)
+			c.At(c.Now+100+core.Millis(c.Rand.IntN(200)), func() { c.startHost(name) })
+		}
 	}
 }
--- a/core/fleet/contact_test.go
+++ b/core/fleet/contact_test.go
@@ -18,17 +18,7 @@
 		s := newSite(t, seed)
 		s.RunFor(8*core.Second + core.Millis(seed)*70)
 		zone := controlZones[seed%uint64(len(controlZones))]
-		var inside, outside []string
-		for name, each := range s.zones {
-			if each == zone {
-				inside = append(inside, name)
-			} else {
-				outside = append(outside, name)
-			}
-		}
-		for _, name := range inside {
-			s.Isolate(name, outside, true)
-		}
+		s.cutZone(zone)
 		cut := s.Now
 		latest := core.Millis(0)
 		for range 400 {
@@ -102,24 +92,15 @@
 		s := newSite(t, seed)
 		s.RunFor(8*core.Second + core.Millis(seed)*70)
 		zone := controlZones[seed%uint64(len(controlZones))]
-		var inside, outside, frozen []string
-		for name, each := range s.zones {
-			if each != zone {
-				outside = append(outside, name)
-				continue
-			}
-			inside = append(inside, name)
-			if s.controls[name] != nil {
+		var frozen []string
+		for name := range s.controls {
+			if s.zones[name] == zone {
 				frozen = append(frozen, name)
+				s.Freeze(name, true)
 			}
 		}
-		for _, name := range frozen {
-			s.Freeze(name, true)
-		}
 		s.RunFor(300)
-		for _, name := range inside {
-			s.Isolate(name, outside, true)
-		}
+		s.cutZone(zone)
 		cut := s.Now
 		s.RunFor(400 + core.Millis(seed)*60)
 		for _, name := range frozen {
--- a/core/fleet/share_test.go
+++ b/core/fleet/share_test.go
@@ -142,17 +142,7 @@
 	for seed := range uint64(10) {
 		s := newSite(t, seed)
 		s.RunFor(8 * core.Second)
-		var inside, outside []string
-		for name, zone := range s.zones {
-			if zone == "r0-a" {
-				inside = append(inside, name)
-			} else {
-				outside = append(outside, name)
-			}
-		}
-		for _, name := range inside {
-			s.Isolate(name, outside, true)
-		}
+		s.cutZone("r0-a")
 		cut := s.Now
 		// A control host counts as in contact with a leader for a while after the last message.
 		const noticed = 1500 * core.Millisecond
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -178,6 +179,22 @@
 	}
 }
 
+// cutZone cuts the hosts of an availability zone off from all others, and returns them.
+func (s *site) cutZone(zone string) (inside []string) {
+	var outside []string
+	for _, name := range slices.Sorted(maps.Keys(s.zones)) {
+		if s.zones[name] == zone {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	for _, name := range inside {
+		s.Isolate(name, outside, true)
+	}
+	return inside
+}
+
 // crash ends a host's process; with powerLoss unsynced writes may be lost too.
 func (s *site) crash(name string, powerLoss bool) {
 	s.Crash(name)
