--- a/core/fleet/contact.go
+++ b/core/fleet/contact.go
@@ -2,21 +2,11 @@
 
 import "clementinelock/core"
 
-// recordContact records an update of the current control host, and logs the end of a time without. One that hears neither a
-// leader nor a majority may have missed changes. An update tells what its sender knew when this host's latest report had come,
-// however long it was on its way.
-func (e *Entry) recordContact(now core.Millis, from string, u *Update, out *core.Effects) {
-	at := now
-	if u.ReportSentAt != 0 {
-		at = min(at, u.ReportSentAt)
-	}
-	switch {
-	case u.LeaderHeard:
-		at -= u.LeaderAge
-	case u.MajorityAge == 0:
+// recordContact records what a control host has told of its knowledge, and logs the end of a time without contact.
+func (e *Entry) recordContact(now core.Millis, from string, k knowledge, out *core.Effects) {
+	at, ok := k.asOf(now)
+	if !ok {
 		return
-	default:
-		at -= u.MajorityAge
 	}
 	if e.contactAt != 0 && at-e.contactAt > e.ContactLease() {
 		out.Logf("control", "In contact again through %s after %s. Holds index %d, evacuated %v, a list of age %s.", from, at-e.contactAt, e.index, e.evacuated, e.list.Age(now))
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -89,14 +89,8 @@
 	suspectsAt core.Millis
 	// quarantineProposedAt is when this host last proposed a change of a quarantine.
 	quarantineProposedAt core.Millis
-	// tickedAt is the time of the latest tick, resumedAt the end of the latest pause of the process.
-	tickedAt  core.Millis
-	resumedAt core.Millis
-	// steppedAt is the time of the latest input; stallBeganAt and stallEndedAt are those of the latest stall.
-	steppedAt    core.Millis
-	stallBeganAt core.Millis
-	stallEndedAt core.Millis
-	startedAt    core.Millis
+	pause                pause
+	startedAt            core.Millis
 	// cutSent holds the names of the entry hosts that reach no endpoint, as all entry hosts were told last.
 	cutSent []string
 	// ready caches the entry hosts that serve; readyCached is false after a change.
@@ -169,8 +163,7 @@
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
 	c.peaks, c.startedAt = map[string]peak{}, now
-	c.tickedAt, c.resumedAt = now, now-resumeDelay
-	c.steppedAt, c.stallBeganAt, c.stallEndedAt = now, now, now-stallReadTime
+	c.pause = newPause(now)
 	c.entriesNumber, c.controlsNumber = 1, 1
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
@@ -190,7 +183,6 @@
 // Tick does what is due; the driver calls it every ControlTickInterval.
 func (c *Control) Tick(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
-		c.noticePause(now)
 		c.quorum.Tick(now, out)
 		c.recordLeader(now, out)
 		c.expireHosts(now, out)
@@ -213,7 +205,7 @@
 // step handles one input and sends the changes that it made to the entry hosts.
 func (c *Control) step(now core.Millis, input func(out *core.Effects)) core.Effects {
 	out := &core.Effects{}
-	c.noticeStall(now)
+	c.pause.record(now)
 	index, quarantineIndex, number := c.store.Published().Index, c.store.Published().QuarantineIndex, c.list.Number()
 	input(out)
 	c.updateQuotas(now, out)
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -94,10 +94,12 @@
 	leaderProbeDelay core.Millis
 	retryAt          map[string]core.Millis
 	reportAt         core.Millis
-	nearerProbeAt    core.Millis
-	index            uint64
-	document         routes.Document
-	evacuated        []string
+	// reportedAt is when this host last reported to its control host.
+	reportedAt    core.Millis
+	nearerProbeAt core.Millis
+	index         uint64
+	document      routes.Document
+	evacuated     []string
 	// evacuationEndedAt is when the latest evacuation ended.
 	evacuationEndedAt core.Millis
 	list              roster.Replica
@@ -202,7 +204,7 @@
 func (e *Entry) report(now core.Millis, to string, probe bool, out *core.Effects) {
 	if !probe {
 		e.reportAt = now + reportInterval - core.Millis(e.Rand.Int64N(int64(maxReportJitter)))
-		e.pingAt, e.askedAt = now+e.pingInterval, now
+		e.pingAt, e.askedAt, e.reportedAt = now+e.pingInterval, now, now
 	}
 	if to == "" {
 		return
@@ -266,7 +268,7 @@
 	if from == e.currentControl {
 		e.heardAt, e.updateTimeout = now, maxUpdateTimeout
 		if !u.ProbeAnswer {
-			e.recordContact(now, from, u, out)
+			e.recordContact(now, from, knowledge{u.ReportSentAt, u.LeaderHeard, u.LeaderAge, u.MajorityAge}, out)
 			e.pingInterval = u.PingInterval
 			e.recordAnswer(from, u.ReportSentAt)
 		}
--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -11,10 +11,6 @@
 	// orderTimeout is below the second after which an operator's call goes to another host.
 	orderTimeout       = 900 * core.Millisecond
 	orderRetryInterval = 300 * core.Millisecond
-	// maxTickGap is the time between two ticks from which this process counts as paused.
-	maxTickGap = 500 * core.Millisecond
-	// resumeDelay is how long after a pause orders are refused: those that arrived before it are read by then.
-	resumeDelay = 300 * core.Millisecond
 )
 
 // order is an operator's request that this host accepted.
@@ -62,9 +58,8 @@
 // order to another host, and may have taken it back there.
 func (c *Control) startOrder(now core.Millis, o Order) core.Effects {
 	return c.step(now, func(out *core.Effects) {
-		c.noticePause(now)
-		if now < c.resumedAt+resumeDelay {
-			out.Reply(o.Ticket, core.Refuse(core.NoLeader, core.RanNo, "this host was paused until %s ago", now-c.resumedAt), nil)
+		if c.pause.mayBeOldOrder(now) {
+			out.Reply(o.Ticket, core.Refuse(core.NoLeader, core.RanNo, "this host was paused until %s ago", now-c.pause.orderEndedAt), nil)
 			return
 		}
 		c.orders.pending[o.Ticket] = &order{Order: o, deadline: now + orderTimeout}
@@ -72,14 +67,6 @@
 	})
 }
 
-// noticePause records the end of a pause.
-func (c *Control) noticePause(now core.Millis) {
-	if now-c.tickedAt > maxTickGap {
-		c.resumedAt = now
-	}
-	c.tickedAt = now
-}
-
 // sendOrder sends an order to the leader, which may be this host.
 func (c *Control) sendOrder(now core.Millis, o *order, out *core.Effects) {
 	leader := c.quorum.LeaderName()
--- a/core/fleet/ping.go
+++ b/core/fleet/ping.go
@@ -87,7 +87,7 @@
 	if m.Index > e.index {
 		return
 	}
-	e.recordContact(now, from, &Update{LeaderHeard: m.LeaderHeard, LeaderAge: m.LeaderAge, MajorityAge: m.MajorityAge, ReportSentAt: m.SentAt}, out)
+	e.recordContact(now, from, knowledge{m.SentAt, m.LeaderHeard, m.LeaderAge, m.MajorityAge}, out)
 }
 
 // recordAnswer records that a control host has answered what this host sent it at a time.
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -12,13 +12,13 @@
 	lastContact core.Millis
 }
 
-// sendHello announces a started replica until a majority has confirmed that its disk holds all that it has
-// acknowledged.
-func (r *Replica) sendHello(now core.Millis, out *core.Effects) {
+// sendHello announces this replica at an interval: one that has started, until a majority has confirmed that its disk holds all that
+// it has acknowledged, and one that may have been removed.
+func (r *Replica) sendHello(now, interval core.Millis, out *core.Effects) {
 	if now < r.helloAt {
 		return
 	}
-	r.helloAt = now + helloInterval
+	r.helloAt = now + interval
 	for _, name := range r.helloTargets() {
 		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.startIndex, LastTerm: r.startTerm}
 		message.Header = r.header(name)
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -264,7 +264,7 @@
 		return
 	}
 	if !r.joined {
-		r.sendHello(now, out)
+		r.sendHello(now, helloInterval, out)
 		return
 	}
 	if r.role == Leader {
@@ -276,8 +276,7 @@
 		return
 	}
 	if r.mayBeRemoved(now) {
-		r.sendHello(now, out)
-		r.helloAt = now + removedHelloInterval
+		r.sendHello(now, removedHelloInterval, out)
 	}
 	if now >= r.electionAt {
 		r.campaign(now, true, out)
@@ -287,7 +286,7 @@
 // mayBeRemoved reports whether the replica has heard no leader for so long that it may have been removed from the group: it is
 // not told, and no member answers its campaigns.
 func (r *Replica) mayBeRemoved(now core.Millis) bool {
-	return r.role != Leader && now-r.leaderContactAt > removedElections*r.Timing.MaxElectionTimeout && now >= r.helloAt
+	return now-r.leaderContactAt > removedElections*r.Timing.MaxElectionTimeout
 }
 
 func (r *Replica) resetElectionTimer(now core.Millis) {
