--- a/core/fleet/ping.go
+++ b/core/fleet/ping.go
@@ -17,6 +17,8 @@
 	maxContactLag = 550 * core.Millisecond
 	// maxPingDelay is how much older than a ping interval contact gets before other control hosts are asked.
 	maxPingDelay = 350 * core.Millisecond
+	// minReportInterval is that of the reports of a host that lacks a change; what it lacks may take long on its way.
+	minReportInterval = 300 * core.Millisecond
 	// maxPingTime is how long an answer of the control host takes before another one is asked: a round trip between regions
 	// and a tick.
 	maxPingTime = 90 * core.Millisecond
@@ -32,6 +34,8 @@
 	LeaderHeard bool        `cbor:"4,keyasint,omitempty"`
 	LeaderAge   core.Millis `cbor:"5,keyasint,omitempty"`
 	MajorityAge core.Millis `cbor:"6,keyasint,omitempty"`
+	// QuarantineIndex identifies the quarantines in force.
+	QuarantineIndex uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // MessageName returns the name that the message is listed by.
@@ -50,6 +54,7 @@
 	out.Send(from, &Ping{
 		SentAt: m.SentAt, Answer: true, Index: c.store.Published().Index,
 		LeaderHeard: c.leaderHeard(now), LeaderAge: c.leaderAge(now), MajorityAge: c.majorityAge(now),
+		QuarantineIndex: c.store.Published().QuarantineIndex,
 	})
 }
 
@@ -84,6 +89,10 @@
 		return
 	}
 	e.recordAnswer(from, m.SentAt)
+	if from == e.currentControl && (m.Index > e.index || m.QuarantineIndex != e.quarantineIndex) {
+		// The update with the change was lost, or is on its way.
+		e.reportAt = min(e.reportAt, e.reportedAt+minReportInterval)
+	}
 	if m.Index > e.index {
 		return
 	}
--- a/core/fleet/quarantine_test.go
+++ b/core/fleet/quarantine_test.go
@@ -193,3 +193,21 @@
 		s.checkUsage(start, s.Now, coreMicros/2, math.MaxInt)
 	}
 }
+
+// TestQuarantineBesideLostMessages guards against an entry host that still sends a request after the contact window since the
+// message that told it of the quarantine was lost, and so were some of its reports, each of which takes 0.8 s to come again.
+func TestQuarantineBesideLostMessages(t *testing.T) {
+	for seed := range uint64(200) {
+		s := newSite(t, 10000+seed)
+		s.publish()
+		s.RunFor(10 * core.Second)
+		s.crashThree()
+		s.LossRate = 0.1
+		s.RunFor(contactWindow)
+		for name := range s.entries {
+			if !s.holds(name, crashing) {
+				t.Errorf("seed %d: entry host %s still sends the request", 10000+seed, name)
+			}
+		}
+	}
+}
