--- a/core/fleet/ping.go
+++ b/core/fleet/ping.go
@@ -89,7 +89,7 @@
 		return
 	}
 	e.recordAnswer(from, m.SentAt)
-	if from == e.currentControl && (m.Index > e.index || m.QuarantineIndex != e.quarantineIndex) {
+	if from == e.currentControl && (m.Index > e.index || m.QuarantineIndex > e.quarantineIndex) {
 		// The update with the change was lost, or is on its way.
 		e.reportAt = min(e.reportAt, e.reportedAt+minReportInterval)
 	}
