--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -17,7 +17,8 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"upload": upload,
+	"upload":   upload,
+	"attempts": manyAttempts,
 }
 
 func main() {
