--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"upload":   upload,
 	"attempts": manyAttempts,
+	"order":    lateOrder,
 }
 
 func main() {
