Test of hosts that start behind a cut: the evacuation is confirmed before the endpoint turns cold

Trace: the operator gave the order three times to the control host that is cut off, each time for a second, so that the evacuation was in force 1.3 s after the endpoint had turned cold.

--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -227,6 +227,9 @@
 		s.RunFor(2 * core.Second)
 		s.evacuate("r0-a", true)
 		s.RunFor(core.Second)
+		for s.unconfirmed["r0-a"] {
+			s.RunFor(100)
+		}
 		for _, name := range inside {
 			if s.hosts[name] != nil {
 				s.crash(name, false)
