--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -41,7 +41,7 @@
 	resendTimeout = 400 * core.Millisecond
 	// maxVoters bounds the number of replicas that a commit waits for.
 	maxVoters = 9
-	// removalTimeout is longer than any outage after which the host is expected back.
+	// removalTimeout is longer than any outage after which the host is expected back. A host that was replaced is removed sooner.
 	removalTimeout = 15 * core.Second
 	// Timing of the quorum: replicas 20 ms apart elect a new leader well within the required 3 s.
 	heartbeatInterval  = 250 * core.Millisecond
@@ -172,7 +172,7 @@
 	c.pool.Start(now)
 	c.store = edits.NewStore()
 	c.quorum = &quorum.Replica{
-		Self: c.Name, Rand: c.Rand, StateMachine: c.store, InitialVoters: c.Seeds, OnRead: c.onRead,
+		Self: c.Name, Rand: c.Rand, StateMachine: c.store, InitialVoters: c.Seeds, MaxVoters: maxVoters, OnRead: c.onRead,
 		OtherHosts: func() []string { return sortedNames(c.controls) },
 		Timing:     quorum.Timing{HeartbeatInterval: heartbeatInterval, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout},
 	}
@@ -187,7 +187,7 @@
 		c.recordLeader(now, out)
 		c.expireHosts(now, out)
 		c.retryOrders(now, out)
-		c.removeSilentMember(now, out)
+		c.quorum.RemoveSilent(now, removalTimeout, out)
 		c.quarantineDue(now, out)
 		if now >= c.shareAt {
 			c.sendShares(now, out)
@@ -273,10 +273,11 @@
 	})
 }
 
-// Stop transfers leadership before a planned stop.
+// Stop transfers leadership before a planned stop and announces the stop.
 func (c *Control) Stop(now core.Millis) core.Effects {
 	return c.step(now, func(out *core.Effects) {
 		handed := c.quorum.Transfer(now, out)
+		c.quorum.Stop(out)
 		out.Logf("host", "Stopping; leadership not held or transferred: %t.", handed)
 	})
 }
@@ -286,42 +287,14 @@
 	return c.quorum.Fenced()
 }
 
-// allowJoin lets the leader admit a control host that is not a member yet, unless the group is full.
+// allowJoin lets the leader admit a control host that is not a member yet; the replica refuses it if the group is full.
 func (c *Control) allowJoin(name string) {
-	if !c.quorum.IsLeader() {
-		return
-	}
-	members := c.quorum.Members()
-	if len(members) < maxVoters || slices.ContainsFunc(members, func(m quorum.Member) bool { return m.Name == name }) {
+	if c.quorum.IsLeader() {
 		// AllowJoin refuses only on a replica that does not lead.
 		_ = c.quorum.AllowJoin(name)
 	}
 }
 
-// removeSilentMember removes a voter that has been silent for long while every other member is heard, so that a
-// replaced host no longer counts towards the majority.
-func (c *Control) removeSilentMember(now core.Millis, out *core.Effects) {
-	if !c.quorum.IsLeader() {
-		return
-	}
-	silent, heard := "", 0
-	report := c.quorum.Report(now)
-	for _, member := range report.Members {
-		switch {
-		case member.Name == c.Name || member.HeardAgo >= 0 && member.HeardAgo < entryTimeout:
-			heard++
-		case member.HeardAgo > removalTimeout:
-			silent = member.Name
-		}
-	}
-	if silent == "" || heard < len(report.Members)-1 || heard < 3 {
-		return
-	}
-	if refusal := c.quorum.Remove(now, silent, out); refusal == nil {
-		out.Logf("quorum", "Removing member %s, not heard for more than %s.", silent, removalTimeout)
-	}
-}
-
 // leaderHeard reports whether this host follows a leader now.
 func (c *Control) leaderHeard(now core.Millis) bool {
 	return c.quorum.SinceLeaderContact(now) < leaderTimeout
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -24,7 +24,9 @@
 	disks    map[string]*fake.Disk
 	controls map[string]*fleet.Control
 	// full holds the control hosts whose disks take no bytes.
-	full    map[string]bool
+	full map[string]bool
+	// gone holds the hosts that were removed for good.
+	gone    map[string]bool
 	entries map[string]*entryHost
 	process uint64
 	ticket  uint64
@@ -76,7 +78,7 @@
 func newSiteIn(t testing.TB, seed uint64, controls, entries []string) *site {
 	s := &site{
 		Simulation: fake.NewSimulation(seed), t: t, zones: map[string]string{}, disks: map[string]*fake.Disk{}, controls: map[string]*fleet.Control{},
-		full: map[string]bool{}, entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
+		full: map[string]bool{}, gone: map[string]bool{}, entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
 	}
 	s.TickInterval = fleet.ControlTickInterval
 	s.Delay = func(from, to string) core.Millis {
@@ -210,7 +212,7 @@
 // startHost starts a host that is down.
 func (s *site) startHost(name string) {
 	switch {
-	case s.Up(name):
+	case s.Up(name) || s.gone[name]:
 	case s.disks[name] != nil:
 		s.startControl(name)
 	default:
--- a/core/quorum/install.go
+++ b/core/quorum/install.go
@@ -96,7 +96,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.lastContact = now
+	p.lastContact, p.answered = now, true
 	member, _ := r.members.findIncarnation(from, m.Incarnation)
 	if m.Done {
 		p.match = max(p.match, m.Index)
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -19,15 +19,24 @@
 		return
 	}
 	r.helloAt = now + interval
+	r.announce(false, out)
+}
+
+// Stop announces a planned stop, so that this replica is removed sooner if it doesn't come back.
+func (r *Replica) Stop(out *core.Effects) {
+	r.announce(true, out)
+}
+
+func (r *Replica) announce(stopping bool, out *core.Effects) {
 	for _, name := range r.helloTargets() {
-		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.startIndex, LastTerm: r.startTerm}
+		message := &Hello{Boot: r.vote.Boot, Nonce: r.nonce, LastIndex: r.startIndex, LastTerm: r.startTerm, Stopping: stopping}
 		message.Header = r.header(name)
 		message.ToIncarnation = 0
 		r.sendSynced(name, message, out)
 	}
 }
 
-// helloTargets lists the members and the other control hosts, without this one.
+// helloTargets lists the members, the other control hosts and the leader that one of them named, without this one.
 func (r *Replica) helloTargets() []string {
 	var names []string
 	for _, member := range r.members {
@@ -36,6 +45,9 @@
 	if r.OtherHosts != nil {
 		names = append(names, r.OtherHosts()...)
 	}
+	if r.toldLeader != "" {
+		names = append(names, r.toldLeader)
+	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(name string) bool { return name == r.Self })
@@ -44,7 +56,7 @@
 func (r *Replica) onHello(now core.Millis, from string, m *Hello, out *core.Effects) {
 	_, isMember := r.members.findIncarnation(from, m.Incarnation)
 	boot := r.boots[from]
-	answer := &HelloResponse{Header: r.header(from), Boot: m.Boot}
+	answer := &HelloResponse{Header: r.header(from), Boot: m.Boot, Leader: r.leader}
 	answer.ToIncarnation = m.Incarnation
 	answer.Fenced = boot.supersedes(m)
 	if r.role == Leader {
@@ -52,7 +64,13 @@
 		answer.Fenced = answer.Fenced || p != nil && p.matchBeforeStart(m.Nonce) > m.LastIndex
 		r.recordBoot(now, from, m, isMember && !answer.Fenced, out)
 	}
-	if _, known := r.members.find(from); !isMember && r.role == Leader && (known || r.joinAllowed[from]) {
+	switch {
+	case m.Stopping && isMember:
+		r.stopping[from] = m.Nonce
+	case r.stopping[from] != m.Nonce:
+		delete(r.stopping, from)
+	}
+	if _, known := r.members.find(from); !isMember && !m.Stopping && r.role == Leader && (known || r.joinAllowed[from]) {
 		r.pendingJoins[from] = pendingJoin{m.Incarnation, now}
 	}
 	r.sendSynced(from, answer, out)
@@ -99,7 +117,13 @@
 }
 
 func (r *Replica) onHelloResponse(now core.Millis, from string, m *HelloResponse, out *core.Effects) {
-	if m.ToIncarnation != r.vote.Incarnation || m.Boot != r.vote.Boot || r.joined {
+	if m.ToIncarnation != r.vote.Incarnation || m.Boot != r.vote.Boot {
+		return
+	}
+	if m.Leader != "" {
+		r.toldLeader = m.Leader
+	}
+	if r.joined {
 		return
 	}
 	if m.Fenced {
@@ -131,11 +155,16 @@
 	r.resetElectionTimer(now)
 }
 
-// updateMembership promotes one caught-up learner to a voter in place of its host's former incarnation, or else adds
-// one joining host as a learner. It waits until the previous change and a record of the leader's own term are
+// membershipSettled reports whether the membership may change: the previous change and a record of the leader's own term are
 // committed.
+func (r *Replica) membershipSettled() bool {
+	return r.membersIndex <= r.commit && r.log.termAt(r.commit) == r.vote.Term
+}
+
+// updateMembership promotes one caught-up learner to a voter in place of its host's former incarnation, or else adds
+// one joining host as a learner, or else raises the size of a group that has grown.
 func (r *Replica) updateMembership(now core.Millis, out *core.Effects) {
-	if r.membersIndex > r.commit || r.log.termAt(r.commit) != r.vote.Term {
+	if !r.membershipSettled() {
 		return
 	}
 	for _, member := range r.members {
@@ -143,15 +172,21 @@
 		if member.Voter || p == nil || now-p.lastContact > r.Timing.MinElectionTimeout || p.match+maxPromotionLag < r.log.lastIndex() || p.match < r.membersIndex {
 			continue
 		}
-		next := r.members.promote(member.Name, member.Incarnation)
-		r.appendEntry(now, entry{Type: entryMembers, Members: next}, out)
+		r.appendMembers(now, r.members.promote(member.Name, member.Incarnation), out)
 		out.Logf("quorum", "Promoting %s to voter.", member.Name)
 		return
 	}
-	r.addLearner(now, out)
+	if r.addLearner(now, out) {
+		return
+	}
+	if size := r.sizeOf(now, r.members); size > r.size {
+		r.appendMembers(now, r.members, out)
+		out.Logf("quorum", "The group has %d voters from now on.", size)
+	}
 }
 
-func (r *Replica) addLearner(now core.Millis, out *core.Effects) {
+// addLearner adds one of the hosts that have announced themselves, and reports whether it did.
+func (r *Replica) addLearner(now core.Millis, out *core.Effects) bool {
 	names := make([]string, 0, len(r.pendingJoins))
 	for name := range r.pendingJoins {
 		names = append(names, name)
@@ -163,12 +198,16 @@
 		if _, already := r.members.findIncarnation(name, join.incarnation); already || now-join.lastContact > r.Timing.MaxElectionTimeout {
 			continue
 		}
+		if _, known := r.members.find(name); !known && !r.hasRoom(now) {
+			continue
+		}
 		next := slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == name && !m.Voter })
 		next = append(next, Member{Name: name, Incarnation: join.incarnation})
-		r.appendEntry(now, entry{Type: entryMembers, Members: next}, out)
+		r.appendMembers(now, next, out)
 		out.Logf("quorum", "Adding %s as a learner.", name)
-		return
+		return true
 	}
+	return false
 }
 
 // AllowJoin lets the leader add a host that is not a member yet once its Hello arrives; it returns a refusal if this
@@ -187,8 +226,8 @@
 	if r.role != Leader {
 		return core.Refuse(core.NoLeader, core.RanNo, "host %q does not lead", r.Self)
 	}
-	if r.membersIndex > r.commit {
-		return core.Refuse(core.VersionConflict, core.RanNo, "another membership change is under way")
+	if !r.membershipSettled() {
+		return core.Refuse(core.VersionConflict, core.RanNo, "another membership change is under way, or this leader has committed nothing yet")
 	}
 	member, ok := r.members.find(name)
 	if !ok {
@@ -199,6 +238,6 @@
 	}
 	delete(r.joinAllowed, name)
 	delete(r.pendingJoins, name)
-	r.appendEntry(now, entry{Type: entryMembers, Members: r.members.without(name, member.Incarnation)}, out)
+	r.appendMembers(now, r.members.without(name, member.Incarnation), out)
 	return nil
 }
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -78,12 +78,14 @@
 	entryBoot
 )
 
-// entry is the decoded content of a log record; beside Type only the field for that type is set.
+// entry is the decoded content of a log record; beside Type only the fields for that type are set.
 type entry struct {
 	Type    uint8
 	Command []byte
 	Members Members
-	Boot    bootRecord
+	// Size is the number of voters that the group is meant to have; 0 in records of older builds, which means all voters.
+	Size int `cbor:",omitempty"`
+	Boot bootRecord
 }
 
 // bootRecord records a start of a replica, so that an older copy of its disk is detected later.
@@ -106,9 +108,10 @@
 	return e
 }
 
-// groupState is the content of a snapshot: the membership, the boot records and the state machine's own bytes.
+// groupState is the content of a snapshot: the membership and its size, the boot records and the state machine's own bytes.
 type groupState struct {
 	Members Members
+	Size    int `cbor:",omitempty"`
 	Boots   map[string]bootRecord
 	State   []byte
 }
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -78,6 +78,8 @@
 	// LastIndex and LastTerm are those of the log on disk at the start.
 	LastIndex uint64
 	LastTerm  uint64
+	// Stopping marks the announcement of a planned stop of this start.
+	Stopping bool `cbor:",omitempty"`
 }
 
 // HelloResponse reports what is known of a started replica; Fenced means that its disk is older than what it has
@@ -86,6 +88,8 @@
 	Header
 	Boot   uint64
 	Fenced bool
+	// Leader names the leader that the sender follows, so that a newcomer need not know it; it may be empty.
+	Leader string `cbor:",omitempty"`
 }
 
 // TimeoutNow asks a caught-up follower to start an election at once, since the leader is stopping.
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -16,9 +16,8 @@
 	maxCampaignDelay   = 600 * core.Millisecond
 	helloInterval      = 200 * core.Millisecond
 	// removedHelloInterval is how often a replica announces itself again that may have been removed, after it has heard no
-	// leader for removedElections elections.
+	// leader for longer than the maximum election timeout.
 	removedHelloInterval = core.Second
-	removedElections     = 3
 	resendTimeout        = 150 * core.Millisecond
 	maxAppendBytes       = 64 << 10
 	chunkBytes           = 64 << 10
@@ -62,11 +61,13 @@
 	// earlier starts.
 	boot, nonce, priorMatch uint64
 	lastContact             core.Millis
-	lastProgress            core.Millis
-	round                   uint64
-	installOffset           int
-	installIndex            uint64
-	installSent             core.Millis
+	// answered is set once the replica has answered this leader; lastContact is the start of the leadership until then.
+	answered      bool
+	lastProgress  core.Millis
+	round         uint64
+	installOffset int
+	installIndex  uint64
+	installSent   core.Millis
 }
 
 // heldSend is a message that is sent once the write with the sequence number is on disk.
@@ -90,17 +91,21 @@
 	// OtherHosts lists further hosts that a started replica sends its Hello to, since the leader may not be one of
 	// InitialVoters; it may be nil.
 	OtherHosts func() []string
+	// MaxVoters bounds the members that are heard; hosts beyond it don't join. 0 means no bound.
+	MaxVoters int
 	// Timing may be left zero; Start then sets it from the constants of this package.
 	Timing Timing
 	// OnRead is called when the read with the ticket is decided; confirmed is false if this replica has stopped
 	// leading before that.
 	OnRead func(now core.Millis, ticket uint64, confirmed bool, out *core.Effects)
 
-	role            Role
-	vote            core.Vote
-	log             recordLog
-	members         Members
-	membersIndex    uint64
+	role         Role
+	vote         core.Vote
+	log          recordLog
+	members      Members
+	membersIndex uint64
+	// size is the number of voters that the group is meant to have, as of the latest membership entry.
+	size            int
 	boots           map[string]bootRecord
 	commit          uint64
 	applied         uint64
@@ -116,20 +121,24 @@
 	joined          bool
 	joinVotes       map[string]bool
 	helloAt         core.Millis
-	minVoteTerm     uint64
-	fenced          bool
-	newIncarnation  bool
-	nonce           uint64
-	startIndex      uint64
-	startTerm       uint64
-	joinAllowed     map[string]bool
-	transfer        bool
-	writeSeq        uint64
-	syncedSeq       uint64
-	syncedUpTo      map[uint64]uint64
-	held            []heldSend
-	incoming        installBuffer
-	pendingJoins    map[string]pendingJoin
+	// stopping holds the nonces of the starts that have announced a planned stop, by host.
+	stopping map[string]uint64
+	// toldLeader is the leader that the latest HelloResponse named.
+	toldLeader     string
+	minVoteTerm    uint64
+	fenced         bool
+	newIncarnation bool
+	nonce          uint64
+	startIndex     uint64
+	startTerm      uint64
+	joinAllowed    map[string]bool
+	transfer       bool
+	writeSeq       uint64
+	syncedSeq      uint64
+	syncedUpTo     map[uint64]uint64
+	held           []heldSend
+	incoming       installBuffer
+	pendingJoins   map[string]pendingJoin
 }
 
 // Start restores the stored state; it returns an error if the snapshot can't be restored. The driver must carry out
@@ -147,6 +156,7 @@
 	r.syncedUpTo = map[uint64]uint64{}
 	r.pendingJoins = map[string]pendingJoin{}
 	r.joinAllowed = map[string]bool{}
+	r.stopping = map[string]uint64{}
 	for _, name := range r.InitialVoters {
 		r.members = append(r.members, Member{Name: name, Incarnation: 1, Voter: true})
 	}
@@ -187,27 +197,35 @@
 
 // scanMembers sets the membership from the newest membership entry in the log, committed or not.
 func (r *Replica) scanMembers() {
-	members := r.snapshotMembers()
-	r.members, r.membersIndex = members, r.log.snapshot.Index
+	members, size := r.snapshotMembers()
+	r.setMembers(members, size, r.log.snapshot.Index)
 	for _, record := range r.log.records {
 		e := decodeEntry(record.Data)
 		if e.Type == entryMembers {
-			r.members, r.membersIndex = e.Members, record.Index
+			r.setMembers(e.Members, e.Size, record.Index)
 		}
 	}
 }
 
-func (r *Replica) snapshotMembers() Members {
+// setMembers sets the membership of the entry or snapshot at the index.
+func (r *Replica) setMembers(members Members, size int, index uint64) {
+	if size == 0 {
+		size = len(members.voters())
+	}
+	r.members, r.size, r.membersIndex = members, size, index
+}
+
+func (r *Replica) snapshotMembers() (members Members, size int) {
 	if r.log.snapshot.Index == 0 {
 		var initial Members
 		for _, name := range r.InitialVoters {
 			initial = append(initial, Member{Name: name, Incarnation: 1, Voter: true})
 		}
-		return initial
+		return initial, len(initial)
 	}
 	state, err := codec.Decode[groupState](r.log.snapshot.Data)
 	core.Assert(err == nil, "own snapshot at %d can't be decoded: %v", r.log.snapshot.Index, err)
-	return state.Members
+	return state.Members, state.Size
 }
 
 func (r *Replica) voteCopy() *core.Vote {
@@ -286,7 +304,7 @@
 // mayBeRemoved reports whether the replica has heard no leader for so long that it may have been removed from the group: it is
 // not told, and no member answers its campaigns.
 func (r *Replica) mayBeRemoved(now core.Millis) bool {
-	return now-r.leaderContactAt > removedElections*r.Timing.MaxElectionTimeout
+	return now-r.leaderContactAt > r.Timing.MaxElectionTimeout
 }
 
 func (r *Replica) resetElectionTimer(now core.Millis) {
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -19,7 +19,7 @@
 	record := core.Record{Index: r.log.lastIndex() + 1, Term: r.vote.Term, Data: e.encode()}
 	r.log.records = append(r.log.records, record)
 	if e.Type == entryMembers {
-		r.members, r.membersIndex = e.Members, record.Index
+		r.setMembers(e.Members, e.Size, record.Index)
 		r.updatePeers(now)
 	}
 	r.write(core.Write{Records: []core.Record{record}}, out)
@@ -189,7 +189,7 @@
 	for _, record := range fresh {
 		e := decodeEntry(record.Data)
 		if e.Type == entryMembers {
-			r.members, r.membersIndex = e.Members, record.Index
+			r.setMembers(e.Members, e.Size, record.Index)
 		}
 	}
 }
@@ -204,7 +204,7 @@
 	if r.role != Leader || m.Term != r.vote.Term || p == nil || m.Boot < p.boot {
 		return
 	}
-	p.lastContact = now
+	p.lastContact, p.answered = now, true
 	p.resetForStart(m.Boot, m.Nonce)
 	p.round = max(p.round, m.Round)
 	member, _ := r.members.findIncarnation(from, m.Incarnation)
@@ -281,7 +281,7 @@
 	if r.applied-r.log.snapshot.Index < snapshotRecords+keptRecords || r.membersIndex > r.applied {
 		return
 	}
-	data := codec.Encode(groupState{Members: r.members, Boots: r.boots, State: r.StateMachine.Snapshot()})
+	data := codec.Encode(groupState{Members: r.members, Size: r.size, Boots: r.boots, State: r.StateMachine.Snapshot()})
 	snapshot := core.Snapshot{Index: r.applied, Term: r.log.termAt(r.applied), Data: data}
 	r.log.compact(snapshot)
 	r.write(core.Write{Snapshot: &snapshot}, out)
--- /dev/null
+++ b/core/quorum/size.go
@@ -0,0 +1,120 @@
+package quorum
+
+import (
+	"clementinelock/core"
+)
+
+// silentElections is the number of elections after which a member that the leader does not hear counts as silent.
+const silentElections = 3
+
+// The size of a group is the number of voters that it is meant to have. It grows when all voters are heard, so that a host that
+// joins in place of a lost one doesn't raise it: as long as there are more voters than that, the silent ones among them have
+// been replaced.
+
+// appendMembers appends a membership with its size.
+func (r *Replica) appendMembers(now core.Millis, next Members, out *core.Effects) {
+	r.appendEntry(now, entry{Type: entryMembers, Members: next, Size: r.sizeOf(now, next)}, out)
+}
+
+// sizeOf returns the size of the group with the next membership.
+func (r *Replica) sizeOf(now core.Millis, next Members) int {
+	voters, heard := 0, true
+	for _, member := range next {
+		if member.Voter {
+			voters++
+			heard = heard && r.hears(now, member, r.Timing.MinElectionTimeout)
+		}
+	}
+	if r.MaxVoters > 0 {
+		voters = min(voters, r.MaxVoters)
+	}
+	if heard {
+		return voters
+	}
+	return min(r.size, voters)
+}
+
+// hears reports whether the member is this leader, or has answered it within the time.
+func (r *Replica) hears(now core.Millis, member Member, within core.Millis) bool {
+	if member.Name == r.Self && member.Incarnation == r.vote.Incarnation {
+		return true
+	}
+	p := r.peers[memberKey(member)]
+	return p != nil && p.answered && now-p.lastContact <= within
+}
+
+// silence returns for how long this leader has not heard the member, at most since it leads.
+func (r *Replica) silence(now core.Millis, member Member) core.Millis {
+	if p := r.peers[memberKey(member)]; p != nil {
+		return now - p.lastContact
+	}
+	return 0
+}
+
+func (r *Replica) silentTimeout() core.Millis {
+	return silentElections * r.Timing.MaxElectionTimeout
+}
+
+// hasRoom reports whether another host may join. Silent members take no room, or hosts could not join in their place.
+func (r *Replica) hasRoom(now core.Millis) bool {
+	if r.MaxVoters == 0 {
+		return true
+	}
+	heard := 0
+	for _, member := range r.members {
+		if r.silence(now, member) <= r.silentTimeout() {
+			heard++
+		}
+	}
+	return heard < r.MaxVoters
+}
+
+// RemoveSilent removes one silent member, if this replica leads and the group can do without it: a learner; the longest silent
+// voter of more voters than the group is meant to have, since another host has joined in its place; and without
+// a replacement a voter that was silent for lostAfter, or has announced its stop, if the group could then lose another
+// one at once, or all others are heard. A removed host that was merely cut off joins again.
+func (r *Replica) RemoveSilent(now, lostAfter core.Millis, out *core.Effects) {
+	if r.role != Leader || !r.membershipSettled() {
+		return
+	}
+	var silent Member
+	heard, voters, longest, lost := 0, 0, r.Timing.MaxElectionTimeout, false
+	for _, member := range r.members {
+		silence := r.silence(now, member)
+		if !member.Voter {
+			if silence > r.silentTimeout() {
+				r.removeSilent(now, member, out)
+				return
+			}
+			continue
+		}
+		voters++
+		if r.hears(now, member, r.Timing.MaxElectionTimeout) {
+			heard++
+		}
+		if silence > longest {
+			silent, longest = member, silence
+			lost = silence > lostAfter || silence > r.silentTimeout() && r.announcedStop(member)
+		}
+	}
+	if silent.Name == "" {
+		return
+	}
+	replaced := voters > r.size
+	spared := heard >= 3 && (heard == voters-1 || heard > r.members.majority())
+	if replaced || lost && spared {
+		r.removeSilent(now, silent, out)
+	}
+}
+
+// announcedStop reports whether the member has announced a stop, and has not answered from a later start.
+func (r *Replica) announcedStop(member Member) bool {
+	nonce, announced := r.stopping[member.Name]
+	p := r.peers[memberKey(member)]
+	return announced && (p == nil || !p.answered || p.nonce == nonce)
+}
+
+func (r *Replica) removeSilent(now core.Millis, member Member, out *core.Effects) {
+	out.Logf("quorum", "Removing member %s, not heard for %s; %d members, %d voters meant.", member.Name, r.silence(now, member), len(r.members), r.size)
+	r.appendMembers(now, r.members.without(member.Name, member.Incarnation), out)
+}
--- a/core/quorum/status.go
+++ b/core/quorum/status.go
@@ -18,6 +18,8 @@
 	Joined      bool
 	Fenced      bool
 	Members     []MemberStatus
+	// Size is the number of voters that the group is meant to have.
+	Size int
 }
 
 // MemberStatus is one member with its replication progress, as the leader knows it; HeardAgo is -1 if this replica has
@@ -98,7 +100,7 @@
 func (r *Replica) Report(now core.Millis) Status {
 	s := Status{
 		Role: r.role, Term: r.vote.Term, Leader: r.leader, Commit: r.commit, Applied: r.applied,
-		LastIndex: r.log.lastIndex(), Incarnation: r.vote.Incarnation, Joined: r.joined, Fenced: r.fenced,
+		LastIndex: r.log.lastIndex(), Incarnation: r.vote.Incarnation, Joined: r.joined, Fenced: r.fenced, Size: r.size,
 	}
 	for _, member := range r.members {
 		s.Members = append(s.Members, r.memberStatus(now, member))
