--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -24,6 +24,8 @@
 	// callerSpacing is the time between the returns of callers of successive priorities to a service whose
 	// endpoints all asked for no requests.
 	callerSpacing = 200 * core.Millisecond
+	// maxSpacedPriority is the rank beyond which callers return no later.
+	maxSpacedPriority = 50
 )
 
 // Notice is what an answer of an endpoint says about the endpoint itself.
@@ -209,6 +211,6 @@
 		return core.Refuse(core.NoUpstream, core.RanNo, "no endpoint of service %q can be used: %d listed", r.Service, len(s.endpoints))
 	}
 	refusal := core.Refuse(core.Overloaded, core.RanNo, "all endpoints of service %q asked for no or few requests, the first takes one in %s", r.Service, earliest-now)
-	refusal.RetryAfter = earliest - now + core.Millis(r.Priority)*callerSpacing + core.Millis(t.Rand.Int64N(int64(callerSpacing)))
+	refusal.RetryAfter = earliest - now + core.Millis(min(max(0, r.Priority), maxSpacedPriority))*callerSpacing + core.Millis(t.Rand.Int64N(int64(callerSpacing)))
 	return refusal
 }
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -56,7 +56,7 @@
 		h.customer = customer
 	}
 	_, _ = fmt.Sscanf(text, "Reached=%d Counted=%t Version=%d Attempts=%d", &h.reached, &h.counted, &h.version, &h.attempts)
-	h.reached, h.attempts = max(0, h.reached), max(1, h.attempts)
+	h.reached, h.attempts = min(max(0, h.reached), mostAttempts), min(max(1, h.attempts), mostAttempts)
 	return h
 }
 
@@ -97,7 +97,7 @@
 	h := handover{reached: t.reached, counted: t.counted || t.reached > 0, version: record.Version, attempts: t.attemptsForHelper(), customer: t.exchange.identity.name()}
 	t.inFlight++
 	t.reached += h.attempts
-	go func() { t.results <- t.sendHandover(ctx, helper.Name, h) }()
+	go func() { t.deliver(t.sendHandover(ctx, helper.Name, h)) }()
 	return true, nil
 }
 
--- a/io/entry/retry.go
+++ b/io/entry/retry.go
@@ -41,9 +41,12 @@
 	return core.Millis(max(hedgeServiceTimes*float64(usual), hedgeDeadlineShare*float64(t.deadline-t.server.Now())))
 }
 
+// mostAttempts is more endpoints than a request reaches within any timeout; a route may allow more.
+const mostAttempts = 1 << 20
+
 // maxAttempts returns the number of endpoints that the route lets run the request.
 func (t *attempts) maxAttempts() int {
-	return max(1, t.route.MaxAttempts)
+	return min(max(1, t.route.MaxAttempts), mostAttempts)
 }
 
 // mayReach returns how many attempts may reach endpoints, those of other entry hosts included: what the route allows, and no
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -177,7 +177,9 @@
 	record      *RequestRecord
 	pickRequest pick.Request
 	results     chan attemptResult
-	inFlight    int
+	// ended is closed when the request has its reply; results that come later are dropped.
+	ended    chan struct{}
+	inFlight int
 	// reached counts the attempts that endpoints may have run, and those in flight; an entry host that the request was handed
 	// over to counts for all attempts that it was allowed.
 	reached int
@@ -198,7 +200,8 @@
 func (s *Server) runAttempts(ctx context.Context, x *exchange, route *routes.Route, regions []string, deadline core.Millis, record *RequestRecord) *reply {
 	service := route.Choose(rand.Float64())
 	record.Service = service
-	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult, max(1, route.MaxAttempts)+maxHandovers)}
+	t := &attempts{server: s, exchange: x, route: route, deadline: deadline, record: record, results: make(chan attemptResult), ended: make(chan struct{})}
+	defer close(t.ended)
 	t.pickRequest = pick.Request{Service: service, Regions: regions, Objective: route.Objective, Priority: x.identity.priority(route)}
 	if route.Affinity && x.object != "" {
 		t.pickRequest.Object = route.Prefix + x.object
@@ -278,10 +281,19 @@
 	t.inFlight++
 	t.reached++
 	extra := s.customerHeader(t.exchange)
-	go func() { t.results <- t.send(ctx, choice, extra) }()
+	go func() { t.deliver(t.send(ctx, choice, extra)) }()
 	return nil
 }
 
+// deliver hands over the result of an attempt, unless the request has its reply already.
+func (t *attempts) deliver(result attemptResult) {
+	select {
+	case t.results <- result:
+	case <-t.ended:
+		result.result.Discard()
+	}
+}
+
 // send sends the request, with extra headers, to the chosen endpoint and reports the outcome to the endpoint table.
 func (t *attempts) send(ctx context.Context, choice pick.Choice, extra map[string]string) attemptResult {
 	s, e := t.server, choice.Endpoint
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -19,7 +19,9 @@
 
 // Timeouts and sizes of callers' connections. The limits in the routes' document override the defaults.
 const (
-	defaultHeaderBytes    = 16 << 10
+	defaultHeaderBytes = 16 << 10
+	// maxHeaderBytes bounds what a document may allow; all of a header is held in memory.
+	maxHeaderBytes        = 4 << 20
 	defaultBodyBytes      = 64 << 20
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
@@ -216,6 +218,7 @@
 	if limits.HeaderBytes <= 0 {
 		limits.HeaderBytes = defaultHeaderBytes
 	}
+	limits.HeaderBytes = min(limits.HeaderBytes, maxHeaderBytes)
 	if limits.BodyBytes <= 0 {
 		limits.BodyBytes = defaultBodyBytes
 	}
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -97,6 +97,14 @@
 	Reused bool
 }
 
+// Discard closes the rest of an answer that is not passed on.
+func (r Result) Discard() {
+	if r.Answer != nil && r.Answer.Rest != nil {
+		// An error of Close could not be handled by anyone.
+		_ = r.Answer.Rest.Close()
+	}
+}
+
 // hopHeaders are the headers that apply to a single connection, and others that are not forwarded as they came.
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
--- a/io/proto/proto.go
+++ b/io/proto/proto.go
@@ -100,19 +100,22 @@
 	return report
 }
 
-// ParseDeadline parses a deadline such as 250ms, or a whole number of milliseconds; empty text gives 0.
+// maxDeadline bounds what a caller may name, so that sums with it stay in range.
+const maxDeadline = 24 * core.Hour
+
+// ParseDeadline parses a deadline such as 250ms, or a whole number of milliseconds, at most 24 hours; empty text gives 0.
 func ParseDeadline(text string) (core.Millis, error) {
 	if text == "" {
 		return 0, nil
 	}
 	if number, err := strconv.ParseInt(text, 10, 64); err == nil && number > 0 {
-		return core.Millis(number), nil
+		return min(core.Millis(number), maxDeadline), nil
 	}
 	var m core.Millis
 	if err := m.UnmarshalText([]byte(text)); err != nil || m <= 0 {
 		return 0, fmt.Errorf("header %s: %q is not a positive length of time, such as 250ms", Deadline, text)
 	}
-	return m, nil
+	return min(m, maxDeadline), nil
 }
 
 // maxLoad is more requests than an endpoint has.
