--- a/core/edits/store.go
+++ b/core/edits/store.go
@@ -61,6 +61,14 @@
 	Publish    *routes.Document
 	Evacuation *Evacuation
 	Quarantine *QuarantineChange
+	// Order identifies the operator's order behind the command; nil if it is not told.
+	Order *OrderID `cbor:",omitempty"`
+}
+
+// OrderID identifies an order that a control host accepted from an operator.
+type OrderID struct {
+	Host   string
+	Ticket uint64
 }
 
 // Checker returns why a change of the tree needs an override, or the empty string if it needs none.
@@ -79,6 +87,8 @@
 	published    Published
 	// OnOutcome is called with each edit's outcome, and again when the edit is resent.
 	OnOutcome func(outcome Outcome)
+	// OnOrder is called with each order that is applied; it may be nil.
+	OnOrder func(index uint64, id OrderID)
 	// OnAccept is called for each version that comes into force, also by Restore.
 	OnAccept func(version Version, next *tree.View)
 }
@@ -109,6 +119,9 @@
 func (s *Store) Apply(index uint64, command []byte) {
 	c, err := codec.Decode[Command](command)
 	core.Assert(err == nil, "a committed command can't be decoded: %v", err)
+	if c.Order != nil && s.OnOrder != nil {
+		s.OnOrder(index, *c.Order)
+	}
 	switch {
 	case c.Edit != nil:
 		s.apply(*c.Edit)
--- a/core/fake/simulation.go
+++ b/core/fake/simulation.go
@@ -25,6 +25,8 @@
 	// LossRate and DuplicateRate are the shares of messages that are lost and duplicated.
 	LossRate, DuplicateRate float64
 	TickInterval            core.Millis
+	// Late returns by how much a message is delayed beyond Delay, for each copy that arrives; nil delays none.
+	Late func(from, to string, message core.Message) []core.Millis
 	// OnSend is called for each message that is sent.
 	OnSend func(from, to string, message core.Message)
 	// OnEffects is called with the effects of each step; the messages in them are sent already.
@@ -130,6 +132,12 @@
 	if w.OnSend != nil {
 		w.OnSend(from, to, message)
 	}
+	if w.Late != nil {
+		for _, late := range w.Late(from, to, message) {
+			w.At(w.Now+w.Delay(from, to)+late, func() { w.deliver(from, to, message) })
+		}
+		return
+	}
 	copies := 1
 	if w.Rand.Float64() < w.DuplicateRate {
 		copies = 2
@@ -142,6 +150,20 @@
 	}
 }
 
+// RandomlyLate returns a value for Late: a share of the messages arrives late by up to the longest delay, half of them in time too.
+func (w *Simulation) RandomlyLate(share float64, longest core.Millis) func(from, to string, message core.Message) []core.Millis {
+	return func(string, string, core.Message) []core.Millis {
+		if w.Rand.Float64() >= share {
+			return []core.Millis{0}
+		}
+		late := core.Millis(w.Rand.Int64N(int64(longest)))
+		if w.Rand.IntN(2) == 0 {
+			return []core.Millis{0, late}
+		}
+		return []core.Millis{late}
+	}
+}
+
 func (w *Simulation) deliver(from, to string, message core.Message) {
 	switch {
 	case w.running[to] == nil || w.IsCut(from, to):
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -167,10 +167,11 @@
 	c.entriesNumber, c.controlsNumber = 1, 1
 	c.currentSeeds = c.Seeds
 	c.list.Process = c.Process
-	c.orders = orderTable{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}}
+	c.orders = orderTable{pending: map[uint64]*order{}, proposed: map[uint64]proposal{}, executed: map[edits.OrderID]executed{}}
 	c.pool = quota.Pool{Name: c.Name, Bounds: c.QuotaBounds, Full: c.Founding}
 	c.pool.Start(now)
 	c.store = edits.NewStore()
+	c.store.OnOrder = func(index uint64, id edits.OrderID) { c.orders.recordExecuted(c.pause.inputAt, id, index, 0) }
 	c.quorum = &quorum.Replica{
 		Self: c.Name, Rand: c.Rand, StateMachine: c.store, InitialVoters: c.Seeds, MaxVoters: maxVoters, OnRead: c.onRead,
 		OtherHosts: func() []string { return sortedNames(c.controls) },
--- /dev/null
+++ b/core/fleet/late_orders_test.go
@@ -0,0 +1,155 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/edits"
+	"clementinelock/core/fleet"
+	"clementinelock/core/routes"
+)
+
+const evacuatedZone = "r1-b"
+
+// orderAt gives a control host an evacuation's start or end, and returns whether the operator has a confirmation within a second.
+func (s *site) orderAt(name string, active bool) (confirmed bool) {
+	s.ticket++
+	ticket, over := s.ticket, false
+	s.replies[ticket] = func(r core.Reply) { confirmed, over = r.Refusal == nil, true }
+	s.Apply(name, s.controls[name].Evacuate(s.Now, ticket, edits.Evacuation{Zone: evacuatedZone, Active: active}))
+	for end := s.Now + core.Second; s.Now < end && !over; {
+		s.RunFor(10)
+	}
+	delete(s.replies, ticket)
+	return confirmed
+}
+
+// TestOrderToACutOffHost guards against an order that a cut-off control host has refused, and that reaches the leader when the cut
+// heals, after the operator has given it to another host and has taken it back there.
+func TestOrderToACutOffHost(t *testing.T) {
+	for seed := range uint64(10) {
+		for _, late := range []core.Millis{0, 300, 600, 1200, 2000, 5000} {
+			s := newSite(t, seed)
+			s.RunFor(8 * core.Second)
+			leader := s.leader()
+			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
+			cut, other := others[seed%uint64(len(others))], others[(seed+1)%uint64(len(others))]
+			if !s.orderAt(other, true) {
+				t.Fatalf("seed %d: the first order is not confirmed", seed)
+			}
+			// What the host sends waits for the end of the cut.
+			s.Late = func(from, to string, _ core.Message) []core.Millis {
+				if from == cut || to == cut {
+					return []core.Millis{late + 1500}
+				}
+				return []core.Millis{0}
+			}
+			if s.orderAt(cut, false) {
+				t.Fatalf("seed %d: an order is confirmed by a host that is cut off", seed)
+			}
+			if !s.orderAt(other, false) || !s.orderAt(other, true) {
+				t.Fatalf("seed %d: orders to a host that is not cut off are not confirmed", seed)
+			}
+			s.RunFor(core.Second)
+			s.Late = nil
+			s.RunFor(8 * core.Second)
+			for _, name := range s.upControls() {
+				if !slices.Contains(s.controls[name].Dump(s.Now).Evacuated, evacuatedZone) {
+					t.Fatalf("seed %d, %s late: %s holds the zone as not evacuated, although the latest order that was confirmed starts the evacuation", seed, late, name)
+				}
+			}
+		}
+	}
+}
+
+// TestLateOrders guards against any message of an order that comes late, twice or behind newer ones, also across changes of the
+// leader and restarts: between two orders the state is that of the latest one confirmed, and a given order counts once.
+func TestLateOrders(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSite(t, 900+seed)
+			s.RunFor(8 * core.Second)
+			s.Late = func(_, _ string, m core.Message) []core.Millis {
+				switch m.(type) {
+				case *fleet.Order, *fleet.OrderAnswer:
+				default:
+					return []core.Millis{0}
+				}
+				var copies []core.Millis
+				for range 1 + s.Rand.IntN(3) {
+					late := core.Millis(0)
+					if s.Rand.IntN(2) == 0 {
+						late = core.Millis(s.Rand.IntN(5000))
+					}
+					copies = append(copies, late)
+				}
+				return copies
+			}
+			active := false
+			for turn := range 30 {
+				active = !active
+				if s.Rand.IntN(4) == 0 {
+					name := s.anyHost("control", 6)
+					if s.Rand.IntN(2) == 0 && s.leader() != "" {
+						name = s.leader()
+					}
+					s.restartAfter(name, true, 1500)
+				}
+				confirmed := false
+				for range 8 {
+					up := s.upControls()
+					if confirmed = s.orderAt(up[s.Rand.IntN(len(up))], active); confirmed {
+						break
+					}
+				}
+				if !confirmed {
+					t.Fatalf("order %d is not confirmed within 8 s", turn)
+				}
+				if s.Rand.IntN(3) == 0 {
+					continue
+				}
+				s.RunFor(core.Millis(s.Rand.IntN(6000)))
+				leader := s.leader()
+				if leader == "" {
+					continue
+				}
+				if got := slices.Contains(s.controls[leader].Dump(s.Now).Evacuated, evacuatedZone); got != active {
+					t.Fatalf("after order %d was confirmed the zone is evacuated: %t, expected %t", turn, got, active)
+				}
+			}
+			s.RunFor(6 * core.Second)
+			for _, name := range s.upControls() {
+				if got := slices.Contains(s.controls[name].Dump(s.Now).Evacuated, evacuatedZone); got != active {
+					t.Errorf("in the end the zone is evacuated at %s: %t, expected %t", name, got, active)
+				}
+			}
+		})
+	}
+}
+
+// TestLateMessages plays random faults while any message may come late by up to 5 s, twice or behind newer ones: in the end all that was
+// confirmed must hold.
+func TestLateMessages(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSite(t, 1200+seed)
+			s.RunFor(500)
+			s.publish()
+			s.RunFor(7500)
+			for range 3 {
+				s.Late = s.RandomlyLate(0.05, 5*core.Second)
+				for range 12 {
+					faults[s.Rand.IntN(len(faults))].inject(s)
+					s.publish()
+					s.RunFor(core.Millis(s.Rand.IntN(1500)))
+					s.read(1, func(routes.Document) {})
+				}
+				s.Late = nil
+				s.RunFor(5 * core.Second)
+				s.settle()
+			}
+		})
+	}
+}
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -176,6 +176,10 @@
 	Evacuation *edits.Evacuation
 	// Read asks for the index up to which a host must have applied the log to return the newest state.
 	Read bool
+	// AcceptedAt is when the operator gave the order, no later than it was by the clock of the leader of Term; a Term of 0 means that
+	// it is not told.
+	Term       uint64      `cbor:",omitempty"`
+	AcceptedAt core.Millis `cbor:",omitempty"`
 }
 
 // OrderAnswer is the leader's answer. Done is set once the order is committed; for a Read, Index is the one to
--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+
 	"clementinelock/core"
 	"clementinelock/core/codec"
 	"clementinelock/core/edits"
@@ -37,6 +39,25 @@
 	pending  map[uint64]*order
 	proposed map[uint64]proposal
 	lastID   uint64
+	// executed holds the index of each order that was proposed or applied lately, by its identity.
+	executed map[edits.OrderID]executed
+}
+
+// executed is an order in the log. Until it is applied, term is that of the leader that has appended it: a later one may have
+// replaced the record.
+type executed struct {
+	index uint64
+	term  uint64
+	at    core.Millis
+}
+
+// executedRetention is longer than an order is accepted for.
+const executedRetention = 10 * core.Second
+
+// recordExecuted records that an order is in the log, and forgets old ones; term is 0 once it is applied.
+func (t *orderTable) recordExecuted(now core.Millis, id edits.OrderID, index, term uint64) {
+	t.executed[id] = executed{index: index, term: term, at: now}
+	maps.DeleteFunc(t.executed, func(_ edits.OrderID, e executed) bool { return now-e.at > executedRetention })
 }
 
 // Publish accepts a document from an operator; the reply carries the ticket.
@@ -79,18 +100,53 @@
 		return
 	}
 	message := o.Order
+	if at, ok := c.quorum.LeaderTime(now); ok {
+		message.Term, message.AcceptedAt = c.quorum.Term(), at-(now-o.acceptedAt())
+	}
 	out.Send(leader, &message)
 }
 
-// onOrder executes an order as the leader.
+// acceptedAt returns when the operator gave the order.
+func (o *order) acceptedAt() core.Millis {
+	return o.deadline - orderTimeout
+}
+
+// Abandon drops an order whose operator has disconnected, so that it is not sent to a leader any more.
+func (c *Control) Abandon(now core.Millis, ticket uint64) core.Effects {
+	return c.step(now, func(*core.Effects) { delete(c.orders.pending, ticket) })
+}
+
+// isLate reports whether the host that accepted the order has refused it meanwhile: the operator then gives it to another host,
+// and may have taken it back there. An order for an earlier leader is sent again to this one.
+func (c *Control) isLate(now core.Millis, from string, m *Order, out *core.Effects) bool {
+	switch {
+	case m.Term == 0:
+		return false
+	case m.Term != c.quorum.Term():
+		return true
+	case now-m.AcceptedAt > orderTimeout:
+		out.Logf("order", "Dropped an order that %s accepted %s ago, longer than %s.", from, now-m.AcceptedAt, orderTimeout)
+		return true
+	}
+	return false
+}
+
+// onOrder executes an order as the leader, once: an order that comes again is answered by its record in the log. A leader waits until it
+// knows all orders that were committed before it; the order is then sent again.
 func (c *Control) onOrder(now core.Millis, from string, m *Order, out *core.Effects) {
-	if !c.quorum.IsLeader() {
+	if !c.quorum.IsLeader() || !m.Read && !c.quorum.IsEstablished() || c.isLate(now, from, m, out) {
 		return
 	}
 	c.orders.lastID++
 	id := c.orders.lastID
 	p := proposal{from: from, ticket: m.Ticket, term: c.quorum.Term()}
+	identity := edits.OrderID{Host: from, Ticket: m.Ticket}
+	before, known := c.orders.executed[identity]
 	switch {
+	case known && (before.term == 0 || before.term == p.term):
+		p.index = before.index
+		c.orders.proposed[id] = p
+		return
 	case m.Read:
 		p.read = true
 		c.orders.proposed[id] = p
@@ -103,7 +159,7 @@
 		c.answerOrder(now, p, &OrderAnswer{Ticket: m.Ticket, Done: true}, out)
 		return
 	}
-	command := edits.Command{Publish: m.Publish}
+	command := edits.Command{Publish: m.Publish, Order: &identity}
 	if m.Evacuation != nil {
 		command.Evacuation = &edits.Evacuation{Zone: m.Evacuation.Zone, Active: m.Evacuation.Active, At: now}
 	}
@@ -113,6 +169,7 @@
 	}
 	p.index = index
 	c.orders.proposed[id] = p
+	c.orders.recordExecuted(now, identity, index, p.term)
 }
 
 // onRead completes the leader's part of a read.
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -36,6 +36,8 @@
 	Records   []core.Record
 	Commit    uint64
 	Round     uint64
+	// SentAt is the leader's time at which it sent the message; 0 means that it is not told.
+	SentAt core.Millis `cbor:",omitempty"`
 }
 
 // AppendResponse reports how far the follower's log matches; Hint is the index to go back to if it does not.
--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -270,7 +270,7 @@
 
 func (g *group) repairAll() {
 	g.Heal()
-	g.LossRate, g.DuplicateRate = 0, 0
+	g.LossRate, g.DuplicateRate, g.Late = 0, 0, nil
 	for _, name := range g.names {
 		g.Freeze(name, false)
 		if !g.Up(name) {
@@ -282,6 +282,11 @@
 func runGroup(t testing.TB, seed uint64) {
 	g := newGroup(t, seed, 3+2*int(seed%2))
 	g.LossRate, g.DuplicateRate = 0.02*float64(seed%3), 0.02
+	g.playFaults(seed)
+}
+
+// playFaults plays random faults among commands and reads, and checks what is left of them.
+func (g *group) playFaults(seed uint64) {
 	for range 150 {
 		g.RunFor(core.Millis(g.Rand.IntN(200)))
 		switch g.Rand.IntN(3) {
@@ -371,6 +376,20 @@
 	}
 }
 
+// TestLateMessages guards against messages that take effect late by up to 5 s, twice or behind newer ones.
+func TestLateMessages(t *testing.T) {
+	for part := range uint64(8) {
+		t.Run(strconv.FormatUint(part, 10), func(t *testing.T) {
+			t.Parallel()
+			for seed := part + 1; seed <= seeds(120); seed += 8 {
+				g := newGroup(t, seed, 3+2*int(seed%2))
+				g.Late = g.RandomlyLate(0.1, 5*core.Second)
+				g.playFaults(seed)
+			}
+		})
+	}
+}
+
 // TestReplicaRestart checks whether a restarted replica joins again or is fenced, by the state of its disk and the
 // loss or delay of its messages.
 func TestReplicaRestart(t *testing.T) {
--- a/core/quorum/read.go
+++ b/core/quorum/read.go
@@ -12,7 +12,7 @@
 	r.reads = append(r.reads, pendingRead{ticket, r.commit, r.round})
 	for _, member := range r.members.voters() {
 		if p := r.peers[memberKey(member)]; p != nil && r.log.termAt(p.match) != 0 {
-			r.sendAppend(member, p.match, nil, out)
+			r.sendAppend(now, member, p.match, nil, out)
 		}
 	}
 	r.confirmReads(now, out)
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -112,6 +112,7 @@
 	synced          uint64
 	leader          string
 	leaderContactAt core.Millis
+	leaderTime      leaderTime
 	electionAt      core.Millis
 	heartbeatAt     core.Millis
 	granted         map[string]bool
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -73,15 +73,15 @@
 		r.sendInstall(now, member, p, out)
 		return
 	}
-	r.sendAppend(member, p.match, nil, out)
+	r.sendAppend(now, member, p.match, nil, out)
 }
 
-func (r *Replica) sendAppend(member Member, prev uint64, records []core.Record, out *core.Effects) {
+func (r *Replica) sendAppend(now core.Millis, member Member, prev uint64, records []core.Record, out *core.Effects) {
 	header := r.header(member.Name)
 	header.ToIncarnation = member.Incarnation
 	out.Send(member.Name, &Append{
 		Header: header, PrevIndex: prev, PrevTerm: r.log.termAt(prev),
-		Records: records, Commit: r.commit, Round: r.round,
+		Records: records, Commit: r.commit, Round: r.round, SentAt: now,
 	})
 }
 
@@ -91,7 +91,7 @@
 		return
 	}
 	records := r.log.recordsFrom(p.next, maxAppendBytes)
-	r.sendAppend(member, p.next-1, records, out)
+	r.sendAppend(now, member, p.next-1, records, out)
 	p.next += uint64(len(records))
 	p.lastProgress = now
 }
@@ -103,6 +103,7 @@
 		return
 	}
 	r.followLeader(now, from, m.Term, out)
+	r.leaderTime.record(now, m.Term, m.SentAt)
 	switch {
 	case m.PrevIndex < r.log.snapshot.Index:
 		answer.Matches, answer.Match = true, r.log.snapshot.Index
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -276,15 +276,21 @@
 // submit passes an operator's request to the state machine and waits for the reply.
 func (c *Control) submit(ctx context.Context, request func(now core.Millis, ticket uint64) core.Effects) core.Reply {
 	reply := make(chan core.Reply, 1)
+	var ticket uint64
 	c.step(func(now core.Millis) core.Effects {
 		c.lastTicket++
-		c.replies[c.lastTicket] = reply
-		return request(now, c.lastTicket)
+		ticket = c.lastTicket
+		c.replies[ticket] = reply
+		return request(now, ticket)
 	})
 	select {
 	case r := <-reply:
 		return r
 	case <-ctx.Done():
+		c.step(func(now core.Millis) core.Effects {
+			delete(c.replies, ticket)
+			return c.machine.Abandon(now, ticket)
+		})
 		return core.Reply{Refusal: core.Refuse(core.NoLeader, core.RanUnknown, "the operator disconnected before the reply")}
 	}
 }
