Answers that are not passed on are closed

Cause: an answer over 256 KB hands its connection to its reader, and five places dropped such an answer unread: requests behind the last answer of a connection, requests read after the writer's end, failures that are tried again, answers that come as the context ends, and answers to health checks (by reading).

Change: whoever drops an answer closes it.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -163,7 +163,7 @@
 	select {
 	case c.queue <- x:
 	case <-c.writerDone:
-		c.exchangeDone()
+		go c.abandon(x)
 	}
 	return true
 }
@@ -328,11 +328,12 @@
 	}
 }
 
+// abandon drops a request whose answer is not written; the rest of a long one is closed.
 func (c *conn) abandon(x *exchange) {
 	if x.precedingWritten != nil {
 		// The context has ended, so the request is not started.
 		close(x.precedingWritten)
 	}
-	<-x.reply
+	discard(<-x.reply)
 	c.exchangeDone()
 }
--- a/io/entry/reach.go
+++ b/io/entry/reach.go
@@ -141,6 +141,7 @@
 	group.Wait()
 	round := reach.Round{Began: began, Probed: len(results)}
 	for _, result := range results {
+		result.Discard()
 		switch {
 		case result.Ending == pool.Answered || result.Ending == pool.Spoiled:
 			round.Reached++
--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -55,9 +55,7 @@
 }
 
 func discard(r *reply) {
-	if r.answer != nil && r.answer.Rest != nil {
-		_ = r.answer.Rest.Close()
-	}
+	pool.Result{Answer: r.answer}.Discard()
 }
 
 // write appends texts; the writer keeps the first error until Flush.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -344,7 +344,11 @@
 			t.hedge(ctx)
 		case attempt := <-t.results:
 			t.inFlight--
-			if r := t.handleResult(ctx, attempt); r != nil {
+			r := t.handleResult(ctx, attempt)
+			if r == nil || r.answer != attempt.result.Answer {
+				attempt.result.Discard()
+			}
+			if r != nil {
 				return r
 			}
 		}
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -142,6 +142,8 @@
 		return <-e.result
 	}
 	c.close()
+	// An answer may come at this moment.
+	go func() { (<-e.result).Discard() }()
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return Result{Ending: Silent, Detail: "no answer before the deadline"}
 	}
