--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -64,7 +64,8 @@
 	reply   chan *reply
 	// precedingWritten is closed when all preceding answers are written.
 	precedingWritten chan struct{}
-	// bodyRead is closed when a streamed body has been read or abandoned; nil without one.
+	// rest is the part of a long body that is streamed, and bodyRead is closed when it has been read or abandoned; nil without one.
+	rest     *bodyRemainder
 	bodyRead chan struct{}
 }
 
@@ -127,7 +128,8 @@
 			return
 		}
 		go c.serve(x)
-		if x.bodyRead != nil {
+		if x.rest != nil {
+			x.rest.transfer()
 			<-x.bodyRead
 		}
 		if x.closes {
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -63,7 +63,8 @@
 		return x, nil
 	}
 	x.bodyRead = make(chan struct{})
-	x.request.Rest = &bodyRemainder{conn: c, body: request.Body, remaining: maxBody - int64(len(body))}
+	x.rest = newBodyRemainder(c, request.Body, maxBody-int64(len(body)))
+	x.request.Rest = x.rest
 	return x, nil
 }
 
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -62,8 +62,8 @@
 		record.From = record.Caller
 	}
 	r := s.handle(c.ctx, x, &record)
-	if x.bodyRead != nil {
-		if rest, ok := x.request.Rest.(*bodyRemainder); ok && !rest.complete {
+	if x.rest != nil {
+		if !x.rest.abandon() {
 			// The end of the body was not reached, so the next request can't be told from the rest of it.
 			r.close, x.closes = true, true
 		}
