Test of replaced control hosts beyond the nine that vote: red

A new control host that does not vote hears only of the entry hosts that report to its seeds, so that its look-ups name too few.

--- a/core/fleet/replace_test.go
+++ b/core/fleet/replace_test.go
@@ -131,6 +131,21 @@
 	}
 }
 
+// TestReplacedControlHostsBeyondTheGroup plays the same with more control hosts than may vote. It guards against look-ups of a new host
+// that name too few entry hosts: one that is no voter hears only of those that report to its seeds.
+func TestReplacedControlHostsBeyondTheGroup(t *testing.T) {
+	for _, c := range []replacement{
+		{name: "one at a time", hosts: 12, count: 1, interval: 5 * core.Second},
+		{name: "two at a time", hosts: 14, count: 2, interval: 7 * core.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				replaceHosts(t, 300+seed, c)
+			}
+		})
+	}
+}
+
 // TestReplacedControlHostsAtRandom plays the same with random patterns; FLEET_SEEDS sets how many, FLEET_SEED the first.
 func TestReplacedControlHostsAtRandom(t *testing.T) {
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 30)
