Removal of silent members: one function a reason

Read again: RemoveSilent classified and decided in one loop, and looked for an announced stop only at the longest silent voter, so that another one's had to wait for the first to be removed. Learners, replaced voters and lost ones have a function each now. A failure of TestStopTakesOnlyWhatItCanFinish prints what both hosts recorded of the request.

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -117,7 +117,7 @@
 }
 
 // isLate reports whether the host that accepted the order has refused it meanwhile: the operator then gives it to another host,
-// and may have taken it back there. An order for an earlier leader is sent again to this one.
+// and may have taken it back there. An order that was stamped for another term is sent again with a new stamp.
 func (c *Control) isLate(now core.Millis, from string, m *Order, out *core.Effects) bool {
 	switch {
 	case m.Term == 0:
@@ -131,10 +131,13 @@
 	return false
 }
 
-// onOrder executes an order as the leader, once: an order that comes again is answered by its record in the log. A leader waits until it
-// knows all orders that were committed before it; the order is then sent again.
+// onOrder executes an order as the leader, once: an order that comes again is answered by its record in the log.
 func (c *Control) onOrder(now core.Millis, from string, m *Order, out *core.Effects) {
-	if !c.quorum.IsLeader() || !m.Read && !c.quorum.IsEstablished() || c.isLate(now, from, m, out) {
+	if !c.quorum.IsLeader() || c.isLate(now, from, m, out) {
+		return
+	}
+	if !m.Read && !c.quorum.IsEstablished() {
+		// An order that was committed before this leadership may not be known yet. The sender sends its own again.
 		return
 	}
 	c.orders.lastID++
--- a/core/quorum/size.go
+++ b/core/quorum/size.go
@@ -4,8 +4,12 @@
 	"clementinelock/core"
 )
 
-// silentElections is the number of elections after which a member that the leader does not hear counts as silent.
-const silentElections = 3
+const (
+	// silentElections is the number of elections after which a member that the leader does not hear counts as silent.
+	silentElections = 3
+	// minHeardVoters is the number of voters that must be heard for one to be removed without a successor.
+	minHeardVoters = 3
+)
 
 // The size of a group is the number of voters that it is meant to have. It grows when all voters are heard, so that a host that
 // joins in place of a lost one doesn't raise it: as long as there are more voters than that, the silent ones among them have
@@ -69,42 +73,66 @@
 	return heard < r.MaxVoters
 }
 
-// RemoveSilent removes one silent member, if this replica leads and the group can do without it: a learner; the longest silent
-// voter of more voters than the group is meant to have, since another host has joined in its place; and without
-// a replacement a voter that was silent for lostAfter, or has announced its stop, if the group could then lose another
-// one at once, or all others are heard. A removed host that was merely cut off joins again.
+// RemoveSilent removes one silent member, if this replica leads and the group can do without it. A removed host that was merely
+// cut off joins again.
 func (r *Replica) RemoveSilent(now, lostAfter core.Millis, out *core.Effects) {
 	if r.role != Leader || !r.membershipSettled() {
 		return
 	}
-	var silent Member
-	heard, voters, longest, lost := 0, 0, r.Timing.MaxElectionTimeout, false
+	member, ok := r.silentLearner(now)
+	if !ok {
+		member, ok = r.replacedVoter(now)
+	}
+	if !ok {
+		member, ok = r.lostVoter(now, lostAfter)
+	}
+	if !ok {
+		return
+	}
+	out.Logf("quorum", "Removing member %s, not heard for %s; %d of %d voters.", member.Name, r.silence(now, member), len(r.members.voters()), r.size)
+	r.appendMembers(now, r.members.without(member.Name, member.Incarnation), out)
+}
+
+// silentLearner returns a learner that is silent. It has no vote, and joins again if it comes back.
+func (r *Replica) silentLearner(now core.Millis) (Member, bool) {
 	for _, member := range r.members {
-		silence := r.silence(now, member)
-		if !member.Voter {
-			if silence > r.silentTimeout() {
-				r.removeSilent(now, member, out)
-				return
-			}
-			continue
+		if !member.Voter && r.silence(now, member) > r.silentTimeout() {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// replacedVoter returns the longest silent voter if there are more voters than the group is meant to have: a host has joined in
+// place of a silent one.
+func (r *Replica) replacedVoter(now core.Millis) (replaced Member, ok bool) {
+	longest := r.Timing.MaxElectionTimeout
+	voters := r.members.voters()
+	if len(voters) <= r.size {
+		return Member{}, false
+	}
+	for _, member := range voters {
+		if silence := r.silence(now, member); silence > longest {
+			replaced, longest, ok = member, silence, true
 		}
-		voters++
+	}
+	return replaced, ok
+}
+
+// lostVoter returns a voter that nobody has replaced and that was silent for lostAfter, or has announced its stop, if the group can
+// spare it: all others are heard, or one more than a majority.
+func (r *Replica) lostVoter(now, lostAfter core.Millis) (lost Member, ok bool) {
+	voters, heard := r.members.voters(), 0
+	for _, member := range voters {
 		if r.hears(now, member, r.Timing.MaxElectionTimeout) {
 			heard++
 		}
-		if silence > longest {
-			silent, longest = member, silence
-			lost = silence > lostAfter || silence > r.silentTimeout() && r.announcedStop(member)
+		silence := r.silence(now, member)
+		if silence > lostAfter || silence > r.silentTimeout() && r.announcedStop(member) {
+			lost, ok = member, true
 		}
 	}
-	if silent.Name == "" {
-		return
-	}
-	replaced := voters > r.size
-	spared := heard >= 3 && (heard == voters-1 || heard > r.members.majority())
-	if replaced || lost && spared {
-		r.removeSilent(now, silent, out)
-	}
+	return lost, ok && heard >= minHeardVoters && (heard == len(voters)-1 || heard > r.members.majority())
 }
 
 // announcedStop reports whether the member has announced a stop, and has not answered from a later start.
@@ -113,8 +141,3 @@
 	p := r.peers[memberKey(member)]
 	return announced && (p == nil || !p.answered || p.nonce == nonce)
 }
-
-func (r *Replica) removeSilent(now core.Millis, member Member, out *core.Effects) {
-	out.Logf("quorum", "Removing member %s, not heard for %s; %d members, %d voters meant.", member.Name, r.silence(now, member), len(r.members), r.size)
-	r.appendMembers(now, r.members.without(member.Name, member.Incarnation), out)
-}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -160,6 +160,18 @@
 	return h
 }
 
+// recordOf returns the record of the request if there is one.
+func (h *host) recordOf(id string) (found entry.RequestRecord) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, a := range h.records {
+		if a.RequestID == id {
+			found = a
+		}
+	}
+	return found
+}
+
 // record returns the record of the request; it waits, since the answer is written before OnRequest is called.
 func (h *host) record(t *testing.T, id string) entry.RequestRecord {
 	t.Helper()
--- a/io/entry/stop_time_test.go
+++ b/io/entry/stop_time_test.go
@@ -197,7 +197,7 @@
 				s.t.Errorf("request %s was refused as not run, and has run", id)
 			}
 		case status != http.StatusOK:
-			s.t.Errorf("request %s got status %d", id, status)
+			s.t.Errorf("request %s got status %d: %+v; at the host that stops: %+v", id, status, s.ingress.recordOf(id), s.stopping.recordOf(id))
 		}
 	}
 	s.t.Logf("%d served, %d refused, %d without an answer", served, refused, len(s.unanswered))
