Orders are tested with clocks that differ

An order is stamped by an estimate of the leader's clock, but all hosts of the tests had one clock, so that a host's own time would have done as well. TestOrderToACutOffHost and TestLateOrders now give each control host a clock of its own, half an hour apart at most; with the own time in place of the estimate both fail, as it is they pass.

--- a/core/fleet/late_orders_test.go
+++ b/core/fleet/late_orders_test.go
@@ -18,7 +18,7 @@
 	s.ticket++
 	ticket, over := s.ticket, false
 	s.replies[ticket] = func(r core.Reply) { confirmed, over = r.Refusal == nil, true }
-	s.Apply(name, s.controls[name].Evacuate(s.Now, ticket, edits.Evacuation{Zone: evacuatedZone, Active: active}))
+	s.Apply(name, s.controls[name].Evacuate(s.clock(name), ticket, edits.Evacuation{Zone: evacuatedZone, Active: active}))
 	for end := s.Now + core.Second; s.Now < end && !over; {
 		s.RunFor(10)
 	}
@@ -26,12 +26,21 @@
 	return confirmed
 }
 
+// setClocks lets the clocks of control hosts differ by up to half an hour, as the clocks of processes do that count from some moment
+// of their own.
+func (s *site) setClocks() {
+	for i := range 6 {
+		s.clocks[fmt.Sprintf("control-%d", i)] = core.Millis(s.Rand.Int64N(int64(core.Hour))) - 30*core.Minute
+	}
+}
+
 // TestOrderToACutOffHost guards against an order that a cut-off control host has refused, and that reaches the leader when the cut
 // heals, after the operator has given it to another host and has taken it back there.
 func TestOrderToACutOffHost(t *testing.T) {
 	for seed := range uint64(10) {
 		for _, late := range []core.Millis{0, 300, 600, 1200, 2000, 5000} {
 			s := newSite(t, seed)
+			s.setClocks()
 			s.RunFor(8 * core.Second)
 			leader := s.leader()
 			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
@@ -56,7 +65,7 @@
 			s.Late = nil
 			s.RunFor(8 * core.Second)
 			for _, name := range s.upControls() {
-				if !slices.Contains(s.controls[name].Dump(s.Now).Evacuated, evacuatedZone) {
+				if !slices.Contains(s.controls[name].Dump(s.clock(name)).Evacuated, evacuatedZone) {
 					t.Fatalf("seed %d, %s late: %s holds the zone as not evacuated, although the latest order that was confirmed starts the evacuation", seed, late, name)
 				}
 			}
@@ -70,6 +79,7 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSite(t, 900+seed)
+			s.setClocks()
 			s.RunFor(8 * core.Second)
 			s.Late = func(_, _ string, m core.Message) []core.Millis {
 				switch m.(type) {
@@ -115,13 +125,13 @@
 				if leader == "" {
 					continue
 				}
-				if got := slices.Contains(s.controls[leader].Dump(s.Now).Evacuated, evacuatedZone); got != active {
+				if got := slices.Contains(s.controls[leader].Dump(s.clock(leader)).Evacuated, evacuatedZone); got != active {
 					t.Fatalf("after order %d was confirmed the zone is evacuated: %t, expected %t", turn, got, active)
 				}
 			}
 			s.RunFor(6 * core.Second)
 			for _, name := range s.upControls() {
-				if got := slices.Contains(s.controls[name].Dump(s.Now).Evacuated, evacuatedZone); got != active {
+				if got := slices.Contains(s.controls[name].Dump(s.clock(name)).Evacuated, evacuatedZone); got != active {
 					t.Errorf("in the end the zone is evacuated at %s: %t, expected %t", name, got, active)
 				}
 			}
--- a/core/fleet/replace_test.go
+++ b/core/fleet/replace_test.go
@@ -86,7 +86,7 @@
 func (s *site) voters() []string {
 	var names []string
 	if leader := s.leader(); leader != "" {
-		for _, member := range s.controls[leader].Dump(s.Now).Quorum.Members {
+		for _, member := range s.controls[leader].Dump(s.clock(leader)).Quorum.Members {
 			if member.Voter {
 				names = append(names, member.Name)
 			}
@@ -194,7 +194,7 @@
 			if c.planned {
 				names = append(names, s.addControl(zone))
 				s.At(s.Now+2*core.Second, func() {
-					s.Apply(victim, s.controls[victim].Stop(s.Now))
+					s.Apply(victim, s.controls[victim].Stop(s.clock(victim)))
 					s.At(s.Now+100, func() { s.removeHost(victim) })
 				})
 				continue
--- a/core/fleet/search_test.go
+++ b/core/fleet/search_test.go
@@ -20,7 +20,7 @@
 // leader returns the control host that leads, or an empty name.
 func (s *site) leader() string {
 	for _, name := range s.upControls() {
-		if s.controls[name].Dump(s.Now).Quorum.Role == quorum.Leader {
+		if s.controls[name].Dump(s.clock(name)).Quorum.Role == quorum.Leader {
 			return name
 		}
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -37,6 +37,8 @@
 	published   uint64
 	evacuated   map[string]bool
 	unconfirmed map[string]bool
+	// clocks holds by how much the clocks of control hosts are ahead of the simulation's; the others show its time.
+	clocks map[string]core.Millis
 	// OnControl is called with each control host before its start; it may be nil.
 	OnControl func(c *fleet.Control)
 	// OnEntry returns the process that runs an entry host; nil runs the host by itself.
@@ -78,7 +80,7 @@
 func newSiteIn(t testing.TB, seed uint64, controls, entries []string) *site {
 	s := &site{
 		Simulation: fake.NewSimulation(seed), t: t, zones: map[string]string{}, disks: map[string]*fake.Disk{}, controls: map[string]*fleet.Control{},
-		full: map[string]bool{}, gone: map[string]bool{}, entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
+		full: map[string]bool{}, gone: map[string]bool{}, clocks: map[string]core.Millis{}, entries: map[string]*entryHost{}, replies: map[uint64]func(core.Reply){}, evacuated: map[string]bool{}, unconfirmed: map[string]bool{},
 	}
 	s.TickInterval = fleet.ControlTickInterval
 	s.Delay = func(from, to string) core.Millis {
@@ -122,12 +124,31 @@
 	if s.OnControl != nil {
 		s.OnControl(c)
 	}
-	effects, err := c.Start(s.Now, s.disks[name].Stored)
+	effects, err := c.Start(s.clock(name), s.disks[name].Stored)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.Apply(name, effects)
-	s.Start(name, c)
+	s.Start(name, clocked{c, s.clocks[name]})
+}
+
+// clock returns the time that a host's clock shows.
+func (s *site) clock(name string) core.Millis {
+	return s.Now + s.clocks[name]
+}
+
+// clocked is a process whose clock is ahead of the simulation's.
+type clocked struct {
+	fake.Process
+	ahead core.Millis
+}
+
+func (c clocked) Tick(now core.Millis) core.Effects {
+	return c.Process.Tick(now + c.ahead)
+}
+
+func (c clocked) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	return c.Process.Receive(now+c.ahead, from, message)
 }
 
 func (s *site) startEntry(name string) {
@@ -153,11 +174,11 @@
 		disk.Queue(e.Writes...)
 		s.At(s.Now+1+core.Millis(s.Rand.IntN(20)), func() { s.sync(host, c, disk, last) })
 	}
-	if c != nil && s.Up(host) && c.ListReadDue(s.Now) {
-		asked, entries := s.Now, slices.Clone(s.list)
+	if c != nil && s.Up(host) && c.ListReadDue(s.clock(host)) {
+		asked, entries := s.clock(host), slices.Clone(s.list)
 		s.At(s.Now+5, func() {
 			if s.controls[host] == c && s.Up(host) {
-				s.Apply(host, c.SetList(s.Now, asked, entries, 1))
+				s.Apply(host, c.SetList(s.clock(host), asked, entries, 1))
 			}
 		})
 	}
@@ -177,7 +198,7 @@
 		s.At(s.Now+50, func() { s.sync(host, c, disk, last) })
 	default:
 		disk.Sync(last)
-		s.Apply(host, c.Synced(s.Now, last))
+		s.Apply(host, c.Synced(s.clock(host), last))
 	}
 }
 
@@ -273,7 +294,9 @@
 	s.published += 1 + s.Rand.Uint64N(3)
 	version := s.published
 	document := routes.Document{Version: version, Text: fmt.Appendf(nil, "version %d", version)}
-	s.sendOrder(6, func(c *fleet.Control, ticket uint64) core.Effects { return c.Publish(s.Now, ticket, document) }, func(core.Reply) {
+	s.sendOrder(6, func(c *fleet.Control, ticket uint64) core.Effects {
+		return c.Publish(s.clock(c.Name), ticket, document)
+	}, func(core.Reply) {
 		s.acked = max(s.acked, version)
 	})
 }
@@ -285,7 +308,7 @@
 	}
 	s.unconfirmed[zone] = true
 	s.sendOrder(6, func(c *fleet.Control, ticket uint64) core.Effects {
-		return c.Evacuate(s.Now, ticket, edits.Evacuation{Zone: zone, Active: active})
+		return c.Evacuate(s.clock(c.Name), ticket, edits.Evacuation{Zone: zone, Active: active})
 	}, func(core.Reply) {
 		s.evacuated[zone], s.unconfirmed[zone] = active, false
 	})
@@ -295,7 +318,7 @@
 // confirmed before.
 func (s *site) read(tries int, check func(routes.Document)) {
 	minVersion := s.acked
-	s.sendOrder(tries, func(c *fleet.Control, ticket uint64) core.Effects { return c.Read(s.Now, ticket) }, func(r core.Reply) {
+	s.sendOrder(tries, func(c *fleet.Control, ticket uint64) core.Effects { return c.Read(s.clock(c.Name), ticket) }, func(r core.Reply) {
 		document := r.Body.(*fleet.OrderResult).Document
 		if document.Version < minVersion {
 			s.t.Fatalf("a read returned version %d after version %d was confirmed", document.Version, minVersion)
