--- a/core/fleet/full_disk_test.go
+++ b/core/fleet/full_disk_test.go
@@ -79,14 +79,5 @@
 
 // cutOffFor cuts the host whose disk is full off from all others for some time.
 func cutOffFor(length core.Millis) func(s *site, full, other string) {
-	return func(s *site, full, _ string) {
-		var others []string
-		for name := range s.zones {
-			if name != full {
-				others = append(others, name)
-			}
-		}
-		s.Isolate(full, others, true)
-		s.At(s.Now+length, s.Heal)
-	}
+	return func(s *site, full, _ string) { cutFor(length)(s, full) }
 }
--- a/core/fleet/replace_test.go
+++ b/core/fleet/replace_test.go
@@ -34,6 +34,7 @@
 	return names[0]
 }
 
+// cutFor, freezeFor and fullFor disturb a host for some time.
 func cutFor(length core.Millis) func(s *site, other string) {
 	return func(s *site, other string) {
 		var others []string
--- a/io/entry/early_test.go
+++ b/io/entry/early_test.go
@@ -16,6 +16,7 @@
 	"clementinelock/core/pick"
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
+	"clementinelock/io/stand"
 )
 
 // TestUploadsThatEndEarly guards against two readers of one caller's connection, which end the process: a streamed body whose request ends
@@ -115,31 +116,21 @@
 // startEarlyEndpoint starts an endpoint that reads 150 KB of a body and then ends the request.
 func startEarlyEndpoint(t *testing.T, end func(conn net.Conn, id string)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, stop, err := stand.Serve(func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if request.Method == http.MethodPost {
+			_, _ = io.CopyN(io.Discard, request.Body, 150<<10)
+		}
+		end(conn, request.Header.Get("Id"))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if request.Method == http.MethodPost {
-					_, _ = io.CopyN(io.Discard, request.Body, 150<<10)
-				}
-				end(conn, request.Header.Get("Id"))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(stop)
+	return address
 }
 
 // addEndpoint adds an endpoint with many slots to the host's list.
--- a/io/fetch/cut_head_test.go
+++ b/io/fetch/cut_head_test.go
@@ -13,6 +13,7 @@
 	"clementinelock/core"
 	"clementinelock/io/fetch"
 	"clementinelock/io/proto"
+	"clementinelock/io/stand"
 )
 
 // TestHeadCutAtEachByte guards against an answer that ends in the middle of its head, or of what tells its end, and is taken for
@@ -27,11 +28,6 @@
 	} {
 		for _, returnsID := range []bool{false, true} {
 			t.Run(fmt.Sprint(c.name, ", returns the id ", returnsID), func(t *testing.T) {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = listener.Close() }()
 				const idBytes = 16
 				text := func(id string) string {
 					head := "HTTP/1.1 200 OK\r\n" + c.header
@@ -41,37 +37,31 @@
 					return head + "\r\n" + c.body
 				}
 				cut := 0
-				go func() {
-					for {
-						conn, err := listener.Accept()
+				address, stop, err := stand.Serve(func(conn net.Conn) {
+					for reader := bufio.NewReader(conn); ; {
+						request, err := http.ReadRequest(reader)
 						if err != nil {
 							return
 						}
-						go func() {
-							defer func() { _ = conn.Close() }()
-							reader := bufio.NewReader(conn)
-							for {
-								request, err := http.ReadRequest(reader)
-								if err != nil {
-									return
-								}
-								_, _ = io.Copy(io.Discard, request.Body)
-								whole := text(request.Header.Get(proto.RequestID))
-								if request.URL.Path == "/cut" {
-									_, _ = io.WriteString(conn, whole[:cut])
-									return
-								}
-								_, _ = io.WriteString(conn, whole)
-								if strings.HasPrefix(c.header, "Connection") {
-									return
-								}
-							}
-						}()
+						_, _ = io.Copy(io.Discard, request.Body)
+						whole := text(request.Header.Get(proto.RequestID))
+						if request.URL.Path == "/cut" {
+							_, _ = io.WriteString(conn, whole[:cut])
+							return
+						}
+						_, _ = io.WriteString(conn, whole)
+						if strings.HasPrefix(c.header, "Connection") {
+							return
+						}
 					}
-				}()
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer stop()
 				client := fetch.New(4)
 				read := func(target string) error {
-					attempt, end := client.Start(context.Background(), &fetch.Request{Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}, Idempotent: true}, listener.Addr().String(), core.Second, false)
+					attempt, end := client.Start(context.Background(), &fetch.Request{Method: http.MethodGet, Target: target, Host: "h", Header: http.Header{}, Idempotent: true}, address, core.Second, false)
 					if end != nil {
 						return fmt.Errorf("ending %v: %s", end.Ending, end.Detail)
 					}
