A new control host learns of the others that its seeds hear

What callers saw: with more control hosts than may vote, look-ups at a new one named 0 or 1 entry hosts where two are due, 11 s after its start.

Cause: control hosts send shares to their seeds, the voters and those that they hear. A new host that is no voter is known to its seeds only, so that it hears of the entry hosts that report to these and of no others.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -36,6 +36,8 @@
 	// entryTimeout is three report intervals: look-ups must not name a host for longer than 6 s after its end.
 	entryTimeout   = 2500 * core.Millisecond
 	controlTimeout = 4 * core.Second
+	// maxNamedControls bounds the control hosts that others name.
+	maxNamedControls = 256
 	// leaderTimeout is several heartbeat intervals; entry hosts then switch to another control host.
 	leaderTimeout = 1200 * core.Millisecond
 	resendTimeout = 400 * core.Millisecond
@@ -69,6 +71,8 @@
 	store    *edits.Store
 	entries  map[string]*entryState
 	controls map[string]*controlState
+	// namedControls holds when another control host named one that this host does not hear.
+	namedControls map[string]core.Millis
 	// entriesNumber numbers the changes of the entry hosts that report here.
 	entriesNumber uint64
 	// peaks holds the largest number of entry hosts of each availability zone; peaksHeard is set once another control
@@ -162,6 +166,7 @@
 	out := &core.Effects{}
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
+	c.namedControls = map[string]core.Millis{}
 	c.peaks, c.startedAt = map[string]peak{}, now
 	c.pause = newPause(now)
 	c.entriesNumber, c.controlsNumber = 1, 1
