Control hosts name others from six seconds after their start

While a deployment of 290 entry hosts and nine control hosts started, links between regions carried the list four to eleven times as often as before (TestManyHostsStart: 243,024 entries, at most 86,652 expected).

Cause: entry hosts whose control host hears no leader ask two others at random among those that they know, and go to one that hears a leader wherever it is. With the control hosts of naming each other at once, they knew all nine at 1.25 s in place of four, and found one in another region more often.

Change: a control host names those that it hears only from 6 s after its start on.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -36,6 +36,10 @@
 	// entryTimeout is three report intervals: look-ups must not name a host for longer than 6 s after its end.
 	entryTimeout   = 2500 * core.Millisecond
 	controlTimeout = 4 * core.Second
+	// namingDelay is the time from its start after which a control host names others. While a deployment starts, entry hosts look
+	// for one that hears a leader among those that they know: among many these are more often in another region, and each that is
+	// found there sends the whole list.
+	namingDelay = 6 * core.Second
 	// maxNamedControls bounds the control hosts that others name.
 	maxNamedControls = 256
 	// leaderTimeout is several heartbeat intervals; entry hosts then switch to another control host.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -188,7 +188,9 @@
 	}
 	if s.Full {
 		s.Peaks = c.zonePeaks(now)
-		s.Controls = sortedNames(c.controls)
+		if now-c.startedAt > namingDelay {
+			s.Controls = sortedNames(c.controls)
+		}
 		for _, entry := range sortedNames(c.entries) {
 			s.Entries = append(s.Entries, c.entries[entry].EntryHost)
 		}
