An older report or share of a process changes nothing

A look-up could name an entry host that had stopped, or leave out one that had become ready, and a host that had returned to a control host could get no updates until its next report, whenever the network delivered a message behind a newer one of the same process.

Cause: reports and shares were ordered by the sender's process alone. The announcement that a host reports elsewhere had no time, and the state of a host that was not ready was dropped with it, so that nothing was left that an older report could be compared with.

The state of a host that left before it was ready is kept until it would time out, and neither listed nor shared.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -151,6 +151,8 @@
 	ControlHost
 	heardAt core.Millis
 	process uint64
+	// sentAt is when the latest share was sent, by the sender's clock.
+	sentAt core.Millis
 	// entriesNumber is the other host's number of entries; 0 when entries is outdated.
 	entriesNumber uint64
 	entries       []EntryHost
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -318,7 +318,7 @@
 		e.retryAt[e.currentControl] = now + controlRetryDelay
 	}
 	out.Logf("control", "Now reporting to %s, which %s, instead of %s.", from, reason, e.currentControl)
-	out.Send(e.currentControl, &Report{EntryHost: e.EntryHost, Left: true})
+	out.Send(e.currentControl, &Report{EntryHost: e.EntryHost, Left: true, SentAt: now})
 	e.currentControl, e.leaderless = from, false
 	e.heardAt, e.reportAt = now, now
 }
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -14,11 +14,11 @@
 		return
 	}
 	e := c.entries[from]
-	if e != nil && e.Process > m.Process {
+	if e != nil && (e.Process > m.Process || e.Process == m.Process && isOlder(m.SentAt, e.SentAt)) {
 		return
 	}
 	if m.Left {
-		c.onLeft(now, e, out)
+		c.onLeft(now, e, m, out)
 		return
 	}
 	if e == nil {
@@ -26,7 +26,7 @@
 		c.entries[from] = e
 		out.Logf("entries", "Entry host %s now reports here.", from)
 	}
-	changed, cutChanged := e.EntryHost != m.EntryHost, e.Cut != m.Cut
+	changed, cutChanged := e.EntryHost != m.EntryHost || e.outdated(), e.Cut != m.Cut
 	if e.Process != m.Process {
 		e.sentVersion, e.sentListNumber = 0, 0
 		e.firstAt = now
@@ -46,20 +46,32 @@
 	c.sendUpdate(now, e, out)
 }
 
+// isOlder reports whether a message that a process sent at one time is older than one that it sent at another, by its clock. A time
+// of 0, of older builds, is not known.
+func isOlder(sentAt, latest core.Millis) bool {
+	return sentAt != 0 && sentAt < latest
+}
+
 // onLeft stops updates to an entry host that reports elsewhere. A ready one stays listed for callers until the
-// other control host has announced it. One that is not ready is removed, since its old entry would hide that it
-// has become ready.
-func (c *Control) onLeft(now core.Millis, e *entryState, out *core.Effects) {
+// other control host has announced it. What is known here of one that was not ready is kept only against older reports.
+func (c *Control) onLeft(now core.Millis, e *entryState, m *Report, out *core.Effects) {
 	if e == nil {
 		return
 	}
-	e.Left = true
+	e.Left, e.SentAt = true, m.SentAt
 	if !e.Ready {
-		c.removeEntry(e, out)
+		out.Logf("entries", "Entry host %s, which is not ready, reports to another control host.", e.Name)
+		c.entriesNumber++
+		c.readyCached = false
 		c.shareAt = min(c.shareAt, now+shareBatchDelay)
 	}
 }
 
+// outdated reports whether the state would hide that the entry host has become ready elsewhere.
+func (e *entryState) outdated() bool {
+	return e.Left && !e.Ready
+}
+
 // removeEntry removes an entry host that no longer reports here.
 func (c *Control) removeEntry(e *entryState, out *core.Effects) {
 	delete(c.entries, e.Name)
@@ -167,7 +179,7 @@
 }
 
 func (c *Control) sendShare(now core.Millis, name string, out *core.Effects) {
-	s := &Share{ControlHost: c.ControlHost, Process: c.Process, Number: c.entriesNumber, Loads: c.zoneLoads()}
+	s := &Share{ControlHost: c.ControlHost, Process: c.Process, SentAt: now, Number: c.entriesNumber, Loads: c.zoneLoads()}
 	s.Crashes, s.Served = c.relay.Reports(now)
 	s.Ended = c.relay.Ended(now)
 	if other := c.controls[name]; other != nil {
@@ -192,7 +204,9 @@
 			s.Controls = sortedNames(c.controls)
 		}
 		for _, entry := range sortedNames(c.entries) {
-			s.Entries = append(s.Entries, c.entries[entry].EntryHost)
+			if e := c.entries[entry]; !e.outdated() {
+				s.Entries = append(s.Entries, e.EntryHost)
+			}
 		}
 	}
 	out.Send(name, s)
@@ -205,7 +219,7 @@
 		c.controls[from] = other
 		out.Logf("controls", "Found control host %s in availability zone %s.", from, m.Zone)
 	}
-	if other.process > m.Process {
+	if other.process > m.Process || other.process == m.Process && isOlder(m.SentAt, other.sentAt) {
 		return
 	}
 	if other.process != m.Process {
@@ -215,7 +229,7 @@
 	if other.ControlHost != m.ControlHost {
 		c.controlsNumber++
 	}
-	other.ControlHost, other.heardAt, other.loads = m.ControlHost, now, m.Loads
+	other.ControlHost, other.heardAt, other.sentAt, other.loads = m.ControlHost, now, m.SentAt, m.Loads
 	c.recordNamed(now, m.Controls)
 	c.applyPeaks(now, m.Peaks)
 	c.applyReports(now, m, out)
@@ -296,7 +310,9 @@
 		}
 	}
 	for _, e := range c.entries {
-		take(e.EntryHost)
+		if !e.outdated() {
+			take(e.EntryHost)
+		}
 	}
 	for _, other := range c.controls {
 		for _, e := range other.entries {
