A control host without a majority refuses orders at once

Cause: an accepted order waits 0.9 s for a leader, whether one can be elected or not.

Change: a host that hears no leader and, for 1.2 s, no majority by shares refuses orders at once, and those that it has sent to no leader as soon as that is so; an order that was sent still waits until the leader would drop it. A host that started less than 4 s ago waits as before, and so does one that hears a majority, which may elect a leader.

--- a/core/fleet/late_orders_test.go
+++ b/core/fleet/late_orders_test.go
@@ -73,6 +73,52 @@
 	}
 }
 
+// TestOrderToAHostWithoutAMajority guards against orders that wait at a control host that can't have them confirmed, a former leader or
+// not: the operator could give them to another one meanwhile. While a leader is elected they wait for it.
+func TestOrderToAHostWithoutAMajority(t *testing.T) {
+	for seed := range uint64(20) {
+		for _, cutLeader := range []bool{false, true} {
+			s := newSite(t, seed)
+			s.setClocks()
+			s.RunFor(8 * core.Second)
+			leader := s.leader()
+			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
+			cut, other := others[seed%uint64(len(others))], others[(seed+1)%uint64(len(others))]
+			if cutLeader {
+				cut = leader
+			}
+			rest := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == cut })
+			s.Isolate(cut, rest, true)
+			s.RunFor(2*core.Second + core.Millis(seed)*100)
+			start := s.Now
+			if s.orderAt(cut, true) {
+				t.Fatalf("seed %d: an order is confirmed by a host that is cut off", seed)
+			}
+			if took := s.Now - start; took > 100 {
+				t.Errorf("seed %d, leader %v: a host without a majority refused an order after %s, expected at once", seed, cutLeader, took)
+			}
+			if !s.orderAt(other, true) {
+				t.Errorf("seed %d, leader %v: a host that is not cut off did not confirm the order", seed, cutLeader)
+			}
+			s.Isolate(cut, rest, false)
+			s.RunFor(4 * core.Second)
+			if !s.orderAt(cut, false) {
+				t.Errorf("seed %d, leader %v: the host did not confirm an order after the cut", seed, cutLeader)
+			}
+
+			// The leader ends: others elect one, and an order that comes meanwhile is not refused before its time.
+			leader = s.leader()
+			s.crash(leader, false)
+			s.RunFor(core.Millis(100 * (seed % 15)))
+			asked := s.upControls()[seed%uint64(len(s.upControls()))]
+			start = s.Now
+			if !s.orderAt(asked, true) && s.Now-start < 800 {
+				t.Errorf("seed %d: during the election an order was refused after %s", seed, s.Now-start)
+			}
+		}
+	}
+}
+
 // TestLateOrders guards against any message of an order that comes late, twice or behind newer ones, also across changes of the
 // leader and restarts: between two orders the state is that of the latest one confirmed, and a given order counts once.
 func TestLateOrders(t *testing.T) {
--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -13,6 +13,8 @@
 	// orderTimeout is below the second after which an operator's call goes to another host.
 	orderTimeout       = 900 * core.Millisecond
 	orderRetryInterval = 300 * core.Millisecond
+	// majorityTimeout is longer than the time between two shares.
+	majorityTimeout = shareInterval + 200*core.Millisecond
 )
 
 // order is an operator's request that this host accepted.
@@ -83,11 +85,30 @@
 			out.Reply(o.Ticket, core.Refuse(core.NoLeader, core.RanNo, "this host was paused until %s ago", now-c.pause.orderEndedAt), nil)
 			return
 		}
+		if c.cutOff(now) {
+			c.refuseCutOff(o.Ticket, out)
+			return
+		}
 		c.orders.pending[o.Ticket] = &order{Order: o, deadline: now + orderTimeout}
 		c.sendOrder(now, c.orders.pending[o.Ticket], out)
 	})
 }
 
+// cutOff reports whether this host can't get an order confirmed: it hears no leader and, for longer than their shares take, no majority
+// of the voters that could elect one. A host that has just started has not heard them yet.
+func (c *Control) cutOff(now core.Millis) bool {
+	if c.leaderHeard(now) || now-c.startedAt < controlTimeout {
+		return false
+	}
+	age := c.majorityAge(now)
+	return age == 0 || age > majorityTimeout
+}
+
+// refuseCutOff refuses an order that was not sent to any leader, so that the operator can give it to another host at once.
+func (c *Control) refuseCutOff(ticket uint64, out *core.Effects) {
+	out.Reply(ticket, core.Refuse(core.NoLeader, core.RanNo, "this host hears neither a leader nor a majority of the control hosts"), nil)
+}
+
 // sendOrder sends an order to the leader, which may be this host.
 func (c *Control) sendOrder(now core.Millis, o *order, out *core.Effects) {
 	leader := c.quorum.LeaderName()
@@ -234,6 +255,11 @@
 			out.Reply(ticket, core.Refuse(core.NoLeader, core.RanUnknown, "no leader confirmed it within %s", orderTimeout), nil)
 			continue
 		}
+		if o.sentTo == "" && c.cutOff(now) {
+			delete(c.orders.pending, ticket)
+			c.refuseCutOff(ticket, out)
+			continue
+		}
 		if o.sentTo != c.quorum.LeaderName() || now-o.sentAt >= orderRetryInterval {
 			c.sendOrder(now, o, out)
 		}
