Control hosts beyond the nine that vote follow as learners

Cause: checked the bound of nine where a host is added, so that hosts beyond it were no members and no leader talked to them. Before, the bound was checked when a host was first heard, and all that started together became voters, 27 in that fleet; only late hosts were left out.

Ruled out: the refusal at once by hosts without a majority (the log has the refusals after 0.9 s).

Change: hosts beyond nine are added as learners, which hold the log, hear the leader and forward orders; a learner becomes a voter while fewer than nine are heard, so that one takes the place of a lost voter. A learner that hears a leader no longer announces itself five times a second.

The tests of core/quorum and TestReplaced* pass.

--- a/core/fleet/replace_test.go
+++ b/core/fleet/replace_test.go
@@ -133,7 +133,7 @@
 }
 
 // TestReplacedControlHostsBeyondTheGroup plays the same with more control hosts than may vote. It guards against look-ups of a new host
-// that name too few entry hosts: one that is no voter hears only of those that report to its seeds.
+// that name too few entry hosts: one that is no member hears only of those that report to its seeds.
 func TestReplacedControlHostsBeyondTheGroup(t *testing.T) {
 	for _, c := range []replacement{
 		{name: "one at a time", hosts: 12, count: 1, interval: 5 * core.Second},
@@ -147,6 +147,59 @@
 	}
 }
 
+// TestControlHostsBeyondTheVoters starts more control hosts than may vote. It guards against hosts that no leader talks to: orders given
+// to them are not confirmed, and their entry hosts hear of no change.
+func TestControlHostsBeyondTheVoters(t *testing.T) {
+	const voters = 9
+	for _, hosts := range []int{9, 10, 14, 27} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d hosts/%d", hosts, seed), func(t *testing.T) {
+				var zones []string
+				for i := range hosts {
+					zones = append(zones, controlZones[i%len(controlZones)])
+				}
+				s := newSiteIn(t, seed, zones, entryZones)
+				s.RunFor(10 * core.Second)
+				s.expectAllUsable(t, "after the start", voters)
+				// A voter ends for good. It is removed after 15 s at the latest, and one of the others votes in its place.
+				s.removeHost(s.voters()[s.Rand.IntN(voters)])
+				s.RunFor(18 * core.Second)
+				s.expectAllUsable(t, "after the loss of a voter", min(voters, hosts-1))
+				// A host that was cut off for longer than it stays a member comes back.
+				names := s.upControls()
+				cutFor(20*core.Second)(s, names[s.Rand.IntN(len(names))])
+				s.RunFor(24 * core.Second)
+				s.expectAllUsable(t, "after a cut", min(voters, hosts-1))
+			})
+		}
+	}
+}
+
+// expectAllUsable checks that as many hosts vote as expected, and that each control host hears a leader, confirms an order and
+// holds what the others confirmed.
+func (s *site) expectAllUsable(t *testing.T, when string, voters int) {
+	t.Helper()
+	if got := s.voters(); len(got) != voters {
+		t.Fatalf("%s: %d hosts vote, expected %d: %v", when, len(got), voters, got)
+	}
+	for i, name := range s.upControls() {
+		if !s.controls[name].Dump(s.clock(name)).LeaderHeard {
+			t.Errorf("%s: %s hears no leader", when, name)
+		}
+		if !s.orderAt(name, i%2 == 0) {
+			t.Errorf("%s: %s does not confirm an order", when, name)
+		}
+	}
+	s.RunFor(core.Second)
+	leader := s.leader()
+	index := s.controls[leader].Dump(s.clock(leader)).Index
+	for _, name := range s.upControls() {
+		if got := s.controls[name].Dump(s.clock(name)).Index; got != index {
+			t.Errorf("%s: %s holds index %d, expected %d", when, name, got, index)
+		}
+	}
+}
+
 // TestReplacedControlHostsAtRandom plays the same with random patterns; FLEET_SEEDS sets how many, FLEET_SEED the first.
 func TestReplacedControlHostsAtRandom(t *testing.T) {
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 30)
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -161,8 +161,8 @@
 	return r.membersIndex <= r.commit && r.log.termAt(r.commit) == r.vote.Term
 }
 
-// updateMembership promotes one caught-up learner to a voter in place of its host's former incarnation, or else adds
-// one joining host as a learner, or else raises the size of a group that has grown.
+// updateMembership promotes one caught-up learner to a voter, if there is room, in place of its host's former incarnation, or else
+// adds one joining host as a learner, or else raises the size of a group that has grown.
 func (r *Replica) updateMembership(now core.Millis, out *core.Effects) {
 	if !r.membershipSettled() {
 		return
@@ -172,6 +172,9 @@
 		if member.Voter || p == nil || now-p.lastContact > r.Timing.MinElectionTimeout || p.match+maxPromotionLag < r.log.lastIndex() || p.match < r.membersIndex {
 			continue
 		}
+		if !r.hasRoom(now, member) {
+			continue
+		}
 		r.appendMembers(now, r.members.promote(member.Name, member.Incarnation), out)
 		out.Logf("quorum", "Promoting %s to voter.", member.Name)
 		return
@@ -198,9 +201,6 @@
 		if _, already := r.members.findIncarnation(name, join.incarnation); already || now-join.lastContact > r.Timing.MaxElectionTimeout {
 			continue
 		}
-		if _, known := r.members.find(name); !known && !r.hasRoom(now) {
-			continue
-		}
 		next := slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == name && !m.Voter })
 		next = append(next, Member{Name: name, Incarnation: join.incarnation})
 		r.appendMembers(now, next, out)
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -91,7 +91,7 @@
 	// OtherHosts lists further hosts that a started replica sends its Hello to, since the leader may not be one of
 	// InitialVoters; it may be nil.
 	OtherHosts func() []string
-	// MaxVoters bounds the members that are heard; hosts beyond it don't join. 0 means no bound.
+	// MaxVoters bounds the voters that are heard; hosts beyond it follow the group as learners. 0 means no bound.
 	MaxVoters int
 	// Timing may be left zero; Start then sets it from the constants of this package.
 	Timing Timing
@@ -283,7 +283,9 @@
 		return
 	}
 	if !r.joined {
-		r.sendHello(now, helloInterval, out)
+		if !r.followsAsLearner(now) {
+			r.sendHello(now, helloInterval, out)
+		}
 		return
 	}
 	if r.role == Leader {
@@ -302,6 +304,12 @@
 	}
 }
 
+// followsAsLearner reports whether the replica is a learner that hears a leader. It has nothing to announce until it may vote.
+func (r *Replica) followsAsLearner(now core.Millis) bool {
+	me, ok := r.members.findIncarnation(r.Self, r.vote.Incarnation)
+	return ok && !me.Voter && r.SinceLeaderContact(now) <= r.Timing.MaxElectionTimeout
+}
+
 // mayBeRemoved reports whether the replica has heard no leader for so long that it may have been removed from the group: it is
 // not told, and no member answers its campaigns.
 func (r *Replica) mayBeRemoved(now core.Millis) bool {
--- a/core/quorum/size.go
+++ b/core/quorum/size.go
@@ -59,13 +59,17 @@
 	return silentElections * r.Timing.MaxElectionTimeout
 }
 
-// hasRoom reports whether another host may join. Silent members take no room, or hosts could not join in their place.
-func (r *Replica) hasRoom(now core.Millis) bool {
+// hasRoom reports whether a learner may become a voter: it replaces its host's former incarnation, or there are fewer voters than
+// MaxVoters. Silent voters take no room, or hosts could not join in their place.
+func (r *Replica) hasRoom(now core.Millis, learner Member) bool {
 	if r.MaxVoters == 0 {
 		return true
 	}
 	heard := 0
-	for _, member := range r.members {
+	for _, member := range r.members.voters() {
+		if member.Name == learner.Name {
+			return true
+		}
 		if r.silence(now, member) <= r.silentTimeout() {
 			heard++
 		}
