Control hosts no longer name others in shares

Such a host is a learner now, and members send shares to all members.

The time of a share takes the free number 19.

Evidence: TestReplacedControlHostsBeyondTheGroup, which the naming was made for, passes without it.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -36,12 +36,6 @@
 	// entryTimeout is three report intervals: look-ups must not name a host for longer than 6 s after its end.
 	entryTimeout   = 2500 * core.Millisecond
 	controlTimeout = 4 * core.Second
-	// namingDelay is the time from its start after which a control host names others. While a deployment starts, entry hosts look
-	// for one that hears a leader among those that they know: among many these are more often in another region, and each that is
-	// found there sends the whole list.
-	namingDelay = 6 * core.Second
-	// maxNamedControls bounds the control hosts that others name.
-	maxNamedControls = 256
 	// leaderTimeout is several heartbeat intervals; entry hosts then switch to another control host.
 	leaderTimeout = 1200 * core.Millisecond
 	resendTimeout = 400 * core.Millisecond
@@ -75,8 +69,6 @@
 	store    *edits.Store
 	entries  map[string]*entryState
 	controls map[string]*controlState
-	// namedControls holds when another control host named one that this host does not hear.
-	namedControls map[string]core.Millis
 	// entriesNumber numbers the changes of the entry hosts that report here.
 	entriesNumber uint64
 	// peaks holds the largest number of entry hosts of each availability zone; peaksHeard is set once another control
@@ -172,7 +164,6 @@
 	out := &core.Effects{}
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
-	c.namedControls = map[string]core.Millis{}
 	c.peaks, c.startedAt = map[string]peak{}, now
 	c.pause = newPause(now)
 	c.entriesNumber, c.controlsNumber = 1, 1
@@ -299,7 +290,7 @@
 	return c.quorum.Fenced()
 }
 
-// allowJoin lets the leader admit a control host that is not a member yet; the replica refuses it if the group is full.
+// allowJoin lets the leader admit a control host that is not a member yet; it follows as a learner if there are enough voters.
 func (c *Control) allowJoin(name string) {
 	if c.quorum.IsLeader() {
 		// AllowJoin refuses only on a replica that does not lead.
--- a/core/fleet/messages.go
+++ b/core/fleet/messages.go
@@ -167,10 +167,8 @@
 	Crashes []crash.Report `cbor:"16,keyasint,omitempty"`
 	Served  []crash.Served `cbor:"17,keyasint,omitempty"`
 	Ended   []crash.Ended  `cbor:"18,keyasint,omitempty"`
-	// Controls names the control hosts that the sender hears, if Full is set, for a receiver that knows only some.
-	Controls []string `cbor:"19,keyasint,omitempty"`
 	// SentAt is when the share was sent, by the sender's clock; 0 means that it is not told.
-	SentAt core.Millis `cbor:"20,keyasint,omitempty"`
+	SentAt core.Millis `cbor:"19,keyasint,omitempty"`
 }
 
 // Order goes from a control host to the leader. It is a request of an operator.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -169,9 +169,6 @@
 	for name := range c.controls {
 		names[name] = true
 	}
-	for name := range c.namedControls {
-		names[name] = true
-	}
 	delete(names, c.Name)
 	for _, name := range sortedNames(names) {
 		c.sendShare(now, name, out)
@@ -200,9 +197,6 @@
 	}
 	if s.Full {
 		s.Peaks = c.zonePeaks(now)
-		if now-c.startedAt > namingDelay {
-			s.Controls = sortedNames(c.controls)
-		}
 		for _, entry := range sortedNames(c.entries) {
 			if e := c.entries[entry]; !e.outdated() {
 				s.Entries = append(s.Entries, e.EntryHost)
@@ -230,7 +224,6 @@
 		c.controlsNumber++
 	}
 	other.ControlHost, other.heardAt, other.sentAt, other.loads = m.ControlHost, now, m.SentAt, m.Loads
-	c.recordNamed(now, m.Controls)
 	c.applyPeaks(now, m.Peaks)
 	c.applyReports(now, m, out)
 	if m.Full {
@@ -258,16 +251,6 @@
 	}
 }
 
-// recordNamed records control hosts that another one hears and this one does not, so that they get shares of this host and answer
-// them. A new host knows its seeds and the voters only.
-func (c *Control) recordNamed(now core.Millis, names []string) {
-	for _, name := range names {
-		if c.controls[name] == nil && len(c.namedControls) < maxNamedControls {
-			c.namedControls[name] = now
-		}
-	}
-}
-
 // expireHosts removes hosts that have timed out.
 func (c *Control) expireHosts(now core.Millis, out *core.Effects) {
 	for _, name := range sortedNames(c.entries) {
@@ -275,11 +258,6 @@
 			c.removeEntry(e, out)
 		}
 	}
-	for name, at := range c.namedControls {
-		if c.controls[name] != nil || now-at > controlTimeout {
-			delete(c.namedControls, name)
-		}
-	}
 	for _, name := range sortedNames(c.controls) {
 		if now-c.controls[name].heardAt > controlTimeout {
 			delete(c.controls, name)
