--- a/core/fleet/late_orders_test.go
+++ b/core/fleet/late_orders_test.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// twoFollowers returns two control hosts that don't lead, others for each seed.
+func (s *site) twoFollowers(seed uint64) (first, second string) {
+	leader := s.leader()
+	names := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
+	return names[seed%uint64(len(names))], names[(seed+1)%uint64(len(names))]
+}
+
 // TestOrderToACutOffHost guards against an order that a cut-off control host has refused, and that reaches the leader when the cut
 // heals, after the operator has given it to another host and has taken it back there.
 func TestOrderToACutOffHost(t *testing.T) {
@@ -42,9 +49,7 @@
 			s := newSite(t, seed)
 			s.setClocks()
 			s.RunFor(8 * core.Second)
-			leader := s.leader()
-			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
-			cut, other := others[seed%uint64(len(others))], others[(seed+1)%uint64(len(others))]
+			cut, other := s.twoFollowers(seed)
 			if !s.orderAt(other, true) {
 				t.Fatalf("seed %d: the first order is not confirmed", seed)
 			}
@@ -82,8 +87,7 @@
 			s.setClocks()
 			s.RunFor(8 * core.Second)
 			leader := s.leader()
-			others := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == leader })
-			cut, other := others[seed%uint64(len(others))], others[(seed+1)%uint64(len(others))]
+			cut, other := s.twoFollowers(seed)
 			if cutLeader {
 				cut = leader
 			}
