Control hosts log why an order is refused and an election not won

Callers saw orders and reads refused for up to the rest of the record. The lines said only that no leader had confirmed them within 900 ms, and reads left no line at all, so that four causes look alike: a group that counts hosts which are gone, one whose majority is down for a while, a host that is not confirmed yet, and a leader that is there but slow.

Now a refusal logs what the host knows of the leader, the majority and the group; an election that is not won logs the votes, the voters and the size of the group, at most each 3 s; so does a start that the others have not confirmed. A leader logs who elected it.

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 
 	"clementinelock/core"
@@ -86,6 +87,7 @@
 			return
 		}
 		if c.cutOff(now) {
+			c.logRefused(now, "at once", out)
 			c.refuseCutOff(o.Ticket, out)
 			return
 		}
@@ -109,6 +111,14 @@
 	out.Reply(ticket, core.Refuse(core.NoLeader, core.RanNo, "this host hears neither a leader nor a majority of the control hosts"), nil)
 }
 
+// logRefused logs what this host knows of the group as it refuses an order or a read: whether a leader is there and slow, a
+// majority is missing, or this host does not vote.
+func (c *Control) logRefused(now core.Millis, when string, out *core.Effects) {
+	s := c.quorum.Report(now)
+	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q heard %s ago, a majority %s ago (0 if not at all), %d members, size %d, applied %d of %d.",
+		when, s.Role, s.Term, s.Joined, s.Leader, c.quorum.SinceLeaderContact(now), c.majorityAge(now), len(s.Members), s.Size, s.Applied, s.LastIndex)
+}
+
 // sendOrder sends an order to the leader, which may be this host.
 func (c *Control) sendOrder(now core.Millis, o *order, out *core.Effects) {
 	leader := c.quorum.LeaderName()
@@ -252,11 +262,13 @@
 	for ticket, o := range c.orders.pending {
 		if now >= o.deadline {
 			delete(c.orders.pending, ticket)
+			c.logRefused(now, fmt.Sprintf("after %s, sent to %q %s ago, index to wait for %d", orderTimeout, o.sentTo, now-o.sentAt, o.waitFor), out)
 			out.Reply(ticket, core.Refuse(core.NoLeader, core.RanUnknown, "no leader confirmed it within %s", orderTimeout), nil)
 			continue
 		}
 		if o.sentTo == "" && c.cutOff(now) {
 			delete(c.orders.pending, ticket)
+			c.logRefused(now, "while it waited", out)
 			c.refuseCutOff(ticket, out)
 			continue
 		}
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -1,6 +1,9 @@
 package quorum
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 
 	"clementinelock/core"
@@ -22,6 +25,7 @@
 	if !r.isVoter() {
 		return
 	}
+	r.logLostElection(now, out)
 	r.leader = ""
 	r.granted = map[string]bool{r.Self: true}
 	ask := VoteRequest{Pre: pre, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm(), Transfer: r.transfer}
@@ -47,6 +51,29 @@
 	r.countVotes(now, out)
 }
 
+// logLostElection logs an election that this replica has not won, at an interval, with what tells a group that has lost its
+// majority from one that counts hosts which are gone.
+func (r *Replica) logLostElection(now core.Millis, out *core.Effects) {
+	if r.role != PreCandidate && r.role != Candidate || now < r.lostElectionLogAt {
+		return
+	}
+	r.lostElectionLogAt = now + stateLogInterval
+	out.Logf("quorum", "Election as %s after term %d not won: votes of %v, %d needed; %s.", r.role, r.vote.Term, slices.Sorted(maps.Keys(r.granted)), r.members.majority(), r.describeGroup())
+}
+
+// describeGroup describes the membership that this replica knows for a log line.
+func (r *Replica) describeGroup() string {
+	var voters, learners []string
+	for _, member := range r.members {
+		if member.Voter {
+			voters = append(voters, memberKey(member))
+		} else {
+			learners = append(learners, memberKey(member))
+		}
+	}
+	return fmt.Sprintf("voters %v, size %d, learners %v", voters, r.size, learners)
+}
+
 func (r *Replica) onVoteRequest(now core.Millis, from string, m *VoteRequest, out *core.Effects) {
 	if r.leaderIsLive(now) && !m.Transfer {
 		return
@@ -121,6 +148,7 @@
 	r.updatePeers(now)
 	r.appendEntry(now, entry{Type: entryNoOp}, out)
 	out.Logf("quorum", "Became leader in term %d.", r.vote.Term)
+	out.Logf("quorum", "Elected by %v; %s.", slices.Sorted(maps.Keys(r.granted)), r.describeGroup())
 }
 
 // updatePeers adds a progress for each new member and drops those of former members.
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"maps"
 	"slices"
 
 	"clementinelock/core"
@@ -128,7 +129,7 @@
 	}
 	if m.Fenced {
 		r.fenced = true
-		out.Logf("quorum", "Fenced: the disk is older than what this replica has acknowledged.")
+		out.Logf("quorum", "Fenced: the disk is older than what this replica has acknowledged; incarnation %d, boot %d, last index %d at the start, told by %s.", r.vote.Incarnation, r.vote.Boot, r.startIndex, from)
 		return
 	}
 	if _, ok := r.members.findIncarnation(from, m.Incarnation); !ok {
@@ -155,6 +156,16 @@
 	r.resetElectionTimer(now)
 }
 
+// logNotJoined logs, at an interval, that this replica may not vote yet and who has answered it.
+func (r *Replica) logNotJoined(now core.Millis, out *core.Effects) {
+	if now < r.notJoinedLogAt {
+		return
+	}
+	r.notJoinedLogAt = now + stateLogInterval
+	out.Logf("quorum", "Not a voter yet: incarnation %d, confirmed by %v, %d needed, leader named %q; %s.",
+		r.vote.Incarnation, slices.Sorted(maps.Keys(r.joinVotes)), r.members.majority(), r.toldLeader, r.describeGroup())
+}
+
 // membershipSettled reports whether the membership may change: the previous change and a record of the leader's own term are
 // committed.
 func (r *Replica) membershipSettled() bool {
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -18,12 +18,14 @@
 	// removedHelloInterval is how often a replica announces itself again that may have been removed, after it has heard no
 	// leader for longer than the maximum election timeout.
 	removedHelloInterval = core.Second
-	resendTimeout        = 150 * core.Millisecond
-	maxAppendBytes       = 64 << 10
-	chunkBytes           = 64 << 10
-	snapshotRecords      = 1024
-	keptRecords          = 256
-	maxPromotionLag      = 16
+	// stateLogInterval is the time between two log lines on a state that lasts.
+	stateLogInterval = 3 * core.Second
+	resendTimeout    = 150 * core.Millisecond
+	maxAppendBytes   = 64 << 10
+	chunkBytes       = 64 << 10
+	snapshotRecords  = 1024
+	keptRecords      = 256
+	maxPromotionLag  = 16
 )
 
 // Timing holds the intervals that depend on the latency between replicas and on the cost of their messages.
@@ -122,6 +124,9 @@
 	joined          bool
 	joinVotes       map[string]bool
 	helloAt         core.Millis
+	// lostElectionLogAt and notJoinedLogAt are when a lost election, and a start that the others have not confirmed yet, are logged next.
+	lostElectionLogAt core.Millis
+	notJoinedLogAt    core.Millis
 	// stopping holds the nonces of the starts that have announced a planned stop, by host.
 	stopping map[string]uint64
 	// toldLeader is the leader that the latest HelloResponse named.
@@ -172,6 +177,7 @@
 	r.commitTo(now, stored.Vote.Commit, out)
 	r.resetElectionTimer(now)
 	r.leaderContactAt = now - r.Timing.MaxElectionTimeout
+	r.notJoinedLogAt = now + r.Timing.MaxElectionTimeout
 	_, isMember := r.members.findIncarnation(r.Self, r.vote.Incarnation)
 	r.newIncarnation = !isMember
 	r.checkJoined(now)
@@ -285,6 +291,7 @@
 	if !r.joined {
 		if !r.followsAsLearner(now) {
 			r.sendHello(now, helloInterval, out)
+			r.logNotJoined(now, out)
 		}
 		return
 	}
--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -321,6 +321,9 @@
 // Read returns the newest document, or a refusal if this host can't be sure which one that is.
 func (c *Control) Read(ctx context.Context) (routes.Document, *core.Refusal) {
 	r := c.submit(ctx, c.machine.Read)
+	if r.Refusal != nil {
+		c.logOrder("A read of the configuration", r.Refusal)
+	}
 	if result, ok := r.Body.(*fleet.OrderResult); ok {
 		return result.Document, r.Refusal
 	}
