A control host refuses only evacuations right after a pause

Callers saw single reads and versions of the configuration refused at once (503) at control hosts that had nothing wrong with them, on a busy machine. A host whose process had stood still for half a second refused every order for 0.3 s after it, since an order that waited through the pause may be given to another host and be taken back there meanwhile. Only an evacuation can be taken back; a read returns the newest version whenever it is done, and an older version of the configuration never replaces a newer one. A host that had just stood still could also count itself as cut off, as its word of the others was as old as the pause.

Evacuations are refused as before (TestPausedHostTakesNoOldOrders).

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -78,11 +78,12 @@
 	return c.startOrder(now, Order{Ticket: ticket, Read: true})
 }
 
-// startOrder accepts an order, unless it may have waited through a pause of this process: the operator has given such an
-// order to another host, and may have taken it back there.
+// startOrder accepts an order, unless it is an evacuation that may have waited through a pause of this process: the operator has
+// given such an order to another host, and may have taken it back there. A read, and a version of the configuration, undo nothing.
 func (c *Control) startOrder(now core.Millis, o Order) core.Effects {
 	return c.step(now, func(out *core.Effects) {
-		if c.pause.mayBeOldOrder(now) {
+		if o.Evacuation != nil && c.pause.mayBeOldOrder(now) {
+			c.logRefused(now, "right after a pause", out)
 			out.Reply(o.Ticket, core.Refuse(core.NoLeader, core.RanNo, "this host was paused until %s ago", now-c.pause.orderEndedAt), nil)
 			return
 		}
@@ -97,9 +98,9 @@
 }
 
 // cutOff reports whether this host can't get an order confirmed: it hears no leader and, for longer than their shares take, no majority
-// of the voters that could elect one. A host that has just started has not heard them yet.
+// of the voters that could elect one. A host that has just started, or that stood still until a moment ago, has not heard them yet.
 func (c *Control) cutOff(now core.Millis) bool {
-	if c.leaderHeard(now) || now-c.startedAt < controlTimeout {
+	if c.leaderHeard(now) || now-c.startedAt < controlTimeout || now-c.pause.endedAt < majorityTimeout {
 		return false
 	}
 	age := c.majorityAge(now)
--- /dev/null
+++ b/core/fleet/reads_test.go
@@ -0,0 +1,92 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"clementinelock/core"
+	"clementinelock/core/fleet"
+	"clementinelock/core/routes"
+)
+
+// askAt gives a control host a request of an operator, and returns how long the answer took; ok is false if it was refused or did
+// not come within a second.
+func (s *site) askAt(name string, request func(c *fleet.Control, ticket uint64) core.Effects) (took core.Millis, ok bool) {
+	s.ticket++
+	ticket, over, start := s.ticket, false, s.Now
+	s.replies[ticket] = func(r core.Reply) { ok, over = r.Refusal == nil, true }
+	s.Apply(name, request(s.controls[name], ticket))
+	for end := s.Now + core.Second; s.Now < end && !over; {
+		s.RunFor(10)
+	}
+	delete(s.replies, ticket)
+	return s.Now - start, ok
+}
+
+// readAt reads the configuration at a control host.
+func (s *site) readAt(name string) (took core.Millis, ok bool) {
+	return s.askAt(name, func(c *fleet.Control, ticket uint64) core.Effects { return c.Read(s.clock(name), ticket) })
+}
+
+// publishAt gives a control host the next version.
+func (s *site) publishAt(name string) (took core.Millis, ok bool) {
+	s.published++
+	document := routes.Document{Version: s.published, Text: fmt.Appendf(nil, "version %d", s.published)}
+	took, ok = s.askAt(name, func(c *fleet.Control, ticket uint64) core.Effects { return c.Publish(s.clock(name), ticket, document) })
+	if ok {
+		s.acked = document.Version
+	}
+	return took, ok
+}
+
+// pauseAll lets control hosts stand still for some time, and runs on for up to a tenth of a second.
+func (s *site) pauseAll(names []string, length core.Millis) {
+	for _, each := range names {
+		s.Freeze(each, true)
+	}
+	s.RunFor(length)
+	for _, each := range names {
+		s.Freeze(each, false)
+	}
+	s.RunFor(core.Millis(10 * s.Rand.IntN(10)))
+}
+
+// TestReadRightAfterAPause guards against reads and configurations that are refused because the control host has just stood still, as a
+// process does on a busy machine: unlike an evacuation neither can undo what the operator has given to another host meanwhile.
+func TestReadRightAfterAPause(t *testing.T) {
+	for _, c := range []struct {
+		length core.Millis
+		// leader and all let the leader and all hosts at once stand still too. That must not be longer than the minimum election
+		// timeout less a heartbeat, or a leader is elected meanwhile.
+		leader, all bool
+	}{{600, true, true}, {800, false, false}} {
+		for seed := range uint64(10) {
+			s := newSite(t, seed)
+			s.RunFor(8 * core.Second)
+			s.publishAt(s.leader())
+			up := s.upControls()
+			groups := [][]string{}
+			for _, name := range up {
+				if c.leader || name != s.leader() {
+					groups = append(groups, []string{name})
+				}
+			}
+			if c.all {
+				groups = append(groups, up)
+			}
+			for turn, paused := range groups {
+				asked := paused[turn%len(paused)]
+				s.pauseAll(paused, c.length)
+				if took, ok := s.readAt(asked); !ok {
+					t.Errorf("seed %d: %s refused a read after %s, right after a pause of %s", seed, asked, took, c.length)
+				}
+				s.RunFor(2 * core.Second)
+				s.pauseAll(paused, c.length)
+				if took, ok := s.publishAt(asked); !ok {
+					t.Errorf("seed %d: %s refused a configuration after %s, right after a pause of %s", seed, asked, took, c.length)
+				}
+				s.RunFor(2 * core.Second)
+			}
+		}
+	}
+}
