Reads and the leadership don't wait for slow disks

Callers saw reads refused (503) after 0.9 s at every control host, and the leader deposed, while nothing was cut or down: followers answered the leader's heartbeats only once all their writes were on disk, and each advance of the commit index is such a write. With syncs that take a second or more no round of heartbeats is answered in time.

A heartbeat is answered at once now, and the answer tells no more than what is synced. That a replica follows the leader's term needs no disk: a vote is sent only once it is on disk, and a replica that restarts asks a majority for their terms before it votes again.

--- a/core/fleet/reads_test.go
+++ b/core/fleet/reads_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+// TestReadsBesideSlowDisks guards against reads that wait for disks: a follower that answers the leader only once its writes are on
+// disk lets reads be refused, and the leader be deposed, as soon as a sync takes longer than a second.
+func TestReadsBesideSlowDisks(t *testing.T) {
+	for _, delay := range []core.Millis{500, 1000, 2000} {
+		for seed := range uint64(10) {
+			s := newSite(t, seed)
+			s.RunFor(8 * core.Second)
+			s.publishAt(s.leader())
+			leader := s.leader()
+			for turn := range 12 {
+				s.syncDelay = delay
+				s.publish()
+				s.RunFor(core.Millis(100 * s.Rand.IntN(10)))
+				asked := s.upControls()[turn%6]
+				if took, ok := s.readAt(asked); !ok {
+					t.Errorf("seed %d: %s refused a read after %s, beside syncs of %s", seed, asked, took, delay)
+				}
+			}
+			if got := s.leader(); got != leader {
+				t.Errorf("seed %d: %s leads after slow syncs in place of %q", seed, got, leader)
+			}
+		}
+	}
+}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -25,6 +25,8 @@
 	controls map[string]*fleet.Control
 	// full holds the control hosts whose disks take no bytes.
 	full map[string]bool
+	// syncDelay is added to the time that a sync takes.
+	syncDelay core.Millis
 	// gone holds the hosts that were removed for good.
 	gone    map[string]bool
 	entries map[string]*entryHost
@@ -172,7 +174,7 @@
 	if len(e.Writes) > 0 {
 		disk, last := s.disks[host], e.Writes[len(e.Writes)-1].Seq
 		disk.Queue(e.Writes...)
-		s.At(s.Now+1+core.Millis(s.Rand.IntN(20)), func() { s.sync(host, c, disk, last) })
+		s.At(s.Now+s.syncDelay+1+core.Millis(s.Rand.IntN(20)), func() { s.sync(host, c, disk, last) })
 	}
 	if c != nil && s.Up(host) && c.ListReadDue(s.clock(host)) {
 		asked, entries := s.clock(host), slices.Clone(s.list)
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -121,14 +121,26 @@
 	if answer.Matches {
 		r.commitTo(now, min(m.Commit, answer.Match), out)
 	}
-	r.respondAppend(from, m.Incarnation, answer, out)
+	if len(m.Records) > 0 {
+		r.respondAppend(from, m.Incarnation, answer, out)
+		return
+	}
+	// A heartbeat is answered at once, so that reads and the leadership don't wait for a slow disk. The answer tells no more than is
+	// synced; that this replica follows the leader's term needs no disk, since a restarted one asks a majority for theirs.
+	answer.Match = min(answer.Match, r.synced)
+	r.prepareAppendResponse(from, m.Incarnation, answer)
+	out.Send(from, answer)
 }
 
 func (r *Replica) respondAppend(to string, incarnation uint64, answer *AppendResponse, out *core.Effects) {
+	r.prepareAppendResponse(to, incarnation, answer)
+	r.sendSynced(to, answer, out)
+}
+
+func (r *Replica) prepareAppendResponse(to string, incarnation uint64, answer *AppendResponse) {
 	answer.Header = r.header(to)
 	answer.ToIncarnation = incarnation
 	answer.Boot, answer.Nonce = r.vote.Boot, r.nonce
-	r.sendSynced(to, answer, out)
 }
 
 func (r *Replica) followLeader(now core.Millis, leader string, term uint64, out *core.Effects) {
