Test that control hosts answer reads once a machine has caught up

TestReadsOnceAHostIsBack: a read at each control host 4 s after one is back that was stopped, frozen, cut off (also one way), without its disk, or as all were stopped at once and one disk was lost; for 0.5 to 20 s.

--- a/core/fleet/reads_test.go
+++ b/core/fleet/reads_test.go
@@ -115,3 +115,75 @@
 		}
 	}
 }
+
+// TestReadsOnceAHostIsBack guards against control hosts that refuse reads for longer than a machine that is back has to catch up, 4 s: one
+// that was removed meanwhile, that has lost its disk, or that was cut off, at it and at all others.
+func TestReadsOnceAHostIsBack(t *testing.T) {
+	const catchUp = 4 * core.Second
+	for _, c := range []struct {
+		name    string
+		disturb func(s *site, name string, length core.Millis)
+	}{
+		{"stopped", func(s *site, name string, length core.Millis) {
+			s.crash(name, true)
+			s.RunFor(length)
+			s.startHost(name)
+		}},
+		{"without its disk", func(s *site, name string, length core.Millis) {
+			s.replaceDisk(name)
+			s.RunFor(length)
+			s.startHost(name)
+		}},
+		{"frozen", func(s *site, name string, length core.Millis) {
+			s.Freeze(name, true)
+			s.RunFor(length)
+			s.Freeze(name, false)
+		}},
+		{"cut off", func(s *site, name string, length core.Millis) {
+			s.Isolate(name, s.upControls(), true)
+			s.RunFor(length)
+			s.Heal()
+		}},
+		{"cut off one way", func(s *site, name string, length core.Millis) {
+			for _, other := range s.upControls() {
+				s.Cut(name, other, other != name)
+			}
+			s.RunFor(length)
+			s.Heal()
+		}},
+		{"all stopped", func(s *site, name string, length core.Millis) {
+			s.replaceDisk(name)
+			for _, other := range s.upControls() {
+				s.crash(other, true)
+			}
+			s.RunFor(min(length, 3*core.Second))
+			for other := range s.disks {
+				s.startHost(other)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				s := newSite(t, 2300+seed)
+				s.RunFor(8 * core.Second)
+				s.publishAt(s.leader())
+				for _, length := range []core.Millis{500, 1500, 4 * core.Second, 20 * core.Second} {
+					name := s.anyHost("control", 6)
+					if seed%3 == 0 {
+						name = s.leader()
+					}
+					c.disturb(s, name, length)
+					s.RunFor(catchUp)
+					for _, asked := range s.upControls() {
+						if took, ok := s.readAt(asked); !ok {
+							t.Errorf("seed %d: %s refused a read after %s, 4s after %s was back from %s", seed, asked, took, name, length)
+						}
+					}
+					s.publish()
+					s.RunFor(2 * core.Second)
+				}
+				s.settle()
+			}
+		})
+	}
+}
