--- a/core/quorum/install.go
+++ b/core/quorum/install.go
@@ -37,7 +37,7 @@
 }
 
 func (r *Replica) onInstallSnapshot(now core.Millis, from string, m *InstallSnapshot, out *core.Effects) {
-	answer := &InstallSnapshotResponse{Index: m.Index}
+	answer := &InstallSnapshotResponse{Boot: r.vote.Boot, Nonce: r.nonce, Index: m.Index}
 	if m.Term >= r.vote.Term {
 		r.followLeader(now, from, m.Term, out)
 		r.receiveChunk(now, from, m, answer, out)
@@ -93,14 +93,23 @@
 		return
 	}
 	p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
-	if r.role != Leader || p == nil {
+	// A response from an earlier start does not describe what the follower holds now.
+	told := m.Nonce != 0
+	if r.role != Leader || m.Term != r.vote.Term || p == nil || told && m.Boot < p.boot {
 		return
 	}
 	p.lastContact, p.answered = now, true
+	if told {
+		p.resetForStart(m.Boot, m.Nonce)
+	}
 	member, _ := r.members.findIncarnation(from, m.Incarnation)
 	if m.Done {
-		p.match = max(p.match, m.Index)
-		p.next = p.match + 1
+		// A match is taken over only with the start that it belongs to, or it would count as acknowledged by an earlier start.
+		// The response to the records after the snapshot tells both.
+		if told {
+			p.match = max(p.match, m.Index)
+		}
+		p.next = max(p.match, m.Index) + 1
 		p.installIndex = 0
 		r.sendRecords(now, member, p, out)
 		return
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -65,6 +65,9 @@
 // InstallSnapshotResponse reports how many bytes of the snapshot the follower holds.
 type InstallSnapshotResponse struct {
 	Header
+	// Boot and Nonce identify the follower's start; older builds don't tell them.
+	Boot   uint64 `cbor:",omitempty"`
+	Nonce  uint64 `cbor:",omitempty"`
 	Index  uint64
 	Offset int
 	Done   bool
