A deposed leader does not fence a replica

What callers saw: a control host ends by itself as it comes back, though it has lost nothing. By a test only; no run of processes shows it.

Cause: a leader that was frozen or cut off, and does not know that it was deposed, compares a Hello with what the replica had acknowledged to it. If no majority had acknowledged these records, a later leader may have replaced them, and the replica's log is shorter without a loss.

Such a leader now neither confirms the disk nor fences it if the Hello tells a later term. A copy of a disk that tells a later term was made after all that the replica acknowledged in this leader's term, so that nothing is missed.

--- a/core/quorum/fenced_test.go
+++ b/core/quorum/fenced_test.go
@@ -185,3 +185,48 @@
 		}
 	}
 }
+
+// TestFormerLeaderDoesNotFence guards against a leader that was deposed without knowing it and fences a replica: a later leader has
+// replaced records that the replica had acknowledged to the former one, and no majority had.
+func TestFormerLeaderDoesNotFence(t *testing.T) {
+	for seed := range uint64(24) {
+		g := newGroup(t, seed, 5)
+		g.RunFor(3 * core.Second)
+		former, follower := g.leader(), g.follower()
+		var others []string
+		for _, name := range g.names {
+			if name != former.Self && name != follower {
+				others = append(others, name)
+			}
+		}
+		g.Isolate(former.Self, others, true)
+		g.Isolate(follower, others, true)
+		for range 8 {
+			g.propose()
+		}
+		g.RunFor(400)
+		acknowledged := g.matchOf(former, follower)
+		g.Freeze(former.Self, true)
+		g.RunFor(2500)
+		g.Isolate(follower, others, false)
+		g.RunFor(800)
+		if held := g.replicas[follower].Report(g.Now).LastIndex; held >= acknowledged {
+			t.Fatalf("seed %d: no record that the former leader knows of was replaced: %d held, %d acknowledged", seed, held, acknowledged)
+		}
+		g.crash(follower)
+		g.start(follower)
+		for _, name := range others {
+			g.Cut(name, follower, true)
+		}
+		g.RunFor(core.Millis(g.maxSyncDelay) + 30)
+		g.Freeze(former.Self, false)
+		g.RunFor(400)
+		g.Heal()
+		g.RunFor(5 * core.Second)
+		for _, name := range g.names {
+			if status := g.replicas[name].Report(g.Now); status.Fenced || !status.Joined {
+				t.Errorf("seed %d: %s has lost nothing; fenced is %t, joined %t", seed, name, status.Fenced, status.Joined)
+			}
+		}
+	}
+}
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -62,7 +62,13 @@
 	answer.Fenced = boot.supersedes(m)
 	if r.role == Leader {
 		p := r.peers[memberKey(Member{Name: from, Incarnation: m.Incarnation})]
-		answer.Fenced = answer.Fenced || p != nil && p.matchBeforeStart(m.Nonce) > m.LastIndex
+		older := p != nil && p.matchBeforeStart(m.Nonce) > m.LastIndex
+		if older && m.Term > r.vote.Term {
+			// The replica has seen a later term, in which records that it had acknowledged to this leader may have been replaced.
+			// This leader can neither confirm its disk nor fence it.
+			return
+		}
+		answer.Fenced = answer.Fenced || older
 		r.recordBoot(now, from, m, isMember && !answer.Fenced, out)
 	}
 	switch {
