A fenced control host empties its folder once its writes have ended

What callers saw: by a test only, no run of processes shows it: a control host that is fenced while its disk is busy leaves a mixture of files. The rest of the writes reached the emptied folder, so that the next start read a log of the former incarnation as that of a new one, and the folder was emptied at each tick until the process ended (two subfolders).

Cause: the tick moved the files while another goroutine was writing them.

The host now ends its writes first and moves the files once. An error that ends the process no longer waits for room in the channel of failures; only the first one counts.

--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -28,6 +29,8 @@
 	diskRetryInterval = 200 * time.Millisecond
 )
 
+var errFenced = errors.New("the data folder is older than what this replica has acknowledged")
+
 // Control is the process of a control host. Set the exported fields before Run.
 type Control struct {
 	host
@@ -35,16 +38,18 @@
 	folder        *disk.Folder
 	pendingWrites []core.Write
 	wake          chan struct{}
-	replies       map[uint64]chan core.Reply
-	lastTicket    uint64
-	readingList   bool
-	list          listReader
+	// writesEnded is closed once no more writes reach the folder.
+	writesEnded chan struct{}
+	replies     map[uint64]chan core.Reply
+	lastTicket  uint64
+	readingList bool
+	list        listReader
 }
 
 // NewControl returns a control host with these settings.
 func NewControl(s Settings, p Platform, log *logs.Logger) *Control {
 	return &Control{
-		host: newHost(s, p, log), wake: make(chan struct{}, 1), replies: map[uint64]chan core.Reply{},
+		host: newHost(s, p, log), wake: make(chan struct{}, 1), writesEnded: make(chan struct{}), replies: map[uint64]chan core.Reply{},
 		list: listReader{platform: p, address: s.List, zones: slices.Sorted(maps.Keys(s.Regions))},
 	}
 }
@@ -60,7 +65,11 @@
 	defer c.closeServers()
 	select {
 	case err := <-c.failure:
-		return err
+		if !errors.Is(err, errFenced) {
+			return err
+		}
+		cancel()
+		return c.resetFolder(err)
 	case <-stop.Done():
 	}
 	c.Log.Info("host", "Planned stop begins.")
@@ -198,8 +207,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.machine.Fenced() {
-		err := c.folder.Reset(strconv.FormatInt(time.Now().UnixMilli(), 10))
-		c.failure <- fmt.Errorf("the data folder is older than what this replica has acknowledged; its files were moved to a subfolder, restart the host (%v)", err)
+		c.fail(errFenced)
 		return
 	}
 	if !c.readingList && c.Settings.List != "" && c.machine.ListReadDue(c.clock.Now()) {
@@ -208,6 +216,15 @@
 	}
 }
 
+// resetFolder empties the data folder of a fenced host, once the writes under way have ended: they would reach the emptied folder.
+func (c *Control) resetFolder(fenced error) error {
+	<-c.writesEnded
+	if err := c.folder.Reset(strconv.FormatInt(time.Now().UnixMilli(), 10)); err != nil {
+		return fmt.Errorf("%w; its files could not be moved to a subfolder: %w", fenced, err)
+	}
+	return fmt.Errorf("%w; its files were moved to a subfolder, restart the host", fenced)
+}
+
 // readList reads the platform's list once and passes it to the state machine.
 func (c *Control) readList(ctx context.Context) {
 	askedAt := c.clock.Now()
@@ -232,6 +249,7 @@
 
 // writeLoop syncs the writes of the state machine, waiting writes in one batch.
 func (c *Control) writeLoop(ctx context.Context) {
+	defer close(c.writesEnded)
 	for {
 		select {
 		case <-ctx.Done():
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -98,7 +98,7 @@
 	}
 	go func() {
 		if err := e.server.Serve(ctx, listener); err != nil {
-			e.failure <- err
+			e.fail(err)
 		}
 	}()
 	hosts, err := net.Listen("tcp", s.peerAddress(s.Host))
@@ -107,7 +107,7 @@
 	}
 	go func() {
 		if err := e.server.ServeHosts(ctx, hosts); err != nil {
-			e.failure <- err
+			e.fail(err)
 		}
 	}()
 	go e.pool.Sweep(ctx)
--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -48,7 +48,7 @@
 
 // openNetwork opens the network between hosts.
 func (h *host) openNetwork(ctx context.Context, receive func(from string, message core.Message)) error {
-	h.failure = make(chan error, 8)
+	h.failure = make(chan error, 1)
 	keys, err := certs.NewUnverified(h.Settings.Host)
 	if err != nil {
 		return err
@@ -64,7 +64,7 @@
 	}
 	go func() {
 		if err := h.network.Run(ctx); err != nil && ctx.Err() == nil {
-			h.failure <- err
+			h.fail(err)
 		}
 	}()
 	return nil
@@ -80,7 +80,7 @@
 	h.servers = append(h.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			h.failure <- err
+			h.fail(err)
 		}
 	}()
 	return nil
@@ -103,10 +103,18 @@
 	}
 }
 
+// fail ends the process with an error; only the first one counts.
+func (h *host) fail(err error) {
+	select {
+	case h.failure <- err:
+	default:
+	}
+}
+
 // recoverPanic turns a panic, such as that of a broken invariant, into the failure that ends the process.
 func (h *host) recoverPanic() {
 	if fault := recover(); fault != nil {
-		h.failure <- fmt.Errorf("%v\n%s", fault, debug.Stack())
+		h.fail(fmt.Errorf("%v\n%s", fault, debug.Stack()))
 	}
 }
 
