A reset of a data folder that is interrupted leaves files that can be loaded

What callers saw: by a test only, no run of processes shows it: a fenced control host that loses power while it moves its files away can't start any more ("ends at byte 132, before its acknowledged end at byte 744").

Cause: the log was moved before its mark. The mark that was left then counted for the next log, whose generation is the same.

Evidence: TestInterruptedReset ends the moves at each of four files: with the mark left 1 of 1 failed before, none after. The identity and the mark are now moved first; a log without them is that of a new incarnation.

--- a/io/disk/folder_test.go
+++ b/io/disk/folder_test.go
@@ -226,3 +226,48 @@
 		t.Errorf("%d bytes are marked as synced after two failed writes, %d were before", got, acknowledged)
 	}
 }
+
+// TestInterruptedReset guards against a fenced host that can't start any more: the power was lost while its files were moved to a
+// subfolder, and those that were left did not fit each other.
+func TestInterruptedReset(t *testing.T) {
+	for _, obstacle := range []string{"Identity", "Log", "Mark", "Snapshot-2"} {
+		t.Run(obstacle, func(t *testing.T) {
+			path := t.TempDir()
+			f, _, err := open(t, path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			apply(t, f, core.Write{Seq: 1, Records: []core.Record{record(1, "one"), record(2, "two"), record(3, strings.Repeat("three", 100))}})
+			if obstacle == "Snapshot-2" {
+				apply(t, f, core.Write{Seq: 2, Snapshot: &core.Snapshot{Index: 2, Term: 1, Data: []byte("state")}})
+			}
+			// A folder in the place of a file ends the moves there.
+			if err := os.MkdirAll(filepath.Join(path, "Fenced-x", obstacle, "full"), 0o700); err != nil {
+				t.Fatal(err)
+			}
+			if err := f.Reset("x"); err == nil {
+				t.Fatal("the files were moved in spite of the obstacle")
+			}
+			for start := range 3 {
+				f, _, err := open(t, path)
+				if err != nil {
+					t.Fatalf("start %d: %v", start+1, err)
+				}
+				// The first start ends before it has written anything.
+				if start > 0 {
+					apply(t, f, core.Write{Seq: 1, Vote: &core.Vote{Term: 2, Boot: uint64(start)}})
+				}
+				if err := f.Close(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func apply(t *testing.T, f *disk.Folder, w core.Write) {
+	t.Helper()
+	if err := f.Apply(w); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/io/disk/write.go
+++ b/io/disk/write.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -222,7 +223,8 @@
 	return err
 }
 
-// Reset moves a fenced replica's files to a subfolder, so that the host restarts as a new incarnation.
+// Reset moves a fenced replica's files to a subfolder, so that the host restarts as a new incarnation. After each move the files that
+// are left can be loaded: a mark that outlasts its log would tell that the next one has lost its end.
 func (f *Folder) Reset(suffix string) error {
 	if err := f.Close(); err != nil {
 		return err
@@ -235,11 +237,13 @@
 	if err != nil {
 		return err
 	}
+	names := []string{identityName, markName}
 	for _, entry := range entries {
-		name := entry.Name()
-		if entry.IsDir() || name == lockName {
-			continue
+		if name := entry.Name(); !entry.IsDir() && name != lockName && !slices.Contains(names, name) {
+			names = append(names, name)
 		}
+	}
+	for _, name := range names {
 		if err := os.Rename(filepath.Join(f.Path, name), filepath.Join(fencedFolder, name)); err != nil {
 			return err
 		}
