--- a/io/disk/write.go
+++ b/io/disk/write.go
@@ -224,7 +224,7 @@
 }
 
 // Reset moves a fenced replica's files to a subfolder, so that the host restarts as a new incarnation. After each move the files that
-// are left can be loaded: a mark that outlasts its log would tell that the next one has lost its end.
+// are left can be loaded: a mark that outlasts its log would tell that the next one has lost its end, and a log would lack its snapshot.
 func (f *Folder) Reset(suffix string) error {
 	if err := f.Close(); err != nil {
 		return err
@@ -247,6 +247,10 @@
 		if err := os.Rename(filepath.Join(f.Path, name), filepath.Join(fencedFolder, name)); err != nil {
 			return err
 		}
+		// After a loss of power a move that was not synced may be undone while a later one is kept.
+		if err := syncFolder(f.Path); err != nil {
+			return err
+		}
 	}
-	return syncFolder(f.Path)
+	return nil
 }
