--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -303,9 +303,14 @@
 	g.finish(seed)
 }
 
-// finish checks that the group commits commands again, has lost no acknowledged command, and that its history is
-// linearizable.
+// finish checks that no replica was fenced, since no disk has lost what was acknowledged, that the group commits commands again, has
+// lost no acknowledged command, and that its history is linearizable.
 func (g *group) finish(seed uint64) {
+	for _, name := range g.names {
+		if g.replicas[name].Fenced() {
+			g.t.Fatalf("seed %d: %s is fenced and has lost nothing", seed, name)
+		}
+	}
 	before := len(g.committed)
 	g.propose()
 	g.RunFor(3 * core.Second)
