Lost elections are logged only where they were lost

An order that was sent to no leader was logged as sent 490896 h ago, and a leader that was never heard as heard 2562047 h ago.

Cause: the campaign that follows won pre-votes logged the candidacy before it; unset times were printed as ages.

Only logs change: core/quorum passes, and of core/fleet the tests that -run 'Order|Replaced|Cut|Read|Refus' names.

--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -115,8 +115,24 @@
 // majority is missing, or this host does not vote.
 func (c *Control) logRefused(now core.Millis, when string, out *core.Effects) {
 	s := c.quorum.Report(now)
-	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q heard %s ago, a majority %s ago (0 if not at all), %d members, size %d, applied %d of %d.",
-		when, s.Role, s.Term, s.Joined, s.Leader, c.quorum.SinceLeaderContact(now), c.majorityAge(now), len(s.Members), s.Size, s.Applied, s.LastIndex)
+	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q %s, a majority %s ago (0 if not at all), %d members, size %d, applied %d of %d.",
+		when, s.Role, s.Term, s.Joined, s.Leader, describeContact(c.quorum.SinceLeaderContact(now)), c.majorityAge(now), len(s.Members), s.Size, s.Applied, s.LastIndex)
+}
+
+// describeContact describes the time since a leader was heard.
+func describeContact(age core.Millis) string {
+	if age == core.Never {
+		return "not heard"
+	}
+	return fmt.Sprintf("heard %s ago", age)
+}
+
+// describeSending describes whether the order was sent to a leader.
+func (o *order) describeSending(now core.Millis) string {
+	if o.sentTo == "" {
+		return "sent to no leader"
+	}
+	return fmt.Sprintf("sent to %q %s ago", o.sentTo, now-o.sentAt)
 }
 
 // sendOrder sends an order to the leader, which may be this host.
@@ -262,7 +278,7 @@
 	for ticket, o := range c.orders.pending {
 		if now >= o.deadline {
 			delete(c.orders.pending, ticket)
-			c.logRefused(now, fmt.Sprintf("after %s, sent to %q %s ago, index to wait for %d", orderTimeout, o.sentTo, now-o.sentAt, o.waitFor), out)
+			c.logRefused(now, fmt.Sprintf("after %s, %s, index to wait for %d", orderTimeout, o.describeSending(now), o.waitFor), out)
 			out.Reply(ticket, core.Refuse(core.NoLeader, core.RanUnknown, "no leader confirmed it within %s", orderTimeout), nil)
 			continue
 		}
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -25,7 +25,10 @@
 	if !r.isVoter() {
 		return
 	}
-	r.logLostElection(now, out)
+	// Without pre the votes before were won, or a leader hands over.
+	if pre {
+		r.logLostElection(now, out)
+	}
 	r.leader = ""
 	r.granted = map[string]bool{r.Self: true}
 	ask := VoteRequest{Pre: pre, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm(), Transfer: r.transfer}
