Voters are spread over regions and availability zones

With more control hosts than may vote (nine), those that were heard first voted, so that one region could hold five of nine: its loss left the others without a leader, and reads and orders were refused until it was back.

Cause: learners were promoted in the order of the membership, and a voter that was heard kept its vote.

Change: the leader knows where control hosts stand by their shares. It promotes the learner that leaves the voters spread most evenly, over regions, then over zones, and makes a voter a learner in whose place another one spreads them better: one change at a time, and only while all voters are heard. All hosts that announced themselves are added as learners in one change; one each 0.25 s had kept the last of 27 hosts out until 9.5 s after the start.

No message changed. A leader of an older build spreads nobody (by reading; not run).

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -69,6 +69,8 @@
 	store    *edits.Store
 	entries  map[string]*entryState
 	controls map[string]*controlState
+	// places holds where control hosts stand that were heard, or are members.
+	places map[string]quorum.Place
 	// entriesNumber numbers the changes of the entry hosts that report here.
 	entriesNumber uint64
 	// peaks holds the largest number of entry hosts of each availability zone; peaksHeard is set once another control
@@ -164,6 +166,7 @@
 	out := &core.Effects{}
 	c.entries = map[string]*entryState{}
 	c.controls = map[string]*controlState{}
+	c.places = map[string]quorum.Place{c.Name: {Region: c.Region, Zone: c.Zone}}
 	c.peaks, c.startedAt = map[string]peak{}, now
 	c.pause = newPause(now)
 	c.entriesNumber, c.controlsNumber = 1, 1
@@ -176,8 +179,8 @@
 	c.store.OnOrder = func(index uint64, id edits.OrderID) { c.orders.recordExecuted(c.pause.inputAt, id, index, 0) }
 	c.quorum = &quorum.Replica{
 		Self: c.Name, Rand: c.Rand, StateMachine: c.store, InitialVoters: c.Seeds, MaxVoters: maxVoters, OnRead: c.onRead,
-		OtherHosts: func() []string { return sortedNames(c.controls) },
-		Timing:     quorum.Timing{HeartbeatInterval: heartbeatInterval, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout},
+		OtherHosts: func() []string { return sortedNames(c.controls) }, PlaceOf: c.placeOf,
+		Timing: quorum.Timing{HeartbeatInterval: heartbeatInterval, MinElectionTimeout: minElectionTimeout, MaxElectionTimeout: maxElectionTimeout},
 	}
 	err := c.quorum.Start(now, stored, out)
 	return *out, err
@@ -298,6 +301,12 @@
 	}
 }
 
+// placeOf returns where a control host stands, as it told itself.
+func (c *Control) placeOf(name string) (place quorum.Place, known bool) {
+	place, known = c.places[name]
+	return place, known
+}
+
 // leaderHeard reports whether this host follows a leader now.
 func (c *Control) leaderHeard(now core.Millis) bool {
 	return c.quorum.SinceLeaderContact(now) < leaderTimeout
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 
 	"clementinelock/core"
+	"clementinelock/core/quorum"
 )
 
 func (c *Control) onReport(now core.Millis, from string, m *Report, out *core.Effects) {
@@ -224,6 +226,7 @@
 		c.controlsNumber++
 	}
 	other.ControlHost, other.heardAt, other.sentAt, other.loads = m.ControlHost, now, m.SentAt, m.Loads
+	c.places[from] = quorum.Place{Region: m.Region, Zone: m.Zone}
 	c.applyPeaks(now, m.Peaks)
 	c.applyReports(now, m, out)
 	if m.Full {
@@ -264,10 +267,20 @@
 			c.controlsNumber++
 			c.readyCached = false
 			out.Logf("controls", "Control host %s removed: not heard for more than %s.", name, controlTimeout)
+			c.expirePlaces()
 		}
 	}
 }
 
+// expirePlaces forgets where hosts stand that are neither heard nor members.
+func (c *Control) expirePlaces() {
+	members := c.quorum.Members()
+	maps.DeleteFunc(c.places, func(name string, _ quorum.Place) bool {
+		isMember := slices.ContainsFunc(members, func(member quorum.Member) bool { return member.Name == name })
+		return !isMember && c.controls[name] == nil && name != c.Name
+	})
+}
+
 // readyEntries lists the entry hosts that serve, by name. Of a host that is known twice the later process
 // counts.
 func (c *Control) readyEntries() []EntryHost {
--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -172,53 +172,52 @@
 	return r.membersIndex <= r.commit && r.log.termAt(r.commit) == r.vote.Term
 }
 
-// updateMembership promotes one caught-up learner to a voter, if there is room, in place of its host's former incarnation, or else
-// adds one joining host as a learner, or else raises the size of a group that has grown.
+// updateMembership makes one change: it promotes a caught-up learner to a voter, if there is room, in place of its host's former
+// incarnation, or else adds the joining hosts as learners, or else raises the size of a group that has grown, or else makes a voter
+// a learner in whose place another one spreads the voters better.
 func (r *Replica) updateMembership(now core.Millis, out *core.Effects) {
 	if !r.membershipSettled() {
 		return
 	}
-	for _, member := range r.members {
-		p := r.peers[memberKey(member)]
-		if member.Voter || p == nil || now-p.lastContact > r.Timing.MinElectionTimeout || p.match+maxPromotionLag < r.log.lastIndex() || p.match < r.membersIndex {
-			continue
-		}
-		if !r.hasRoom(now, member) {
-			continue
-		}
+	if member, ok := r.nextVoter(now); ok {
 		r.appendMembers(now, r.members.promote(member.Name, member.Incarnation), out)
 		out.Logf("quorum", "Promoting %s to voter.", member.Name)
 		return
 	}
-	if r.addLearner(now, out) {
+	if r.addLearners(now, out) {
 		return
 	}
 	if size := r.sizeOf(now, r.members); size > r.size {
 		r.appendMembers(now, r.members, out)
 		out.Logf("quorum", "The group has %d voters from now on.", size)
+		return
+	}
+	if member, ok := r.crowdedVoter(now); ok {
+		r.appendMembers(now, r.members.demote(member.Name, member.Incarnation), out)
+		out.Logf("quorum", "Making %s a learner, since its region or availability zone has more voters than others.", member.Name)
 	}
 }
 
-// addLearner adds one of the hosts that have announced themselves, and reports whether it did.
-func (r *Replica) addLearner(now core.Millis, out *core.Effects) bool {
-	names := make([]string, 0, len(r.pendingJoins))
-	for name := range r.pendingJoins {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+// addLearners adds the hosts that have announced themselves, and reports whether there are any. Learners don't vote, so that any
+// number of them may be added in one change.
+func (r *Replica) addLearners(now core.Millis, out *core.Effects) bool {
+	next, added := slices.Clone(r.members), []string(nil)
+	for _, name := range slices.Sorted(maps.Keys(r.pendingJoins)) {
 		join := r.pendingJoins[name]
-		delete(r.pendingJoins, name)
 		if _, already := r.members.findIncarnation(name, join.incarnation); already || now-join.lastContact > r.Timing.MaxElectionTimeout {
 			continue
 		}
-		next := slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool { return m.Name == name && !m.Voter })
+		next = slices.DeleteFunc(next, func(m Member) bool { return m.Name == name && !m.Voter })
 		next = append(next, Member{Name: name, Incarnation: join.incarnation})
-		r.appendMembers(now, next, out)
-		out.Logf("quorum", "Adding %s as a learner.", name)
-		return true
+		added = append(added, name)
+	}
+	clear(r.pendingJoins)
+	if len(added) == 0 {
+		return false
 	}
-	return false
+	r.appendMembers(now, next, out)
+	out.Logf("quorum", "Adding %v as learners.", added)
+	return true
 }
 
 // AllowJoin lets the leader add a host that is not a member yet once its Hello arrives; it returns a refusal if this
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -95,6 +95,9 @@
 	OtherHosts func() []string
 	// MaxVoters bounds the voters that are heard; hosts beyond it follow the group as learners. 0 means no bound.
 	MaxVoters int
+	// PlaceOf returns where a host stands, so that voters can be spread beyond MaxVoters; known is false if that is not known. It may
+	// be nil.
+	PlaceOf func(name string) (place Place, known bool)
 	// Timing may be left zero; Start then sets it from the constants of this package.
 	Timing Timing
 	// OnRead is called when the read with the ticket is decided; confirmed is false if this replica has stopped
