Hosts join one at a time while there is room for voters

The commit before added all hosts that had announced themselves as learners in one change, in small groups too. Groups of up to nine hosts now take hosts in as they did before; the others are added in one change once there is no room for more voters.

--- a/core/quorum/join.go
+++ b/core/quorum/join.go
@@ -198,20 +198,24 @@
 	}
 }
 
-// addLearners adds the hosts that have announced themselves, and reports whether there are any. Learners don't vote, so that any
-// number of them may be added in one change.
+// addLearners adds a host that has announced itself, or all of them if there is no room for more voters, and reports whether there is
+// any. Learners don't vote, so that any number of them may be added in one change.
 func (r *Replica) addLearners(now core.Millis, out *core.Effects) bool {
 	next, added := slices.Clone(r.members), []string(nil)
 	for _, name := range slices.Sorted(maps.Keys(r.pendingJoins)) {
 		join := r.pendingJoins[name]
+		delete(r.pendingJoins, name)
 		if _, already := r.members.findIncarnation(name, join.incarnation); already || now-join.lastContact > r.Timing.MaxElectionTimeout {
 			continue
 		}
 		next = slices.DeleteFunc(next, func(m Member) bool { return m.Name == name && !m.Voter })
-		next = append(next, Member{Name: name, Incarnation: join.incarnation})
+		learner := Member{Name: name, Incarnation: join.incarnation}
+		next = append(next, learner)
 		added = append(added, name)
+		if r.hasRoom(now, learner) {
+			break
+		}
 	}
-	clear(r.pendingJoins)
 	if len(added) == 0 {
 		return false
 	}
