--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -104,6 +104,7 @@
 	}
 	r.followLeader(now, from, m.Term, out)
 	r.leaderTime.record(now, m.Term, m.SentAt)
+	writesBefore := r.writeSeq
 	switch {
 	case m.PrevIndex < r.log.snapshot.Index:
 		answer.Matches, answer.Match = true, r.log.snapshot.Index
@@ -118,15 +119,16 @@
 		r.merge(now, m.Records, out)
 		answer.Matches, answer.Match = true, m.PrevIndex+uint64(len(m.Records))
 	}
+	wrote := r.writeSeq != writesBefore
 	if answer.Matches {
 		r.commitTo(now, min(m.Commit, answer.Match), out)
 	}
-	if len(m.Records) > 0 || r.syncedSeq == 0 {
+	if wrote || r.syncedSeq == 0 {
 		r.respondAppend(from, m.Incarnation, answer, out)
 		return
 	}
-	// A heartbeat is answered at once, so that reads and the leadership don't wait for a slow disk. The answer tells no more than is
-	// synced; that this replica follows the leader's term needs no disk, since a restarted one asks a majority for theirs. Only the number
+	// A heartbeat, and records that the log has already, are answered at once, so that reads and the leadership don't wait for a slow disk.
+	// The answer tells no more than is synced; that this replica follows the leader's term needs no disk, since a restarted one asks a majority for theirs. Only the number
 	// of its start must be on disk, or the next start has the same one.
 	answer.Match = min(answer.Match, r.synced)
 	r.prepareAppendResponse(from, m.Incarnation, answer)
