A voter whose disk is full for good leaves the group

By a test only: orders are refused for good (503) once two of six control hosts are lost beside one whose disk has been full for 25 s: four voters are needed to store a change, and three can. Found by review.

A voter that is sent records and stores none counts as silent for its removal; a leader whose own disk takes nothing for 4.2 s asks another voter to lead.

--- a/core/fleet/full_disk_test.go
+++ b/core/fleet/full_disk_test.go
@@ -81,3 +81,42 @@
 func cutOffFor(length core.Millis) func(s *site, full, other string) {
 	return func(s *site, full, _ string) { cutFor(length)(s, full) }
 }
+
+// TestFullDiskForGood guards against a group that confirms nothing for good: a voter whose disk is full for good is heard, so that it
+// stays a voter, and counts towards the majority as two other hosts are lost.
+func TestFullDiskForGood(t *testing.T) {
+	for _, leading := range []bool{false, true} {
+		for seed := range uint64(6) {
+			s := newSite(t, seed)
+			s.RunFor(8 * core.Second)
+			s.publishAt(s.leader())
+			names := slices.DeleteFunc(s.upControls(), func(name string) bool { return name == s.leader() })
+			full := names[seed%5]
+			if leading {
+				full = s.leader()
+			}
+			s.full[full] = true
+			for turn := range 100 {
+				if turn%10 == 0 {
+					s.publish()
+				}
+				s.RunFor(250)
+			}
+			voters := s.voters()
+			for _, lost := range []string{names[(seed+1)%5], names[(seed+2)%5]} {
+				s.removeHost(lost)
+			}
+			s.RunFor(20 * core.Second)
+			confirmed := false
+			for _, name := range s.upControls() {
+				if _, ok := s.publishAt(name); ok {
+					confirmed = true
+				}
+			}
+			if !confirmed {
+				t.Errorf("seed %d: no version is confirmed 20 s after two hosts were lost, leader %q; the disk of %s (leading is %t) was full for 25 s before that, the voters were %v",
+					seed, s.leader(), full, leading, voters)
+			}
+		}
+	}
+}
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -148,6 +148,7 @@
 	r.peers = map[string]*progress{}
 	r.reads = nil
 	r.heartbeatAt = now
+	r.storedAt = now
 	r.updatePeers(now)
 	r.appendEntry(now, entry{Type: entryNoOp}, out)
 	out.Logf("quorum", "Became leader in term %d.", r.vote.Term)
@@ -164,7 +165,7 @@
 		}
 		p := r.peers[key]
 		if p == nil {
-			p = &progress{next: r.log.lastIndex() + 1, lastContact: now, lastProgress: now}
+			p = &progress{next: r.log.lastIndex() + 1, lastContact: now, lastProgress: now, storedAt: now}
 		}
 		next[key] = p
 	}
--- a/core/quorum/install.go
+++ b/core/quorum/install.go
@@ -98,7 +98,7 @@
 	if r.role != Leader || m.Term != r.vote.Term || p == nil || told && m.Boot < p.boot {
 		return
 	}
-	p.lastContact, p.answered = now, true
+	p.lastContact, p.answered, p.storedAt = now, true, now
 	if told {
 		p.resetForStart(m.Boot, m.Nonce)
 	}
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -64,8 +64,10 @@
 	boot, nonce, priorMatch uint64
 	lastContact             core.Millis
 	// answered is set once the replica has answered this leader; lastContact is the start of the leadership until then.
-	answered      bool
-	lastProgress  core.Millis
+	answered     bool
+	lastProgress core.Millis
+	// storedAt is when the replica had stored all records, or stored some, last.
+	storedAt      core.Millis
 	round         uint64
 	installOffset int
 	installIndex  uint64
@@ -148,6 +150,8 @@
 	held           []heldSend
 	incoming       installBuffer
 	pendingJoins   map[string]pendingJoin
+	// storedAt is when this leader's own disk had taken all writes, or took some, last.
+	storedAt core.Millis
 }
 
 // Start restores the stored state; it returns an error if the snapshot can't be restored. The driver must carry out
@@ -267,6 +271,7 @@
 		}
 	}
 	r.held = kept
+	r.storedAt = now
 	if r.role == Leader {
 		r.advanceCommit(now, out)
 	}
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -41,9 +41,13 @@
 		r.stepDown(now, r.vote.Term, "", out)
 		return
 	}
+	r.handOverIfFull(now, out)
 	r.round++
 	for _, member := range r.members {
 		if p := r.peers[memberKey(member)]; p != nil {
+			if p.match >= r.log.lastIndex() {
+				p.storedAt = now
+			}
 			r.sendHeartbeat(now, member, p, out)
 		}
 	}
@@ -51,6 +55,18 @@
 	r.advanceCommit(now, out)
 }
 
+// handOverIfFull asks another voter to lead once this leader's disk has taken nothing for as long as a silent member is waited for. As
+// a follower this replica no longer counts if its disk stays full.
+func (r *Replica) handOverIfFull(now core.Millis, out *core.Effects) {
+	if r.Durable() {
+		r.storedAt = now
+	}
+	if now-r.storedAt > r.silentTimeout() && r.Transfer(now, out) {
+		r.storedAt = now
+		out.Logf("quorum", "The disk has taken nothing for %s; handing over the leadership.", r.silentTimeout())
+	}
+}
+
 func (r *Replica) hasMajorityContact(now core.Millis) bool {
 	heard := 0
 	for _, member := range r.members.voters() {
@@ -231,7 +247,7 @@
 	}
 	if m.Match > p.match {
 		p.match = m.Match
-		p.lastProgress = now
+		p.lastProgress, p.storedAt = now, now
 	}
 	p.next = max(p.next, p.match+1)
 	if p.next <= r.log.lastIndex() && p.match+1 == p.next {
--- a/core/quorum/size.go
+++ b/core/quorum/size.go
@@ -123,15 +123,18 @@
 	return replaced, ok
 }
 
-// lostVoter returns a voter that nobody has replaced and that was silent for lostAfter, or has announced its stop, if the group can
-// spare it: all others are heard, or one more than a majority.
+// lostVoter returns a voter that nobody has replaced and that was silent or stored nothing for lostAfter, or has announced its stop, if
+// the group can spare it: all others are heard, or one more than a majority.
 func (r *Replica) lostVoter(now, lostAfter core.Millis) (lost Member, ok bool) {
 	voters, heard := r.members.voters(), 0
 	for _, member := range voters {
-		if r.hears(now, member, r.Timing.MaxElectionTimeout) {
+		silence := r.silence(now, member)
+		if p := r.peers[memberKey(member)]; p != nil {
+			silence = max(silence, now-p.storedAt)
+		}
+		if silence <= lostAfter && r.hears(now, member, r.Timing.MaxElectionTimeout) {
 			heard++
 		}
-		silence := r.silence(now, member)
 		if silence > lostAfter || silence > r.silentTimeout() && r.announcedStop(member) {
 			lost, ok = member, true
 		}
