--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -98,9 +98,9 @@
 }
 
 // cutOff reports whether this host can't get an order confirmed: it hears no leader and, for longer than their shares take, no majority
-// of the voters that could elect one. A host that has just started, or that stood still until a moment ago, has not heard them yet.
+// of the voters that could elect one. A host that has just started has not heard them yet.
 func (c *Control) cutOff(now core.Millis) bool {
-	if c.leaderHeard(now) || now-c.startedAt < controlTimeout || now-c.pause.endedAt < majorityTimeout {
+	if c.leaderHeard(now) || now-c.startedAt < controlTimeout {
 		return false
 	}
 	age := c.majorityAge(now)
--- a/core/fleet/reads_test.go
+++ b/core/fleet/reads_test.go
@@ -39,7 +39,7 @@
 	return took, ok
 }
 
-// pauseAll lets control hosts stand still for some time, and runs on for up to a tenth of a second.
+// pauseAll pauses control hosts for some time, and runs on for up to a tenth of a second.
 func (s *site) pauseAll(names []string, length core.Millis) {
 	for _, each := range names {
 		s.Freeze(each, true)
@@ -51,12 +51,12 @@
 	s.RunFor(core.Millis(10 * s.Rand.IntN(10)))
 }
 
-// TestReadRightAfterAPause guards against reads and configurations that are refused because the control host has just stood still, as a
-// process does on a busy machine: unlike an evacuation neither can undo what the operator has given to another host meanwhile.
+// TestReadRightAfterAPause guards against reads and configurations that are refused because the control host was just paused, as a
+// process is on a busy machine: unlike an evacuation neither can undo what the operator has given to another host meanwhile.
 func TestReadRightAfterAPause(t *testing.T) {
 	for _, c := range []struct {
 		length core.Millis
-		// leader and all let the leader and all hosts at once stand still too. That must not be longer than the minimum election
+		// leader and all pause the leader and all hosts at once too. That must not be longer than the minimum election
 		// timeout less a heartbeat, or a leader is elected meanwhile.
 		leader, all bool
 	}{{600, true, true}, {800, false, false}} {
