A voter that stops as planned gives up its vote at once

Control hosts were left without a majority for good if another one was lost after a planned replacement, once the successor had had its time: the host that had stopped kept its vote for 4.2 s, 15 s if its announcement was lost, and the successor raised the size of the group.

Change: a voter that has announced its stop becomes a learner at once, and in a group of an even number of voters one that is silent for 1.4 s, if all other voters, three at least, or one more than a majority are heard and stay. 2n voters bear no more losses than 2n-1. A replaced voter becomes a learner before it is removed, so that one that was merely slow need not announce itself anew.

--- a/core/quorum/random_test.go
+++ b/core/quorum/random_test.go
@@ -62,6 +62,8 @@
 	elections int
 	// maxSyncDelay is the upper bound of the time that a disk sync takes, in ms.
 	maxSyncDelay int
+	// onStart is called with each replica after its start; it may be nil.
+	onStart func(r *quorum.Replica)
 }
 
 func newGroup(t testing.TB, seed uint64, size int) *group {
@@ -99,6 +101,9 @@
 	}
 	g.Apply(name, out)
 	g.Start(name, fake.Part{Part: r})
+	if g.onStart != nil {
+		g.onStart(r)
+	}
 }
 
 func (g *group) crash(name string) {
--- a/core/quorum/size.go
+++ b/core/quorum/size.go
@@ -77,26 +77,51 @@
 	return heard < r.MaxVoters
 }
 
-// RemoveSilent removes one silent member, if this replica leads and the group can do without it. A removed host that was merely
-// cut off joins again.
+// RemoveSilent takes one silent or stopping member out of the group, if this replica leads and the group can do without it. One that
+// may be back at once becomes a learner, which votes again as soon as it is heard; a removed host joins again.
 func (r *Replica) RemoveSilent(now, lostAfter core.Millis, out *core.Effects) {
 	if r.role != Leader || !r.membershipSettled() {
 		return
 	}
-	member, ok := r.silentLearner(now)
-	if !ok {
-		member, ok = r.replacedVoter(now)
-	}
-	if !ok {
-		member, ok = r.lostVoter(now, lostAfter)
-	}
-	if !ok {
-		return
+	if member, ok := r.silentLearner(now); ok {
+		r.removeMember(now, member, out)
+	} else if member, ok := r.spareVoter(now); ok {
+		r.demoteVoter(now, member, out)
+	} else if member, ok := r.replacedVoter(now); ok {
+		r.demoteVoter(now, member, out)
+	} else if member, ok := r.lostVoter(now, lostAfter); ok {
+		r.removeMember(now, member, out)
 	}
+}
+
+func (r *Replica) removeMember(now core.Millis, member Member, out *core.Effects) {
 	out.Logf("quorum", "Removing member %s, not heard for %s; %d of %d voters.", member.Name, r.silence(now, member), len(r.members.voters()), r.size)
 	r.appendMembers(now, r.members.without(member.Name, member.Incarnation), out)
 }
 
+func (r *Replica) demoteVoter(now core.Millis, member Member, out *core.Effects) {
+	out.Logf("quorum", "Making %s a learner: not heard for %s, stop announced: %t; %d of %d voters.",
+		member.Name, r.silence(now, member), r.announcedStop(member), len(r.members.voters()), r.size)
+	r.appendMembers(now, r.members.demote(member.Name, member.Incarnation), out)
+}
+
+// spareVoter returns a voter that has announced its stop or, in a group of an even number of voters, one that is silent. The group bears no
+// fewer losses without it, and one more if the number is even. The others must be heard and stay: all of them, or one more than a majority.
+func (r *Replica) spareVoter(now core.Millis) (spare Member, ok bool) {
+	voters, staying := r.members.voters(), 0
+	for _, member := range voters {
+		switch {
+		case r.announcedStop(member):
+			spare, ok = member, true
+		case r.hears(now, member, r.Timing.MinElectionTimeout):
+			staying++
+		case !ok && len(voters)%2 == 0 && r.silence(now, member) > r.Timing.MaxElectionTimeout:
+			spare, ok = member, true
+		}
+	}
+	return spare, ok && staying >= minHeardVoters && (staying == len(voters)-1 || staying > r.members.majority())
+}
+
 // silentLearner returns a learner that is silent. It has no vote, and joins again if it comes back.
 func (r *Replica) silentLearner(now core.Millis) (Member, bool) {
 	for _, member := range r.members {
