--- a/core/quorum/fenced_test.go
+++ b/core/quorum/fenced_test.go
@@ -93,6 +93,18 @@
 				g.At(g.Now+1500, func() { g.Freeze(leader.Self, false) })
 			}
 		}},
+		{"on an empty disk, after all lost power at once", func(g *group, follower string) {
+			g.proposeMany(snapshotLag)
+			for _, name := range g.names {
+				g.crash(name)
+			}
+			g.RunFor(core.Second)
+			g.disks[follower] = fake.NewDisk(77)
+			g.disturb()
+			for _, name := range g.names {
+				g.start(name)
+			}
+		}},
 		{"far behind", func(g *group, follower string) {
 			g.crash(follower)
 			g.proposeMany(snapshotLag)
