--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 
@@ -116,11 +117,11 @@
 // majority is missing, or this host does not vote.
 func (c *Control) logRefused(now core.Millis, when string, out *core.Effects) {
 	s := c.quorum.Report(now)
-	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q %s, a majority %s ago (0 if not at all), %d members, size %d, applied %d of %d.",
-		when, s.Role, s.Term, s.Joined, s.Leader, describeContact(c.quorum.SinceLeaderContact(now)), c.majorityAge(now), len(s.Members), s.Size, s.Applied, s.LastIndex)
+	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q %s, a majority without it %s, %d members, size %d, applied %d of %d.",
+		when, s.Role, s.Term, s.Joined, s.Leader, describeContact(c.quorum.SinceLeaderContact(now)), describeContact(cmp.Or(c.majorityAge(now), core.Never)), len(s.Members), s.Size, s.Applied, s.LastIndex)
 }
 
-// describeContact describes the time since a leader was heard.
+// describeContact describes the time since a leader or a majority was heard.
 func describeContact(age core.Millis) string {
 	if age == core.Never {
 		return "not heard"
