Tests of control hosts on virtual time run side by side

Its tests of replaced hosts, late orders, reads and lost disks share nothing and use virtual time, so that they may run in parallel; what they check is unchanged.

--- a/core/fleet/final_fault_test.go
+++ b/core/fleet/final_fault_test.go
@@ -103,6 +103,7 @@
 // TestFinalFaultAfterReplacements guards against control hosts that refuse reads and orders for good (issue 48): replaced hosts
 // counted towards the majority, newcomers did not, and one lost disk more took the majority.
 func TestFinalFaultAfterReplacements(t *testing.T) {
+	t.Parallel()
 	// recovery is the time that a host with an empty disk has to catch up.
 	const recovery = 4 * core.Second
 	for _, replaced := range []int{2, 3, 4} {
--- a/core/fleet/full_disk_test.go
+++ b/core/fleet/full_disk_test.go
@@ -85,6 +85,7 @@
 // TestFullDiskForGood guards against a group that confirms nothing for good: a voter whose disk is full for good is heard, so that it
 // stays a voter, and counts towards the majority as two other hosts are lost.
 func TestFullDiskForGood(t *testing.T) {
+	t.Parallel()
 	for _, leading := range []bool{false, true} {
 		for seed := range uint64(6) {
 			s := newSite(t, seed)
--- a/core/fleet/late_orders_test.go
+++ b/core/fleet/late_orders_test.go
@@ -44,6 +44,7 @@
 // TestOrderToACutOffHost guards against an order that a cut-off control host has refused, and that reaches the leader when the cut
 // heals, after the operator has given it to another host and has taken it back there.
 func TestOrderToACutOffHost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		for _, late := range []core.Millis{0, 300, 600, 1200, 2000, 5000} {
 			s := newSite(t, seed)
@@ -81,6 +82,7 @@
 // TestOrderToAHostWithoutAMajority guards against orders that wait at a control host that can't have them confirmed, a former leader or
 // not: the operator could give them to another one meanwhile. While a leader is elected they wait for it.
 func TestOrderToAHostWithoutAMajority(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		for _, cutLeader := range []bool{false, true} {
 			s := newSite(t, seed)
@@ -126,6 +128,7 @@
 // TestLateOrders guards against any message of an order that comes late, twice or behind newer ones, also across changes of the
 // leader and restarts: between two orders the state is that of the latest one confirmed, and a given order counts once.
 func TestLateOrders(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSite(t, 900+seed)
@@ -192,6 +195,7 @@
 // TestLateMessages plays random faults while any message may come late by up to 5 s, twice or behind newer ones: in the end all that was
 // confirmed must hold.
 func TestLateMessages(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSite(t, 1200+seed)
--- a/core/fleet/planned_loss_test.go
+++ b/core/fleet/planned_loss_test.go
@@ -9,6 +9,7 @@
 // TestLossRightAfterAPlannedReplacement guards against a group that confirms nothing for good: the host that has stopped as planned still
 // counts towards the majority beside its successor, as another host loses its disk 1.5 s after the stop.
 func TestLossRightAfterAPlannedReplacement(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{3, 4, 5, 6} {
 		for seed := range uint64(6) {
 			s := newSiteIn(t, seed, controlZones[:hosts], entryZones)
--- a/core/fleet/planned_stop_test.go
+++ b/core/fleet/planned_stop_test.go
@@ -11,6 +11,7 @@
 // that had had their time, counted as voters for 4.2 s after their stop, beside as many hosts that lost their disks. After a loss of
 // power they counted for 15 s from the start of each new leader.
 func TestDisksLostAfterPlannedStops(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		// hosts is the number of control hosts, count how many of them stop and how many disks are lost then.
 		hosts, count int
--- a/core/fleet/planned_test.go
+++ b/core/fleet/planned_test.go
@@ -9,6 +9,7 @@
 // TestLossAfterAPlannedReplacement guards against a group that the next loss leaves without a majority for good, since hosts that have
 // stopped as planned still vote: their successors run and vote as well by then, and have had their time.
 func TestLossAfterAPlannedReplacement(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name         string
 		hosts, count int
--- a/core/fleet/power_loss_test.go
+++ b/core/fleet/power_loss_test.go
@@ -29,6 +29,7 @@
 // be elected within 3 s, and a read at each control host must return what was confirmed within 5 s. FLEET_SEEDS sets how many seeds
 // run, FLEET_SEED the first.
 func TestAllHostsLosePower(t *testing.T) {
+	t.Parallel()
 	for _, c := range []powerLoss{
 		{name: "six hosts", hosts: 6},
 		{name: "an empty disk", hosts: 6, emptyDisk: true},
@@ -166,6 +167,7 @@
 // TestFencedHostJoinsAgain guards against a fenced control host that stays out of the group, or leaves a learner behind: it has announced
 // itself as one incarnation, ends, and comes back as another one on an empty disk. Reads at it must be answered 5 s after its start.
 func TestFencedHostJoinsAgain(t *testing.T) {
+	t.Parallel()
 	var slowestRead, slowestVoter core.Millis
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 12)
 	for seed := first; seed < first+count; seed++ {
--- a/core/fleet/reads_test.go
+++ b/core/fleet/reads_test.go
@@ -54,6 +54,7 @@
 // TestReadRightAfterAPause guards against reads and configurations that are refused because the control host was just paused, as a
 // process is on a busy machine: unlike an evacuation neither can undo what the operator has given to another host meanwhile.
 func TestReadRightAfterAPause(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		length core.Millis
 		// leader and all pause the leader and all hosts at once too. That must not be longer than the minimum election
@@ -94,6 +95,7 @@
 // TestReadsBesideSlowDisks guards against reads that wait for disks: a follower that answers the leader only once its writes are on
 // disk lets reads be refused, and the leader be deposed, as soon as a sync takes longer than a second.
 func TestReadsBesideSlowDisks(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []core.Millis{500, 1000, 2000} {
 		for seed := range uint64(10) {
 			s := newSite(t, seed)
@@ -119,6 +121,7 @@
 // TestReadsOnceAHostIsBack guards against control hosts that refuse reads for longer than a machine that is back has to catch up, 4 s: one
 // that was removed meanwhile, that has lost its disk, or that was cut off, at it and at all others.
 func TestReadsOnceAHostIsBack(t *testing.T) {
+	t.Parallel()
 	const catchUp = 4 * core.Second
 	for _, c := range []struct {
 		name    string
--- a/core/fleet/replace_test.go
+++ b/core/fleet/replace_test.go
@@ -100,6 +100,7 @@
 // TestReplacedControlHosts guards against control hosts without a majority for good after several were replaced, each once the
 // successor of the last one had its time to catch up: lost voters counted on, and took the room of newcomers.
 func TestReplacedControlHosts(t *testing.T) {
+	t.Parallel()
 	// The time that a successor has after its start, 1 s after the loss, is 4 s for one host at a time and 6 s for two.
 	const one, two = 5 * core.Second, 7 * core.Second
 	for _, c := range []replacement{
@@ -135,6 +136,7 @@
 // TestReplacedControlHostsBeyondTheGroup plays the same with more control hosts than may vote. It guards against look-ups of a new host
 // that name too few entry hosts: one that is no member hears only of those that report to its seeds.
 func TestReplacedControlHostsBeyondTheGroup(t *testing.T) {
+	t.Parallel()
 	for _, c := range []replacement{
 		{name: "one at a time", hosts: 12, count: 1, interval: 5 * core.Second},
 		{name: "two at a time", hosts: 14, count: 2, interval: 7 * core.Second},
@@ -150,6 +152,7 @@
 // TestControlHostsBeyondTheVoters starts more control hosts than may vote. It guards against hosts that no leader talks to: orders given
 // to them are not confirmed, and their entry hosts hear of no change.
 func TestControlHostsBeyondTheVoters(t *testing.T) {
+	t.Parallel()
 	const voters = 9
 	for _, hosts := range []int{9, 10, 14, 27} {
 		for seed := range uint64(3) {
@@ -202,6 +205,7 @@
 
 // TestReplacedControlHostsAtRandom plays the same with random patterns; FLEET_SEEDS sets how many, FLEET_SEED the first.
 func TestReplacedControlHostsAtRandom(t *testing.T) {
+	t.Parallel()
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 30)
 	for seed := first; seed < first+count; seed++ {
 		r := rand.New(rand.NewPCG(seed, 45))
@@ -282,6 +286,7 @@
 // TestCutHostsJoinAgain guards against control hosts that stay out of the group for good after they were taken out while they were
 // merely cut off, and against a group that gives up members beyond what it can spare.
 func TestCutHostsJoinAgain(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name       string
 		hosts, cut int
--- a/core/fleet/replaced_fault_test.go
+++ b/core/fleet/replaced_fault_test.go
@@ -414,6 +414,7 @@
 // nothing is disturbed any more: control hosts are replaced, lose their disks and are cut off, no more at once than may be lost, and a
 // final fault follows. FLEET_SEEDS sets how many random runs there are, FLEET_SEED the first.
 func TestReplacedControlHostsAndAFinalFault(t *testing.T) {
+	t.Parallel()
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 8)
 	var longest core.Millis
 	for seed := first; seed < first+count; seed++ {
--- a/core/fleet/slow_disks_test.go
+++ b/core/fleet/slow_disks_test.go
@@ -9,6 +9,7 @@
 // TestLeaderBesideSlowDisks guards against a leader that is deposed while nothing is cut or down: as long as a follower has not synced
 // the latest records, each heartbeat carries them again, and its response waits for the disk.
 func TestLeaderBesideSlowDisks(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []core.Millis{1000, 2000} {
 		for seed := range uint64(6) {
 			s := newSite(t, seed)
--- a/core/fleet/spread_test.go
+++ b/core/fleet/spread_test.go
@@ -80,6 +80,7 @@
 // more control hosts than may vote, those that were heard first voted, also where most of them stood in one region.
 // FLEET_SEEDS sets the number of seeds, FLEET_SEED the first.
 func TestVotersAreSpread(t *testing.T) {
+	t.Parallel()
 	for _, part := range []struct {
 		name string
 		of   func(zone string) string
@@ -138,6 +139,7 @@
 // TestSpreadVotersStay guards against a membership that changes all the time: voters that are spread stay, also while one after the
 // other is briefly out of reach.
 func TestSpreadVotersStay(t *testing.T) {
+	t.Parallel()
 	for _, c := range spreadCases {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(3) {
--- a/core/fleet/zone_number_test.go
+++ b/core/fleet/zone_number_test.go
@@ -9,6 +9,7 @@
 // TestZoneNumberAfterRemovals guards against entry hosts that divide a global limit by hosts that are gone for good: the number of a
 // zone's hosts only grows at an entry host, while control hosts forget it after a minute.
 func TestZoneNumberAfterRemovals(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		var entries []string
 		for range 8 {
