--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -143,9 +143,9 @@
 		r.respondAppend(from, m.Incarnation, answer, out)
 		return
 	}
-	// A heartbeat, and records that the log has already, are answered at once, so that reads and the leadership don't wait for a slow disk.
-	// The answer tells no more than is synced; that this replica follows the leader's term needs no disk, since a restarted one asks a majority for theirs. Only the number
-	// of its start must be on disk, or the next start has the same one.
+	// A heartbeat, and records that the log has already, are answered at once, so that reads and the leadership don't wait for a slow
+	// disk. The answer tells no more than is synced; that this replica follows the leader's term needs no disk, since a restarted one asks
+	// a majority for theirs. Only the number of its start must be on disk, or the next start has the same one.
 	answer.Match = min(answer.Match, r.synced)
 	r.prepareAppendResponse(from, m.Incarnation, answer)
 	out.Send(from, answer)
