--- a/core/fleet/cold_contact_test.go
+++ b/core/fleet/cold_contact_test.go
@@ -188,6 +188,7 @@
 // TestEvacuationRightAfterACut guards against an overload of endpoints that turn cold in an evacuation which begins and ends
 // before hosts that lost contact at its begin take themselves for isolated: they send as to warm endpoints.
 func TestEvacuationRightAfterACut(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		entries []string
@@ -220,6 +221,7 @@
 // TestHostsStartedBehindACut guards against an overload of endpoints by hosts that start in an availability zone which is cut
 // off from the others: the state that they get there is old, and they have had no contact that could age.
 func TestHostsStartedBehindACut(t *testing.T) {
+	t.Parallel()
 	o := &overloads{}
 	for seed := range uint64(30) {
 		s := newColdSite(t, seed, entryZones)
@@ -250,6 +252,7 @@
 // of a cold endpoint's rate once more, since they know of no request of their former processes; and against hosts that use
 // none of it although they live for long enough.
 func TestHostsRestartBesideAColdEndpoint(t *testing.T) {
+	t.Parallel()
 	for _, restarts := range []int{1, 2, 3} {
 		t.Run(fmt.Sprint(restarts), func(t *testing.T) {
 			o := &overloads{}
--- a/core/fleet/contact_test.go
+++ b/core/fleet/contact_test.go
@@ -12,6 +12,7 @@
 // message by which their control host, cut off with them, could learn of an evacuation: evacuated endpoints that turn cold
 // within that time get their requests as if they were warm.
 func TestContactIsNoNewerThanWhatIsKnown(t *testing.T) {
+	t.Parallel()
 	// slack is the delay of a message between regions and a tick.
 	const slack = 100 * core.Millisecond
 	for seed := range uint64(20) {
@@ -38,6 +39,7 @@
 // TestContactByTheAnswerToAProbe guards against a host that counts as in contact once a control host has answered its probe,
 // before it has got any state: for a moment it takes endpoints for warm that have turned cold behind a cut.
 func TestContactByTheAnswerToAProbe(t *testing.T) {
+	t.Parallel()
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	e.Start(now)
@@ -56,6 +58,7 @@
 // TestContactByADelayedUpdate guards against an update that was held up on its way, or in the socket of a host that was
 // frozen, and counts as contact at the time of its arrival.
 func TestContactByADelayedUpdate(t *testing.T) {
+	t.Parallel()
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	e.Start(now)
@@ -87,6 +90,7 @@
 // TestContactThroughAHostThatWasFrozen guards against a control host that wakes up, reads what the leader sent before it froze
 // and, cut off meanwhile, takes that for news: its entry hosts count as in contact and miss an evacuation.
 func TestContactThroughAHostThatWasFrozen(t *testing.T) {
+	t.Parallel()
 	const slack = 300 * core.Millisecond
 	for seed := range uint64(20) {
 		s := newSite(t, seed)
--- a/core/fleet/count_test.go
+++ b/core/fleet/count_test.go
@@ -12,6 +12,7 @@
 // off: hosts that start or come back one by one divided an endpoint's rate by the few hosts that their control host
 // had heard of so far. All parts together must stay within the whole, of which hosts use 0.7.
 func TestHostsDivideByAllOfTheirZone(t *testing.T) {
+	t.Parallel()
 	const hosts, largestSum = 14, 1 / 0.7
 	entries := append([]string{}, entryZones...)
 	for range hosts - 2 {
@@ -74,6 +75,7 @@
 // TestSteadySharesTellNoPeaks guards against shares between control hosts that grow with the zones: the largest numbers
 // of entry hosts go to a host that has just started, and with changes of the entry hosts, but not all the time.
 func TestSteadySharesTellNoPeaks(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	// A host that has left its first control host by 8 s is removed there 2.5 s later.
 	s.RunFor(12 * core.Second)
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -74,6 +74,7 @@
 // give each so few requests that it neither reuses connections to endpoints nor learns of their load: look-ups name
 // as many hosts as the load needs, more at once when it rises, others when hosts fall, and fewer slowly.
 func TestLookupsNameAsManyHostsAsTheLoadNeeds(t *testing.T) {
+	t.Parallel()
 	f := newZoneFixture(t, 30, true)
 	f.load = 12000
 	f.run(60 * core.Second)
@@ -114,6 +115,7 @@
 
 // TestFewHostsAreAllNamed names all hosts of a small zone, and all of a zone whose hosts don't report their load.
 func TestFewHostsAreAllNamed(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		hosts       int
 		reportsLoad bool
@@ -130,6 +132,7 @@
 // TestHostsWithoutEntryHostsReadNoList covers the loss of the leader where each availability zone has three control
 // hosts: those to which no entry host reports don't read the list themselves.
 func TestHostsWithoutEntryHostsReadNoList(t *testing.T) {
+	t.Parallel()
 	now := core.Hour
 	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"a", "b"}}
 	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
--- a/core/fleet/ended_test.go
+++ b/core/fleet/ended_test.go
@@ -11,6 +11,7 @@
 // TestEndsOfEndpointsAreKnownEverywhere guards against hosts that flock to an endpoint which starts again, cold, under its
 // id: what one entry host has seen must reach all others before it is up again.
 func TestEndsOfEndpointsAreKnownEverywhere(t *testing.T) {
+	t.Parallel()
 	const newsDelay = 300 * core.Millisecond
 	for seed := range uint64(20) {
 		s := newSite(t, seed)
--- a/core/fleet/full_disk_test.go
+++ b/core/fleet/full_disk_test.go
@@ -11,6 +11,7 @@
 // one after another, never two at once: also the leader's, for longer than a silent member is kept, during restarts,
 // and while a replaced disk's host joins.
 func TestFullDisksInTurn(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name string
 		// full is how long each disk is full; leader lets it be that of the leader each time.
--- a/core/fleet/lease_test.go
+++ b/core/fleet/lease_test.go
@@ -32,6 +32,7 @@
 
 // TestContactLeaseInCalm guards against hosts that count as isolated, and use endpoints less, while nothing is wrong.
 func TestContactLeaseInCalm(t *testing.T) {
+	t.Parallel()
 	for _, repeat := range []int{1, 5, 10, 32} {
 		entries := slices.Repeat(entryZones, repeat)
 		for seed := range uint64(4) {
@@ -47,6 +48,7 @@
 // TestContactLeaseAcrossTheLossOfAControlHost guards against hosts that count as isolated since the control host that they report
 // to is down, though others answer.
 func TestContactLeaseAcrossTheLossOfAControlHost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSite(t, 900+seed)
 		s.RunFor(10*core.Second + core.Millis(seed)*70)
@@ -64,6 +66,7 @@
 
 // TestContactLeaseWhileALeaderIsElected guards against hosts that count as isolated in each change of the leader.
 func TestContactLeaseWhileALeaderIsElected(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSite(t, 900+seed)
 		s.RunFor(10 * core.Second)
--- a/core/fleet/older_test.go
+++ b/core/fleet/older_test.go
@@ -13,6 +13,7 @@
 // TestOlderMessages delivers messages of one process late: after a newer one, each at most 5 s old. They must change nothing of what
 // look-ups name and of what the host that sent them gets.
 func TestOlderMessages(t *testing.T) {
+	t.Parallel()
 	entry := func(ready bool) fleet.EntryHost {
 		return fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Address: "e:1", Process: 7, Ready: ready}
 	}
--- a/core/fleet/pause_test.go
+++ b/core/fleet/pause_test.go
@@ -10,6 +10,7 @@
 // TestPausedHostTakesNoOldOrders guards against an order that a host received before it was paused and carries out when
 // it runs again: the operator has given it to another host meanwhile, and has taken it back there.
 func TestPausedHostTakesNoOldOrders(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		pause core.Millis
--- a/core/fleet/peers_test.go
+++ b/core/fleet/peers_test.go
@@ -63,6 +63,7 @@
 // TestHelpersAtAnySize guards against hosts that are cut off and don't know others which can help, that hand requests to
 // others which are cut off too or far away without need, or that wear out a few.
 func TestHelpersAtAnySize(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range helperSizes {
 		for _, pattern := range cutPatterns {
 			t.Run(fmt.Sprintf("%d hosts, %s", hosts, pattern.name), func(t *testing.T) {
@@ -160,6 +161,7 @@
 
 // TestPeersCostNothing guards against updates that carry the names of other hosts again and again while no host is cut off.
 func TestPeersCostNothing(t *testing.T) {
+	t.Parallel()
 	s := newHelperSite(t, 3, 85)
 	told := 0
 	s.OnSend = func(_, _ string, message core.Message) {
@@ -176,6 +178,7 @@
 // TestLookupsPreferHostsThatReachEndpoints guards against callers that are led to hosts which reach no endpoint where most
 // of the zone's hosts do, and against zones whose callers all go to the few that are left.
 func TestLookupsPreferHostsThatReachEndpoints(t *testing.T) {
+	t.Parallel()
 	s := newHelperSite(t, 5, 85)
 	zone := s.entryNames(len(s.entries), func(name string) bool { return s.zones[name] == "r0-a" })
 	for _, count := range []int{1, 4, len(zone) - 1, len(zone)} {
--- a/core/fleet/quarantine_test.go
+++ b/core/fleet/quarantine_test.go
@@ -47,6 +47,7 @@
 // seen by another host: hosts that only hear of it, that lose messages, that were restarted or cut off meanwhile, and all
 // hosts after every process was killed.
 func TestAllHostsKeepACrashingRequest(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name   string
 		strike func(s *site)
@@ -97,6 +98,7 @@
 // TestAnswersEndAQuarantine guards against a quarantine of a request that an endpoint answers elsewhere, and against one
 // that goes on after an answer.
 func TestAnswersEndAQuarantine(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	s.RunFor(10 * core.Second)
 	watch := crash.Watch{}
@@ -130,6 +132,7 @@
 // TestIsolatedHostDecidesAlone guards against a host that crashes endpoints on and on while it reaches no control host,
 // and against decisions that it keeps after its return.
 func TestIsolatedHostDecidesAlone(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	s.RunFor(10 * core.Second)
 	s.Isolate("entry-5", s.upControls(), true)
@@ -167,6 +170,7 @@
 // TestManyHostsKeepACrashingRequest guards against news of a crashing request that reach some of 290 entry hosts too late,
 // or that overload control hosts: each end is seen by another entry host, which reports it with all that the endpoint held.
 func TestManyHostsKeepACrashingRequest(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		s := newLargeSite(t, seed)
 		s.list = longList()
@@ -197,6 +201,7 @@
 // TestQuarantineBesideLostMessages guards against an entry host that still sends a request after the contact window since the
 // message that told it of the quarantine was lost, and so were some of its reports, each of which takes 0.8 s to come again.
 func TestQuarantineBesideLostMessages(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(200) {
 		s := newSite(t, 10000+seed)
 		s.publish()
--- a/core/fleet/quota_test.go
+++ b/core/fleet/quota_test.go
@@ -135,6 +135,7 @@
 // TestLoweredQuotaOutlivesTheLeader guards against a quota that is lowered far below what its customer sends, and is not kept
 // since the leader ends right after it has confirmed the version.
 func TestLoweredQuotaOutlivesTheLeader(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		limits := map[uint64]quota.Limit{1: {PerSecond: 160, Burst: 160}, 2: {PerSecond: 10, Burst: 10}}
 		s := newQuotaSite(t, seed, limits)
@@ -165,6 +166,7 @@
 // TestQuotaInRandomRuns guards against more requests than the quota while control hosts and entry hosts end, lose power, freeze
 // and are cut off in random series, and against a quota that rejects everything in them.
 func TestQuotaInRandomRuns(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(100); seed < 130; seed++ {
 		limit := quota.Limit{PerSecond: 60, Burst: 30}
 		s := newQuotaSite(t, seed, map[uint64]quota.Limit{1: limit})
@@ -184,6 +186,7 @@
 // TestQuotaOfCutOffHosts guards against callers that are rejected below the quota while all control hosts of the other regions
 // are cut off from theirs, or while the leader is down.
 func TestQuotaOfCutOffHosts(t *testing.T) {
+	t.Parallel()
 	for name, begin := range map[string]func(s *quotaSite){
 		"region": func(s *quotaSite) {
 			for _, a := range []string{"control-0", "control-3"} {
--- a/core/fleet/random_test.go
+++ b/core/fleet/random_test.go
@@ -114,6 +114,7 @@
 
 // TestRandomFaults runs seeds of random faults; FLEET_SEEDS sets how many, FLEET_SEED the first.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	first, count := envNumber("FLEET_SEED", 1), envNumber("FLEET_SEEDS", 25)
 	for seed := first; seed < first+count; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { run(t, seed) })
--- a/core/fleet/returned_test.go
+++ b/core/fleet/returned_test.go
@@ -12,6 +12,7 @@
 // TestMissedEvacuationIsTold guards against hosts that were cut off, or down, while an evacuation began and ended, and take
 // its endpoints for warm since the state in force does not tell of it.
 func TestMissedEvacuationIsTold(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		s := newSite(t, seed)
 		s.RunFor(8 * core.Second)
@@ -54,6 +55,7 @@
 // they count as isolated beside control hosts that answer no pings, though nothing can be decided without them in it.
 // TestContactLeaseWhileALeaderIsElected has the bound beside those that do.
 func TestContactWhileALeaderIsElected(t *testing.T) {
+	t.Parallel()
 	// A host that was told no lease counts as isolated from then on (core/pick).
 	const isolationTimeout = 2 * core.Second
 	for seed := range uint64(20) {
@@ -83,6 +85,7 @@
 // TestContactThroughAMajority guards against hosts that count as isolated for as long as no leader is elected though their
 // control host hears from a majority of the voters, without which nothing can be decided.
 func TestContactThroughAMajority(t *testing.T) {
+	t.Parallel()
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	e.Start(now)
--- a/core/fleet/scale_test.go
+++ b/core/fleet/scale_test.go
@@ -110,6 +110,7 @@
 // TestManyHostsStart starts 290 entry hosts that all know the same three control hosts. These must not be
 // overloaded while they elect a leader.
 func TestManyHostsStart(t *testing.T) {
+	t.Parallel()
 	c := newLargeSite(t, 1)
 	c.list = nil
 	// Endpoints start within some seconds too.
@@ -140,6 +141,7 @@
 
 // TestManyHostsInSteadyState checks the load of idle control hosts against the users' targets.
 func TestManyHostsInSteadyState(t *testing.T) {
+	t.Parallel()
 	c := newLargeSite(t, 2)
 	c.list = longList()
 	c.RunFor(500)
@@ -153,6 +155,7 @@
 // TestManyHostsWithoutLeader stops the majority of the control hosts. Entry hosts that look for one with a
 // leader must not overload those that remain.
 func TestManyHostsWithoutLeader(t *testing.T) {
+	t.Parallel()
 	c := newLargeSite(t, 3)
 	c.list = longList()
 	c.RunFor(500)
@@ -183,6 +186,7 @@
 // TestManyHostsRestart restarts all hosts at once with their disks. Entry hosts must have the configuration and
 // the list before a new leader is elected, since callers are waiting.
 func TestManyHostsRestart(t *testing.T) {
+	t.Parallel()
 	for _, endpoints := range []int{400, 2988} {
 		c := newLargeSite(t, 4)
 		c.list = longList()[:endpoints]
@@ -212,6 +216,7 @@
 // TestLongListBetweenControlHosts starts all hosts of a deployment with a long list. Until there is a leader
 // every control host reads the list, and none may send it to all others.
 func TestLongListBetweenControlHosts(t *testing.T) {
+	t.Parallel()
 	c := newLargeSite(t, 5)
 	c.list = longList()
 	sent := 0
--- a/core/fleet/search_test.go
+++ b/core/fleet/search_test.go
@@ -30,6 +30,7 @@
 // TestEntryHostsLeaveMinority partitions the leader and another control host from the rest. Entry hosts that
 // reach both sides must follow the majority, which elects a leader and confirms a version, within the bounds.
 func TestEntryHostsLeaveMinority(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			s := newSite(t, seed)
@@ -62,6 +63,7 @@
 // TestStartWithDeadSeed starts entry hosts while one of their three seeds is down. They must have the
 // configuration and the list within a second.
 func TestStartWithDeadSeed(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			s := newSite(t, 100+seed)
@@ -88,6 +90,7 @@
 // control host is cut off from the others, and entry hosts start once that one has removed the others from its list.
 // They must have the version that the others confirm within the bounds.
 func TestStartAtMinority(t *testing.T) {
+	t.Parallel()
 	for _, variant := range []string{"keeps its disk", "loses its disk", "ends soon after"} {
 		for seed := range uint64(20) {
 			t.Run(variant+"/"+strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -130,6 +133,7 @@
 // TestRestartWithLostDisk restarts all hosts at once, one control host with an empty disk. Entry hosts must get
 // the configuration from the others before that one is admitted again.
 func TestRestartWithLostDisk(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			s := newSite(t, 200+seed)
--- a/core/fleet/share_test.go
+++ b/core/fleet/share_test.go
@@ -13,6 +13,7 @@
 // TestLongListIsSentOnce lets an entry host behind a small link report repeatedly while a long list is in
 // transit to it. Resending the list at each report would congest the link permanently.
 func TestLongListIsSentOnce(t *testing.T) {
+	t.Parallel()
 	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
@@ -54,6 +55,7 @@
 // TestProbeAnswerChangesNothing checks that an answer to a probe changes neither the state in force nor the counts
 // of entry hosts.
 func TestProbeAnswerChangesNothing(t *testing.T) {
+	t.Parallel()
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	e.Start(core.Hour)
 	counts := fleet.EntryCounts{Zone: 3, Region: 5, All: 9}
@@ -68,6 +70,7 @@
 // TestHostThatHasLeftGetsNothing checks that a control host sends no updates to an entry host that reports to
 // another one, but still lists it for callers.
 func TestHostThatHasLeftGetsNothing(t *testing.T) {
+	t.Parallel()
 	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
@@ -101,6 +104,7 @@
 // TestHostThatLeftBeforeItWasReady checks that a control host's outdated entry of a starting entry host does
 // not hide it from callers once it is ready.
 func TestHostThatLeftBeforeItWasReady(t *testing.T) {
+	t.Parallel()
 	c := &fleet.Control{ControlHost: fleet.ControlHost{Name: "c", Region: "r", Zone: "z"}, Process: 1, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	if _, err := c.Start(now, core.Stored{Vote: core.Vote{Incarnation: 1}}); err != nil {
@@ -119,6 +123,7 @@
 // TestContactIsWithTheCurrentControlHost guards against hosts that count as in contact by the answers of others: only an
 // update of the control host that they report to tells them of changes.
 func TestContactIsWithTheCurrentControlHost(t *testing.T) {
+	t.Parallel()
 	e := &fleet.Entry{EntryHost: fleet.EntryHost{Name: "e", Region: "r", Zone: "z", Process: 1}, Rand: rand.New(rand.NewPCG(1, 1)), Seeds: []string{"c"}}
 	now := core.Hour
 	e.Start(now)
@@ -139,6 +144,7 @@
 // TestNoContactBehindAMinority guards against entry hosts that count as in contact though their control host is cut off
 // with them: it answers them, but learns of no evacuation.
 func TestNoContactBehindAMinority(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		s := newSite(t, seed)
 		s.RunFor(8 * core.Second)
