The log tells which list ends the doubt about an endpoint that has ended

The logs told that an endpoint has ended, but not what ended that belief, so that a row of the former process and the time-out of 4 s could not be told apart.

--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -247,6 +247,9 @@
 	if entry.Draining && !e.Draining {
 		t.logf("Endpoint %s of %s in %s is draining by a list read %s ago; it gets no new requests.", entry.ID, entry.Service, entry.Zone, age)
 	}
+	if !e.endListed && e.endedAt != 0 && now-age > e.endedAt+maxListLag {
+		t.logf("Endpoint %s of %s in %s is taken as a list read %s after its end shows it: cold for %s.", entry.ID, entry.Service, entry.Zone, now-age-e.endedAt, entry.ColdFor)
+	}
 	e.endListed = e.endListed || now-age > e.endedAt+maxListLag
 	e.updateLeaving(now-age, entry.Draining)
 	e.Entry, e.Region = entry, t.RegionByZone[entry.Zone]
