A model of endpoints that start again under their ids, which fails

The older TestRestartUnderTheSameID has 12 hosts and one list at one delay, which shows the endpoint cold.

--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -35,14 +35,18 @@
 	slowdown  float64
 	arrivals  []core.Millis
 	started   int
+	// startedAt is when the present process started, 0 for the first one.
+	startedAt core.Millis
 }
 
 // modelRequest is one request at an endpoint.
 type modelRequest struct {
 	// zone is the caller's availability zone.
-	zone     string
-	object   string
-	arrived  core.Millis
+	zone    string
+	object  string
+	arrived core.Millis
+	// openedAt is when the connection was opened that the request came on.
+	openedAt core.Millis
 	deadline core.Millis
 	done     func(outcome pick.Outcome, report *core.Report)
 }
@@ -77,6 +81,9 @@
 	objects int
 	// listDelay is how long the list does not tell of a cold start.
 	listDelay core.Millis
+	// connections holds the idle connections of each host if the simulation has any, and rows what the list shows.
+	connections map[*pick.Table]idleConnections
+	rows        *delayedRows
 }
 
 // tally counts the outcomes of callers' requests.
@@ -160,12 +167,15 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		p := w.endpoints[id]
-		p.ColdFor = max(0, p.coldUntil-w.now)
+		p.ColdFor = p.coldFor(w.now)
 		if w.now-(p.coldUntil-modelColdStart) < w.listDelay {
 			p.ColdFor = 0
 		}
 		w.view.Endpoints = append(w.view.Endpoints, p.Entry)
 	}
+	if w.rows != nil {
+		w.view.Endpoints = w.rows.read(w)
+	}
 	for i, zone := range w.zones {
 		if i%2 == 0 {
 			w.view.Entries.Rank = 0
@@ -255,10 +265,12 @@
 	if e.Region != t.Region {
 		delay = 20
 	}
+	openedAt := w.takeConnection(t, e.ID)
 	w.schedule(w.now+delay, func() {
-		w.deliver(e.ID, &modelRequest{w.zones[zone], object, w.now, sentAt + l.timeout, func(outcome pick.Outcome, report *core.Report) {
+		w.deliver(e.ID, &modelRequest{w.zones[zone], object, w.now, openedAt, sentAt + l.timeout, func(outcome pick.Outcome, report *core.Report) {
 			w.schedule(w.now+delay, func() {
 				t.Done(w.now, choice, outcome, w.now-sentAt, report)
+				w.returnConnection(t, e.ID, openedAt, outcome)
 				w.noticeEnd(e.ID, outcome)
 				w.finish(zone, l, object, first, mayRetry, outcome)
 			})
@@ -294,6 +306,10 @@
 		j.done(pick.Refused, nil)
 		return
 	}
+	if w.connections != nil && j.openedAt < p.startedAt {
+		j.done(pick.Lost, nil)
+		return
+	}
 	p.arrivals = append(p.arrivals, w.now)
 	if w.rand.Float64() < p.shedRate || p.running >= p.Slots && len(p.waiting) >= 3*p.Slots {
 		j.done(pick.Shed, nil)
@@ -396,6 +412,11 @@
 	return moved
 }
 
+// coldFor returns how long the endpoint remains cold.
+func (p *modelEndpoint) coldFor(now core.Millis) core.Millis {
+	return max(0, p.coldUntil-now)
+}
+
 // maxPerSecond returns the largest number of requests that reached an endpoint within one second, for seconds
 // that start between from and until.
 func (p *modelEndpoint) maxPerSecond(from, until core.Millis) int {
@@ -424,6 +445,10 @@
 		lost = append(lost, j)
 	}
 	p.running, p.waiting, p.objects, p.inProcess = 0, nil, nil, nil
+	if w.rows != nil {
+		w.rows.recordEnd(w.now, p)
+	}
+	w.closeConnections(id)
 	slices.SortFunc(lost, func(a, b *modelRequest) int { return int(a.arrived - b.arrived) })
 	for _, j := range lost {
 		j.done(pick.Lost, nil)
@@ -452,5 +477,6 @@
 // restart starts a crashed endpoint's process again, cold, under its id.
 func (w *simulation) restart(p *modelEndpoint) {
 	p.coldUntil = w.now + modelColdStart
+	p.startedAt = w.now
 	w.endpoints[p.ID] = p
 }
