An endpoint that has ended counts as cold until its start is known

Cause: what a host believes of a process was kept under an id and address that outlive it. A word of the end was ignored by a host with an idle connection, also with one to the new process.

Now the end of a process leaves the endpoint cold until something shows which process there is: a row that shows the cold start of a later process, an answer on a connection from before the end (it goes on), an answer on a later connection (cold for one more cold start), or a list that was read 10 s after it was last seen down. Connections know when they were opened. What the former process said of itself, its load and objects is forgotten with its end. While it was just seen down and no list was read since, it gets nothing, as before.

TestProcessesBehindOneID: 11 of 24 patterns failed before, up to 46 requests in a second (12.8 allowed); none now.

--- a/core/pick/affinity.go
+++ b/core/pick/affinity.go
@@ -26,7 +26,7 @@
 	}
 	found := make(preferences, 0, expectedRegions)
 	for _, e := range s.endpoints {
-		if !e.isActive() || e.isCold(now) {
+		if !e.isActive() || t.mayBeCold(now, e) {
 			continue
 		}
 		found = found.insert(e, rendezvous(object, e.ID))
--- a/core/pick/choose.go
+++ b/core/pick/choose.go
@@ -92,7 +92,7 @@
 	prefs := t.preferencesOf(now, s, r.Object)
 	found := make([]candidate, 0, expectedRegions)
 	for _, e := range s.endpoints {
-		if !e.isUsable(now) || !regionAllowed(r.Regions, e.Region) || slices.Contains(r.Tried, e.ID) {
+		if !e.isUsable(now) || t.hasEnded(now, e) || !regionAllowed(r.Regions, e.Region) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
 		if !t.isWithinColdRate(now, e) {
@@ -113,7 +113,7 @@
 		c := &found[i]
 		c.Usable++
 		if cost < c.cost {
-			*c = candidate{Choice{Endpoint: e, Wait: core.MillisOf(wait), ServiceTime: core.Millis(s.serviceTime), Cold: e.isCold(now), Load: e.load(now), Usable: c.Usable, Objective: r.Objective, Affinity: prefs.affinityOf(now, e, r.Object), LoadAge: e.reportAge(now)}, cost}
+			*c = candidate{Choice{Endpoint: e, Wait: core.MillisOf(wait), ServiceTime: core.Millis(s.serviceTime), Cold: t.mayBeCold(now, e), Load: e.load(now), Usable: c.Usable, Objective: r.Objective, Affinity: prefs.affinityOf(now, e, r.Object), LoadAge: e.reportAge(now)}, cost}
 		}
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
@@ -183,7 +183,7 @@
 func (t *Table) cost(now core.Millis, s *service, e *Endpoint, object string, prefs preferences) (cost, wait float64) {
 	wait = e.wait(now) * s.serviceTime
 	cost = wait + e.failureRate*failCost*s.serviceTime
-	if e.isCold(now) {
+	if t.mayBeCold(now, e) {
 		cost += coldCost * s.serviceTime
 	}
 	if e.Region != t.Region {
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -57,7 +57,7 @@
 	// A former process of this host may have used its part in the latest window.
 	hasJustStarted := t.StartedAt != 0 && now-t.StartedAt < coldWindow
 	switch {
-	case e.isCold(now):
+	case t.mayBeCold(now, e):
 		return !hasJustStarted && t.mayUseCold(now, e)
 	case t.isIsolated(now):
 		return !hasJustStarted && t.mayUseIsolated(now, e)
--- a/core/pick/done.go
+++ b/core/pick/done.go
@@ -112,18 +112,6 @@
 	}
 }
 
-// RecordEnded records that an endpoint's process was seen to have ended.
-func (t *Table) RecordEnded(at core.Millis, id string) {
-	e := t.endpoints[id]
-	if e == nil || at <= e.endedAt {
-		return
-	}
-	if at-e.endedAt > returnColdTimeout {
-		t.logf("Endpoint %s of %s in %s has ended; it gets no requests until a list that was read later.", e.ID, e.Service, e.Zone)
-	}
-	e.endedAt, e.endListed = at, false
-}
-
 // recordFailure records a failure and logs when the endpoint is ejected for it.
 func (t *Table) recordFailure(now core.Millis, e *Endpoint, outcome Outcome) {
 	if e.recordFailure(now, outcome == Unreached || outcome == Refused) {
--- a/core/pick/dump.go
+++ b/core/pick/dump.go
@@ -49,7 +49,7 @@
 		d.ServiceTime[name], d.ObjectiveShare[name] = core.Millis(s.serviceTime), s.objectiveShare
 		for _, e := range s.endpoints {
 			d.Endpoints = append(d.Endpoints, EndpointDump{
-				ID: e.ID, Service: e.Service, Zone: e.Zone, Usable: e.isUsable(now), Cold: e.isCold(now), InFlight: e.inFlight,
+				ID: e.ID, Service: e.Service, Zone: e.Zone, Usable: e.isUsable(now) && !t.hasEnded(now, e), Cold: t.mayBeCold(now, e), InFlight: e.inFlight,
 				Load: e.load(now), FailureRate: e.failureRate, Objects: len(e.objects),
 				Leaving: e.leavingSince != 0, Backoff: max(0, e.backoffUntil-now), Limit: e.limit,
 			})
--- a/core/pick/endpoint.go
+++ b/core/pick/endpoint.go
@@ -30,6 +30,7 @@
 type Endpoint struct {
 	roster.Entry
 	readiness
+	process
 	Region string
 
 	evacuated bool
@@ -46,9 +47,6 @@
 	coldUntil       core.Millis
 	// zoneColdUntil is until when the endpoint counts as cold after the evacuation of its zone.
 	zoneColdUntil core.Millis
-	// endedAt is when the endpoint's process was last seen to have ended, endListed is set once a later list shows its state.
-	endedAt   core.Millis
-	endListed bool
 	// answeredAt is when the endpoint last answered this host.
 	answeredAt core.Millis
 	// sentAt holds when this host sent the endpoint requests in the latest coldWindow, and its last one before: when the
@@ -81,12 +79,6 @@
 	return now < e.coldUntil || now < e.zoneColdUntil
 }
 
-// hasEnded reports whether the endpoint's process has ended and may have started again since, cold under the same id, without
-// a list that shows it.
-func (e *Endpoint) hasEnded(now core.Millis) bool {
-	return e.endedAt != 0 && !e.endListed && now-e.endedAt <= returnColdTimeout
-}
-
 // isActive reports whether the endpoint takes part in its service.
 func (e *Endpoint) isActive() bool {
 	return !e.Draining && !e.evacuated && !e.gone && e.leavingSince == 0
@@ -94,7 +86,7 @@
 
 // isUsable reports whether new requests may go to the endpoint now.
 func (e *Endpoint) isUsable(now core.Millis) bool {
-	return e.isActive() && !e.hasEnded(now) && now >= e.ejectedUntil && e.isReopened(now) && !e.isHeldBack(now)
+	return e.isActive() && now >= e.ejectedUntil && e.isReopened(now) && !e.isHeldBack(now)
 }
 
 func (e *Endpoint) isWarmFor(now core.Millis, object string) bool {
--- a/core/pick/model_test.go
+++ b/core/pick/model_test.go
@@ -270,6 +270,9 @@
 		w.deliver(e.ID, &modelRequest{w.zones[zone], object, w.now, openedAt, sentAt + l.timeout, func(outcome pick.Outcome, report *core.Report) {
 			w.schedule(w.now+delay, func() {
 				t.Done(w.now, choice, outcome, w.now-sentAt, report)
+				if outcome == pick.Good || outcome == pick.Shed {
+					t.RecordAnswer(w.now, e.ID, sentAt, openedAt)
+				}
 				w.returnConnection(t, e.ID, openedAt, outcome)
 				w.noticeEnd(e.ID, outcome)
 				w.finish(zone, l, object, first, mayRetry, outcome)
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -84,7 +84,7 @@
 // IsReady reports whether an endpoint that was chosen still takes the request, which may have waited for a connection.
 func (t *Table) IsReady(now core.Millis, c Choice) bool {
 	e := c.Endpoint
-	return e.isActive() && !e.hasEnded(now) && !e.inBackoff(now) && (c.Cold || !e.isCold(now)) && (!t.isIsolated(now) || t.isIsolated(c.chosenAt)) && e.isWithinLimit(c.chosenAt)
+	return e.isActive() && !t.hasEnded(now, e) && !e.inBackoff(now) && (c.Cold || !t.mayBeCold(now, e)) && (!t.isIsolated(now) || t.isIsolated(c.chosenAt)) && e.isWithinLimit(c.chosenAt)
 }
 
 // RecordNotice applies what an endpoint's answer says about the endpoint; answers to requests that were cancelled or
--- a/core/pick/probe.go
+++ b/core/pick/probe.go
@@ -50,7 +50,7 @@
 		if e.Zone != t.Zone {
 			w++
 		}
-		if e.isCold(now) || e.hasEnded(now) || now < e.ejectedUntil {
+		if t.mayBeCold(now, e) || t.hasEnded(now, e) || now < e.ejectedUntil {
 			w += 2 * count
 		}
 		return w
--- a/core/pick/process_test.go
+++ b/core/pick/process_test.go
@@ -30,7 +30,9 @@
 		for _, t := range w.tables[zone] {
 			idle := idleConnections{}
 			w.connections[t] = idle
-			t.IsConnected = func(address string) bool { return len(idle[address]) > 0 }
+			t.IsConnectedSince = func(address string, at core.Millis) bool {
+				return slices.ContainsFunc(idle[address], func(openedAt core.Millis) bool { return openedAt < at })
+			}
 		}
 	}
 }
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -121,9 +121,9 @@
 	Notices NoticeCounts
 	// OnRemove is called with the address of an endpoint that is no longer used.
 	OnRemove func(address string)
-	// IsConnected reports whether there is an idle connection to an address, which ends with the endpoint's process; it may
-	// be nil.
-	IsConnected func(address string) bool
+	// IsConnectedSince reports whether there is an idle connection to an address that was opened before a time; connections
+	// end with the endpoint's process. It may be nil.
+	IsConnectedSince func(address string, at core.Millis) bool
 	// Log receives changes in this host's view of an endpoint; it may be nil.
 	Log func(part, text string)
 }
@@ -174,10 +174,7 @@
 		}
 	}
 	for _, each := range view.Ended {
-		// Another host may be cut off from an endpoint that has not ended.
-		if e := t.endpoints[each.Endpoint]; e != nil && (t.IsConnected == nil || !t.IsConnected(e.Address)) {
-			t.RecordEnded(now-each.Age, each.Endpoint)
-		}
+		t.RecordEnded(now-each.Age, each.Endpoint)
 	}
 	t.groupByService()
 	t.updateLocalSlots(now)
@@ -247,10 +244,7 @@
 	if entry.Draining && !e.Draining {
 		t.logf("Endpoint %s of %s in %s is draining by a list read %s ago; it gets no new requests.", entry.ID, entry.Service, entry.Zone, age)
 	}
-	if !e.endListed && e.endedAt != 0 && now-age > e.endedAt+maxListLag {
-		t.logf("Endpoint %s of %s in %s is taken as a list read %s after its end shows it: cold for %s.", entry.ID, entry.Service, entry.Zone, now-age-e.endedAt, entry.ColdFor)
-	}
-	e.endListed = e.endListed || now-age > e.endedAt+maxListLag
+	t.updateProcess(e, now-age, entry)
 	e.updateLeaving(now-age, entry.Draining)
 	e.Entry, e.Region = entry, t.RegionByZone[entry.Zone]
 	e.evacuated = t.evacuated[entry.Zone]
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -164,11 +164,11 @@
 	if examined {
 		return
 	}
-	at := s.Now()
+	at, began := s.Now(), time.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		ended := s.Pool.IsRefused(ctx, address) && !s.Pool.HasIdle(address) && s.reachesOthers(ctx, endpoint)
+		ended := s.Pool.IsRefused(ctx, address) && !s.Pool.HasIdleSince(address, began) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
 	}()
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -297,7 +297,7 @@
 // send sends the request, with extra headers, to the chosen endpoint and reports the outcome to the endpoint table.
 func (t *attempts) send(ctx context.Context, choice pick.Choice, extra map[string]string) attemptResult {
 	s, e := t.server, choice.Endpoint
-	began := s.Now()
+	began, dialAt := s.Now(), time.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration()), Extra: extra}
 	target.Ready = func() bool {
 		if s.quarantine(t.exchange.digest) != nil || t.checkStopTime() != nil {
@@ -311,7 +311,7 @@
 	result := s.Pool.Do(ctx, t.exchange.request, target)
 	s.recordDone(e.Address, result)
 	outcome := s.classify(result)
-	if outcome == pick.Refused && s.Pool.HasIdle(e.Address) {
+	if outcome == pick.Refused && s.Pool.HasIdleSince(e.Address, dialAt) {
 		// The endpoint has not ended, since a connection to it is open.
 		outcome = pick.Unreached
 	}
@@ -326,6 +326,9 @@
 	}
 	s.mutex.Lock()
 	s.Picks.Done(s.Now(), choice, outcome, s.Now()-began, report)
+	if outcome == pick.Good || outcome == pick.Failed || outcome == pick.Shed {
+		s.Picks.RecordAnswer(s.Now(), e.ID, began, s.Now()-core.Millis(time.Since(result.OpenedAt).Milliseconds()))
+	}
 	s.mutex.Unlock()
 	s.recordEnding(ctx, e, t.exchange.digest, result, outcome)
 	if outcome == pick.Misled {
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"clementinelock/core"
 	"clementinelock/core/fleet"
@@ -63,7 +64,7 @@
 	defer e.mutex.Unlock()
 	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
-	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnected: e.pool.HasIdle, Log: e.Log.Info}
+	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnectedSince: e.isConnectedSince, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
 	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordClosed, e.server.RecordDial
 	e.server.Helpers = &reach.Helpers{Region: s.Region, Zone: s.Zone, Rand: newRand()}
@@ -121,6 +122,11 @@
 	return e.listenStatus(e.metrics, e.dump)
 }
 
+// isConnectedSince reports whether there is an idle connection to an address that was opened before a time.
+func (e *Entry) isConnectedSince(address string, at core.Millis) bool {
+	return e.pool.HasIdleSince(address, time.Now().Add(-(e.clock.Now() - at).Duration()))
+}
+
 // entryDump is the state of an entry host, as shown by /dump.
 type entryDump struct {
 	Known    fleet.EntryDump
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -21,6 +21,8 @@
 	pool    *Pool
 	address string
 	conn    net.Conn
+	// openedAt is by when the peer had accepted the connection.
+	openedAt time.Time
 	// limit bounds the bytes that are read from the connection as part of heads, and of answers that are skipped.
 	limit  io.LimitedReader
 	reader *bufio.Reader
@@ -52,7 +54,7 @@
 }
 
 func newConnection(p *Pool, address string, conn net.Conn) *connection {
-	c := &connection{pool: p, address: address, conn: conn, limit: io.LimitedReader{R: conn, N: unlimited}, expiresAt: time.Now().Add(24 * time.Hour)}
+	c := &connection{pool: p, address: address, conn: conn, openedAt: time.Now(), limit: io.LimitedReader{R: conn, N: unlimited}, expiresAt: time.Now().Add(24 * time.Hour)}
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
 	return c
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -86,7 +87,7 @@
 		return Result{Ending: Withdrawn, Detail: "endpoint became unavailable before the request was sent"}
 	}
 	result := c.roundTrip(ctx, r, t)
-	result.Reused = reused
+	result.Reused, result.OpenedAt = reused, c.openedAt
 	return result
 }
 
@@ -146,6 +147,13 @@
 	return len(p.idle[address]) > 0
 }
 
+// HasIdleSince reports whether there is an idle connection to an address that was opened before a time.
+func (p *Pool) HasIdleSince(address string, at time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.ContainsFunc(p.idle[address], func(c *connection) bool { return c.openedAt.Before(at) })
+}
+
 // IsRefused reports whether the address refuses connections, as that of a process that has ended does. A connection that
 // is established is kept for a request.
 func (p *Pool) IsRefused(ctx context.Context, address string) bool {
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -95,6 +95,8 @@
 	Reset bool
 	// Reused reports whether the connection had carried another request before.
 	Reused bool
+	// OpenedAt is when the connection was opened that the request was sent on.
+	OpenedAt time.Time
 }
 
 // Discard closes the rest of an answer that is not passed on.
