What a host knows of an endpoint outlasts a reading of the list that lacks its row

A row that can't be read is missing for one reading. The host then made the endpoint anew with its notices alone: that its process had ended, its cold start and the requests that were sent to it in the latest second were forgotten, so that a cold endpoint got its rate again and one that may have started again counted as warm.

--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -67,8 +67,6 @@
 	reopening bool
 	// invalidLogged is set once a log line has reported an invalid notice.
 	invalidLogged bool
-	// removedAt is when the list lost the endpoint.
-	removedAt core.Millis
 }
 
 // inBackoff reports whether the endpoint asked for no requests at this time.
@@ -167,31 +165,41 @@
 	}
 }
 
-// keepReadiness keeps a removed endpoint's notices in case that its row was only missing for a moment.
-func (t *Table) keepReadiness(now core.Millis, e *Endpoint) {
+// removedEndpoint is what outlasts the row of an endpoint that the list has lost, perhaps for one reading only.
+type removedEndpoint struct {
+	readiness
+	process
+	coldUntil core.Millis
+	sentAt    []core.Millis
+	// removedAt is when the list lost the endpoint.
+	removedAt core.Millis
+}
+
+// keepRemoved keeps what is known of a removed endpoint in case that its row was only missing for a moment.
+func (t *Table) keepRemoved(now core.Millis, e *Endpoint) {
 	if t.removed == nil {
-		t.removed = map[string]readiness{}
+		t.removed = map[string]removedEndpoint{}
 	}
 	for id, r := range t.removed {
 		if now-r.removedAt > noticeRetention {
 			delete(t.removed, id)
 		}
 	}
-	if e.leavingSince == 0 && e.reopenAt <= now && !e.limited {
-		return
-	}
-	e.removedAt = now
-	t.removed[e.ID+" "+e.Address] = e.readiness
+	t.removed[e.ID+" "+e.Address] = removedEndpoint{e.readiness, e.process, e.coldUntil, e.sentAt, now}
 }
 
-// restoreReadiness gives an endpoint that is listed again the notices from before. An endpoint in its cold start is a
-// new process under the same id, which has said nothing yet.
-func (t *Table) restoreReadiness(now core.Millis, e *Endpoint) {
+// restoreRemoved gives an endpoint that is listed again what was known of it. An endpoint in its cold start is a new process
+// under the same id, which has said nothing yet; requests that were sent before may still reach it.
+func (t *Table) restoreRemoved(now core.Millis, e *Endpoint) {
 	key := e.ID + " " + e.Address
 	r, kept := t.removed[key]
 	delete(t.removed, key)
-	if kept && now-r.removedAt <= noticeRetention && e.ColdFor == 0 {
-		e.readiness = r
+	if !kept || now-r.removedAt > noticeRetention {
+		return
+	}
+	e.sentAt = r.sentAt
+	if e.ColdFor == 0 {
+		e.readiness, e.process, e.coldUntil = r.readiness, r.process, r.coldUntil
 	}
 }
 
--- a/core/pick/start_test.go
+++ b/core/pick/start_test.go
@@ -158,3 +158,33 @@
 		}
 	}
 }
+
+// TestRowMissingForAMoment guards against a row that can't be read for one reading of the list, after which the host has
+// forgotten that the endpoint has ended, or what it has sent it within its cold rate.
+func TestRowMissingForAMoment(t *testing.T) {
+	miss := func(f *processFixture) {
+		all := f.view.Endpoints
+		f.view.Endpoints = nil
+		f.update(0)
+		f.now += 500
+		f.view.Endpoints = all
+		f.update(0)
+	}
+	t.Run("the endpoint has ended", func(t *testing.T) {
+		f := newProcessFixture(t)
+		f.end(2 * core.Second)
+		miss(f)
+		if f.isWarm() {
+			t.Error("the endpoint is taken for warm after its row was missing")
+		}
+	})
+	t.Run("the endpoint is cold", func(t *testing.T) {
+		f := newProcessFixture(t)
+		f.list(3 * core.Second)
+		before := f.targets(processRequests)["i-0"]
+		miss(f)
+		if after := f.targets(processRequests)["i-0"]; before+after > 12 {
+			t.Errorf("the cold endpoint gets %d and %d requests in one second around the reading that lacked it", before, after)
+		}
+	})
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -115,8 +115,8 @@
 	contactAt core.Millis
 	// contactLease is how long after a contact the host's knowledge of endpoints is used, 0 if contact is not recorded.
 	contactLease core.Millis
-	// removed holds the notices of endpoints that were removed lately, by id and address.
-	removed map[string]readiness
+	// removed holds what outlasts the rows of endpoints that were removed lately, by id and address.
+	removed map[string]removedEndpoint
 	// Notices counts what endpoints said about themselves.
 	Notices NoticeCounts
 	// OnRemove is called with the address of an endpoint that is no longer used.
@@ -169,7 +169,7 @@
 		if !listed[id] && view.ListKnown {
 			e.gone = true
 			delete(t.endpoints, id)
-			t.keepReadiness(now, e)
+			t.keepRemoved(now, e)
 			t.OnRemove(e.Address)
 		}
 	}
@@ -233,7 +233,7 @@
 	if added {
 		e = &Endpoint{Entry: entry}
 		t.endpoints[entry.ID] = e
-		t.restoreReadiness(now, e)
+		t.restoreRemoved(now, e)
 	}
 	if entry.ColdFor > 0 {
 		if !e.isCold(now) {
