The end of an idle endpoint is examined by hosts with connections to it

An endpoint that ended while it held no request had no witness: a host whose idle connection broke looked for the cause only if it had abandoned requests there. If it started again within 0.3 to 0.5 s, all hosts went on to take it for warm until the list showed it. Now a host examines an endpoint that may get requests when it closes an idle connection; hosts close theirs before endpoints do, so that this is rare otherwise.

--- a/core/pick/probe.go
+++ b/core/pick/probe.go
@@ -33,6 +33,16 @@
 	HealthPath string
 }
 
+// ActiveAt returns the id of the endpoint at an address that may get requests.
+func (t *Table) ActiveAt(address string) (id string, ok bool) {
+	for _, e := range t.endpoints {
+		if e.Address == address && e.isActive() {
+			return e.ID, true
+		}
+	}
+	return "", false
+}
+
 // Spread returns at most count endpoints to probe whether any can be reached: of as many services and availability zones as
 // possible, this host's zone first. Endpoints that should get nothing, or little, are not among them, those that are cold or
 // may be down only where there are too few others.
--- a/io/entry/abandoned.go
+++ b/io/entry/abandoned.go
@@ -102,8 +102,8 @@
 	return digests
 }
 
-// RecordClosed records that the endpoint at an address has closed an idle connection or took no new one: it may have ended
-// under requests that this host abandoned there.
+// RecordClosed records that an endpoint took no new connection at an address: it may have ended under requests that this host
+// abandoned there.
 func (s *Server) RecordClosed(address string) {
 	s.mutex.Lock()
 	a := s.crashes.abandoned[address]
@@ -113,3 +113,14 @@
 		s.examine(context.Background(), a.endpoint, address)
 	}
 }
+
+// RecordIdleClosed records that an idle connection to an address has ended on the endpoint's side. An idle endpoint that ends
+// may have no other witness.
+func (s *Server) RecordIdleClosed(address string) {
+	s.mutex.Lock()
+	endpoint, ok := s.Picks.ActiveAt(address)
+	s.mutex.Unlock()
+	if ok {
+		s.examine(context.Background(), endpoint, address)
+	}
+}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -146,7 +146,7 @@
 		h.records = append(h.records, a)
 		h.mutex.Unlock()
 	}}
-	p.OnHeader, p.OnClosed = h.server.RecordHeader, h.server.RecordClosed
+	p.OnHeader, p.OnClosed = h.server.RecordHeader, h.server.RecordIdleClosed
 	h.view, h.routes, h.now = view, table, steady.Now
 	h.change(func(*fleet.View, *routes.Table, *pick.Table) {})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -66,7 +66,7 @@
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
 	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnectedSince: e.isConnectedSince, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
-	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordClosed, e.server.RecordDial
+	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordIdleClosed, e.server.RecordDial
 	e.server.Helpers = &reach.Helpers{Region: s.Region, Zone: s.Zone, Rand: newRand()}
 	e.server.HelperPool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
 	e.server.HelperAddress = s.peerAddress
