An endpoint that tells it is cold after it reset a connection is known to all hosts at once

An endpoint that ends silently and starts again is seen by no host to have ended: its address refuses nothing.

Now a host asks an endpoint that reset a connection which had carried requests for its health, once a second at most. Its answer names for how long it is cold. That, and any other answer by which an endpoint tells of a start that was not known, goes to all hosts beside the ends; they close their idle connections to it and keep to its cold rate.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -44,7 +44,7 @@
 func (r *Relay) AddEnded(now core.Millis, ended Ended) (news bool) {
 	at := now - ended.Age
 	if slices.ContainsFunc(r.ended, func(each relayed[Ended]) bool {
-		return each.report.Endpoint == ended.Endpoint && at-each.at < endedInterval
+		return each.report.Endpoint == ended.Endpoint && at-each.at < endedInterval && (ended.ColdFor == 0 || each.report.ColdFor > 0)
 	}) {
 		return false
 	}
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -22,6 +22,9 @@
 	Endpoint string `cbor:"1,keyasint"`
 	// Age is the time since the end was noticed.
 	Age core.Millis `cbor:"2,keyasint,omitempty"`
+	// ColdFor is how long the endpoint's next process is cold, counted from when the end was noticed, if it has started by
+	// then; 0 means that it had not.
+	ColdFor core.Millis `cbor:"3,keyasint,omitempty"`
 }
 
 // Quarantine is a request that is not sent to endpoints until a time of the wall clock. From then on a single further
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -23,9 +23,14 @@
 func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
 	out := &core.Effects{}
 	for _, each := range ended {
-		if e.relay.AddEnded(now, each) {
+		if !e.relay.AddEnded(now, each) {
+			continue
+		}
+		e.reportAt = now
+		if each.ColdFor > 0 {
+			out.Logf("crashes", "Endpoint %s has started again and is cold for %s; other hosts are told.", each.Endpoint, each.ColdFor)
+		} else {
 			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
-			e.reportAt = now
 		}
 	}
 	return *out
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -86,15 +86,13 @@
 }
 
 // RecordNotice applies what an endpoint's answer says about the endpoint; answers to requests that were cancelled or
-// superseded count too.
-func (t *Table) RecordNotice(now core.Millis, id string, n Notice) {
+// superseded count too. It reports whether the answer tells of a start that was not known.
+func (t *Table) RecordNotice(now core.Millis, id string, n Notice) (started bool) {
 	e := t.endpoints[id]
 	if e == nil {
-		return
-	}
-	if n.ColdFor > 0 {
-		e.coldUntil = max(e.coldUntil, now+n.ColdFor+coldGraceInterval)
+		return false
 	}
+	started = n.ColdFor > 0 && t.RecordStarted(now, id, n.ColdFor)
 	if n.Leaving {
 		t.Notices.Leaving++
 		t.recordLeaving(now, e)
@@ -113,6 +111,7 @@
 		t.Notices.Backoff++
 		t.recordBackoff(now, e, min(n.RetryAfter, maxBackoff))
 	}
+	return started
 }
 
 func (t *Table) recordInvalid(e *Endpoint, name, text string) {
--- a/core/pick/probe.go
+++ b/core/pick/probe.go
@@ -33,6 +33,15 @@
 	HealthPath string
 }
 
+// ProbeOf returns the probe of an endpoint that may get requests.
+func (t *Table) ProbeOf(id string) (probe Probe, ok bool) {
+	e := t.endpoints[id]
+	if e == nil || !e.isActive() {
+		return Probe{}, false
+	}
+	return Probe{e.ID, e.Address, t.configured[e.Service].HealthPath}, true
+}
+
 // ActiveAt returns the id of the endpoint at an address that may get requests.
 func (t *Table) ActiveAt(address string) (id string, ok bool) {
 	for _, e := range t.endpoints {
--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -16,6 +16,8 @@
 	// maxEndDelay is by how much later than it was an end may seem to this host, since others report it: what was connected
 	// longer before goes on.
 	maxEndDelay = core.Second
+	// maxStartError is by how much two words of the same start may differ.
+	maxStartError = 500 * core.Millisecond
 	// defaultColdStart is the longest cold start that is assumed for a service that names none.
 	defaultColdStart = 4 * core.Second
 )
@@ -87,10 +89,30 @@
 	}
 }
 
+// RecordStarted records that an endpoint said at a time for how long it is cold, after connections to it had broken: it has a
+// new process. It reports whether that is news.
+func (t *Table) RecordStarted(at core.Millis, id string, coldFor core.Millis) (news bool) {
+	e := t.endpoints[id]
+	if e == nil || at <= e.upAt {
+		return false
+	}
+	coldUntil := at + coldFor + coldGraceInterval
+	if coldUntil <= e.coldUntil+maxStartError {
+		// The same start is known already.
+		e.coldUntil = max(e.coldUntil, coldUntil)
+		return false
+	}
+	e.coldUntil = coldUntil
+	t.recordStart(e, at, "it says that it is cold")
+	// Connections to the former process may not have noticed its end.
+	t.OnRemove(e.Address)
+	return true
+}
+
 // recordStart records that an endpoint that was seen to have ended has a new process, which was up at a time: what was known of
 // the former one does not hold for it.
 func (t *Table) recordStart(e *Endpoint, upAt core.Millis, reason string) {
-	t.logf("Endpoint %s of %s in %s has started again: %s; it was seen down %s before.", e.ID, e.Service, e.Zone, reason, upAt-e.endedAt)
+	t.logf("Endpoint %s of %s in %s has started again: %s; its end was seen: %t.", e.ID, e.Service, e.Zone, reason, e.endedAt != 0)
 	e.endedAt, e.upAt = 0, max(upAt, e.endedAt)
 	e.readiness = readiness{}
 	e.objects = nil
--- a/core/pick/start_test.go
+++ b/core/pick/start_test.go
@@ -188,3 +188,29 @@
 		}
 	})
 }
+
+// TestStartThatAnotherHostSaw guards against an endpoint that counts as warm though another host was told by it that it has just
+// started, and against connections to its former process that are still used.
+func TestStartThatAnotherHostSaw(t *testing.T) {
+	f := newProcessFixture(t)
+	f.table.IsConnectedSince = func(string, core.Millis) bool { return true }
+	tell := func() {
+		f.view.Ended = []crash.Ended{{Endpoint: "i-0", Age: 100, ColdFor: 2500}}
+		f.update(0)
+	}
+	tell()
+	if f.isWarm() {
+		t.Error("the endpoint is taken for warm")
+	}
+	f.now += 20
+	tell()
+	if len(f.closed) != 1 {
+		t.Errorf("idle connections were closed %d times, expected once", len(f.closed))
+	}
+	f.view.Ended = nil
+	f.now += 4 * core.Second
+	f.update(0)
+	if !f.isWarm() {
+		t.Error("the endpoint is taken for cold after its cold start")
+	}
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -174,7 +174,11 @@
 		}
 	}
 	for _, each := range view.Ended {
-		t.RecordEnded(now-each.Age, each.Endpoint)
+		if each.ColdFor > 0 {
+			t.RecordStarted(now-each.Age, each.Endpoint, each.ColdFor)
+		} else {
+			t.RecordEnded(now-each.Age, each.Endpoint)
+		}
 	}
 	t.groupByService()
 	t.updateLocalSlots(now)
--- a/io/entry/abandoned.go
+++ b/io/entry/abandoned.go
@@ -51,7 +51,7 @@
 	}
 	s.mutex.Unlock()
 	if probe {
-		s.examine(ctx, e.ID, e.Address)
+		s.examine(ctx, e.ID, e.Address, false)
 	}
 }
 
@@ -110,7 +110,7 @@
 	recent := a != nil && a.requests[len(a.requests)-1].isRecent(s.Now())
 	s.mutex.Unlock()
 	if recent {
-		s.examine(context.Background(), a.endpoint, address)
+		s.examine(context.Background(), a.endpoint, address, false)
 	}
 }
 
@@ -121,6 +121,6 @@
 	endpoint, ok := s.Picks.ActiveAt(address)
 	s.mutex.Unlock()
 	if ok {
-		s.examine(context.Background(), endpoint, address)
+		s.examine(context.Background(), endpoint, address, false)
 	}
 }
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"clementinelock/core"
@@ -30,6 +31,8 @@
 	abandoned map[string]*abandoned
 	// ended holds the endpoints that this host saw end and the driver has not taken yet.
 	ended []timedEnd
+	// startAskedAt holds when endpoints were asked lately for their start.
+	startAskedAt map[string]core.Millis
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
 	// inFlight holds what cancels the requests in flight, by digest.
@@ -50,10 +53,11 @@
 	at core.Millis
 }
 
-// timedEnd is an endpoint that was seen to have ended at a time.
+// timedEnd is an endpoint that was seen to have ended at a time, and for how long its next process is cold, 0 if none has started.
 type timedEnd struct {
 	endpoint string
 	at       core.Millis
+	coldFor  core.Millis
 }
 
 // SetQuarantined replaces the requests that are not sent to endpoints, and those whose answers are reported. Attempts of
@@ -108,7 +112,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, each := range s.crashes.ended {
-		ended = append(ended, crash.Ended{Endpoint: each.endpoint, Age: now - each.at})
+		ended = append(ended, crash.Ended{Endpoint: each.endpoint, Age: now - each.at, ColdFor: each.coldFor})
 	}
 	s.crashes.ended = nil
 	return ended
@@ -137,12 +141,12 @@
 		defer s.mutex.Unlock()
 		s.crashes.watch.RecordAnswer(s.Now(), digest)
 	case result.Ending == pool.Broken || result.Ending == pool.Spoiled:
-		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, digest)
+		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, result.Reset && result.Reused, digest)
 	case result.Ending == pool.Silent || result.Ending == pool.Cancelled && !errors.Is(context.Cause(ctx), errSuperseded):
 		s.recordAbandoned(context.WithoutCancel(ctx), e, digest)
 	case result.Refused:
 		s.RecordClosed(e.Address)
-		s.examine(context.WithoutCancel(ctx), e.ID, e.Address)
+		s.examine(context.WithoutCancel(ctx), e.ID, e.Address, false)
 	case result.Ending == pool.NotSent:
 		s.RecordClosed(e.Address)
 	}
@@ -150,7 +154,8 @@
 
 // examine finds out whether an endpoint has ended, and under which of the requests given. Requests that break in the
 // meantime share the finding.
-func (s *Server) examine(ctx context.Context, endpoint, address string, broken ...crash.Digest) {
+// A connection that was reset may have been one to a former process; reset tells so of the one that led here.
+func (s *Server) examine(ctx context.Context, endpoint, address string, reset bool, broken ...crash.Digest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.crashes.broken == nil {
@@ -168,8 +173,12 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		ended := s.Pool.IsRefused(ctx, address) && !s.Pool.HasIdleSince(address, began) && s.reachesOthers(ctx, endpoint)
+		err := s.Pool.Probe(ctx, address)
+		ended := errors.Is(err, syscall.ECONNREFUSED) && !s.Pool.HasIdleSince(address, began) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
+		if err == nil && reset {
+			s.askForStart(ctx, endpoint)
+		}
 	}()
 }
 
@@ -198,7 +207,7 @@
 	if !ended {
 		return
 	}
-	s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint, at})
+	s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint: endpoint, at: at})
 	s.Picks.RecordEnded(at, endpoint)
 	for _, digest := range append(broken, s.crashes.takeAbandoned(at, endpoint, address)...) {
 		s.crashes.reports = append(s.crashes.reports, timedReport{crash.Report{Digest: digest, Endpoint: endpoint}, at})
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -26,7 +26,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.Picks.RecordNotice(s.Now(), endpoint, notice)
+	if now := s.Now(); s.Picks.RecordNotice(now, endpoint, notice) {
+		s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint, now, notice.ColdFor})
+	}
 }
 
 // noticeOf reads what an answer says about its endpoint.
