--- a/Makefile
+++ b/Makefile
@@ -41,8 +41,12 @@
 # Tests of KNOWN-RED.txt are passed over; .ci/run prints the list.
 RED = $(shell sed -n 's/^- unit: \(Test[A-Za-z]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
+# Tests of crowds measure a process's memory, so they run one at a time, after all others.
+CROWDS = TestCrowd[A-Za-z]*|TestRequestsWithinTheLimitsAreServed
+
 unit:
-	go test $(if $(RED),-skip '^($(RED))$$') ./...
+	go test -skip '^($(if $(RED),$(RED)|)$(CROWDS))$$' ./...
+	go test $(if $(RED),-skip '^($(RED))$$') -run '^($(CROWDS))$$' -count=1 ./platform/soak
 
 bench: build
 	./bin/clementinelab bench
