An attempt that waits for its caller's body says nothing about the endpoint

Callers saw: while some clients had stopped before the end of a long body, all requests got 503 (NoUpstream, "no endpoint of service can be used") for three seconds and longer.

A few of them eject an endpoint, and a crowd ejects all.

Evidence: 48 connections with a body of 1 MB less a byte before four endpoints: an ordinary request got 503 until 3 s after the bodies were given up. TestUnfinishedBodiesBlameNoEndpoint (16 bodies, two endpoints) failed with 503 before.

Change: such an attempt counts as given up, as one whose caller has left. It may have run, as before. An endpoint that does not read is still lost: then the host does not wait for the caller.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"clementinelock/io/pool"
 )
 
 // errBodyAbandoned ends the transfer of a body whose request has its answer already.
@@ -26,6 +28,9 @@
 	remaining int64
 	// complete is set once the end of the body was read from the caller.
 	complete atomic.Bool
+	// awaited is set while the caller's next bytes are awaited, and failed once it has left or sent what is no body.
+	awaited atomic.Bool
+	failed  atomic.Bool
 }
 
 func newBodyRemainder(c *conn, body io.Reader, remaining int64) *bodyRemainder {
@@ -39,12 +44,16 @@
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		_ = r.conn.conn.SetReadDeadline(r.conn.bodyDeadline())
+		r.awaited.Store(true)
 		n, err := r.body.Read(buffer)
+		r.awaited.Store(false)
 		if r.remaining -= int64(n); r.remaining < 0 {
 			err, n = fmt.Errorf("request body exceeds the limit"), 0
 		}
 		if errors.Is(err, io.EOF) {
 			r.complete.Store(true)
+		} else if err != nil {
+			r.failed.Store(true)
 		}
 		if n > 0 {
 			if _, failed := r.pipe.Write(buffer[:n]); failed != nil {
@@ -65,3 +74,9 @@
 	_ = r.CloseWithError(errBodyAbandoned)
 	return complete
 }
+
+// isCauseOf reports whether an attempt ended without an answer because the caller did not send the rest of the body, which tells
+// nothing about the endpoint.
+func (r *bodyRemainder) isCauseOf(ending pool.Ending) bool {
+	return ending == pool.Silent && r.awaited.Load() || ending == pool.Broken && r.failed.Load()
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -315,6 +315,9 @@
 		// The endpoint has not ended, since a connection to it is open.
 		outcome = pick.Unreached
 	}
+	if rest := t.exchange.rest; rest != nil && rest.isCauseOf(result.Ending) {
+		outcome = pick.GivenUp
+	}
 	// The host that handed the request over may have superseded this attempt by one of another helper.
 	superseded := errors.Is(context.Cause(ctx), errSuperseded) || t.exchange.handover != nil
 	if outcome == pick.GivenUp && superseded && s.Now()-began >= t.hedgeDelay {
