Connections of callers share a budget of memory, and the least useful one gives way

Cause: each request is bounded, but nothing bounds what all connections hold: a parsed header takes several times its bytes, a connection reads 16 requests ahead, up to 128 KB of each body are buffered, and answers wait for callers that do not read.

Change: entry.Server has MaxHeldBytes and MaxConnections, kept by core/hold. A connection has 32 KB at once and asks for more in steps of 16 KB before it reads on: the bytes and lines of a header are counted as they arrive, before they are parsed; a body buffer is counted before it grows (it doubles by itself, io.ReadAll left several times its size as garbage); answers count once they are there. A connection with requests under way waits for their answers before it reads the next one; an unfinished request gets 503 with Retry-After, an idle connection is closed, and one that has left its answer unread for a second is closed. A request that may reach an endpoint is not refused: the decision and the start of the request are under the connection's lock. A listener that is at its number of connections closes the least useful one, and refuses only while all have requests under way.

Weighed: a semaphore around parsing bounds the garbage but not what stays; counting only after the parse lets all connections parse at once; closing by age alone hits idle connections of ordinary callers first. The estimate for a header line (96 bytes and its text twice) is above what short lines take, so that such a crowd gives way earlier than it must.

No process sets the limits yet.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -43,7 +43,7 @@
 func (r *bodyRemainder) transfer() {
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		_ = r.conn.conn.SetReadDeadline(r.conn.bodyDeadline())
+		r.conn.setReadDeadline(r.conn.bodyDeadline())
 		r.awaited.Store(true)
 		n, err := r.body.Read(buffer)
 		r.awaited.Store(false)
--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -37,6 +37,19 @@
 	running int
 	// waiting is set while the next request's first byte is awaited.
 	waiting atomic.Bool
+	// held is the memory that this connection holds, header counts that of a header that is read.
+	held   held
+	header headerMeter
+	// evicted is set once the connection gives way to others.
+	evicted atomic.Bool
+	// progressAt is when the caller last began a request or got an answer, writingSince when the answer that is being written
+	// last progressed, 0 while none is.
+	progressAt   atomic.Int64
+	writingSince atomic.Int64
+	// answered gets a value when an answer is written.
+	answered chan struct{}
+	// readTimeout is that of the part of a request that is being read.
+	readTimeout time.Duration
 	// lastAnswer is when the last answer was written, in Unix nanoseconds.
 	lastAnswer atomic.Int64
 	// writerDone is closed once nothing more is written.
@@ -59,6 +72,8 @@
 	identity identity
 	closes   bool
 	conn     *conn
+	// held is the memory of the request and its answer, in bytes.
+	held int64
 	// started is set once the request may reach an endpoint; the connection's mutex guards it.
 	started bool
 	reply   chan *reply
@@ -71,9 +86,12 @@
 
 func newConn(parent context.Context, s *Server, accepted net.Conn) *conn {
 	ctx, cancel := context.WithCancel(parent)
-	c := &conn{server: s, conn: accepted, ctx: ctx, cancel: cancel, queue: make(chan *exchange, maxPipelined), writerDone: make(chan struct{})}
+	c := &conn{server: s, conn: accepted, ctx: ctx, cancel: cancel, queue: make(chan *exchange, maxPipelined), answered: make(chan struct{}, 1), writerDone: make(chan struct{})}
 	counted := &countedConn{accepted, &s.bytes}
-	c.limit.R = counted
+	c.header = headerMeter{Reader: counted, conn: c}
+	c.limit.R = &c.header
+	c.held.used, c.held.reserved = connectionBytes, openBytes
+	c.progress()
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
 	c.writer = bufio.NewWriterSize(counted, writeBufferBytes)
 	return c
@@ -102,6 +120,7 @@
 // run serves the connection until either side ends it.
 func (c *conn) run() {
 	defer c.server.removeConn(c)
+	defer c.server.room.close(c.held.account)
 	go c.writeLoop()
 	c.readLoop()
 	close(c.queue)
@@ -124,7 +143,7 @@
 			return
 		}
 		x.closes = x.closes || c.server.Stopping()
-		if !c.enqueue(x) {
+		if c.enqueue(x) != x {
 			return
 		}
 		go c.serve(x)
@@ -141,7 +160,7 @@
 
 // watchDisconnect cancels the requests in flight when the caller disconnects after its last request.
 func (c *conn) watchDisconnect() {
-	_ = c.conn.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	for {
 		if _, err := c.reader.Discard(1); err != nil {
 			c.cancel()
@@ -150,16 +169,22 @@
 	}
 }
 
-// enqueue takes a request for an answer. It returns false if the preceding answer has closed the connection, so that the
-// request counts as not read.
-func (c *conn) enqueue(x *exchange) bool {
+// enqueue takes a request for an answer, and returns it. It returns nil if the preceding answer has closed the connection, so
+// that the request counts as not read, and a refused one in its place if the connection was evicted.
+func (c *conn) enqueue(x *exchange) *exchange {
 	c.mutex.Lock()
-	noMore := c.noMore
+	noMore, evicted := c.noMore, c.evicted.Load()
+	if !noMore {
+		// From now on the connection is not evicted.
+		c.open.Add(1)
+	}
 	c.mutex.Unlock()
 	if noMore {
-		return false
+		return nil
+	}
+	if evicted {
+		x = noRoomExchange()
 	}
-	c.open.Add(1)
 	c.server.active.Add(1)
 	c.server.arrived.Add(1)
 	select {
@@ -167,7 +192,7 @@
 	case <-c.writerDone:
 		go c.abandon(x)
 	}
-	return true
+	return x
 }
 
 // begin reports whether a request may reach an endpoint now. It may not once a preceding answer closes the connection,
@@ -196,10 +221,16 @@
 	return last
 }
 
-func (c *conn) exchangeDone() {
+func (c *conn) exchangeDone(x *exchange) {
 	c.lastAnswer.Store(time.Now().UnixNano())
+	c.progress()
+	c.subtract(x.held)
 	c.open.Add(-1)
 	c.server.active.Add(-1)
+	select {
+	case c.answered <- struct{}{}:
+	default:
+	}
 }
 
 // read reads the next request. It returns a refused exchange when the bytes are not a valid request,
@@ -210,13 +241,15 @@
 	if !c.awaitByte(limits.IdleTimeout.Duration()) {
 		return nil, nil
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout.Duration()))
-	request, err := http.ReadRequest(c.reader)
+	c.progress()
+	c.readTimeout = limits.HeaderTimeout.Duration()
+	c.setReadDeadline(time.Now().Add(c.readTimeout))
+	request, err := c.readHeader()
 	if err != nil {
 		return nil, c.rejectUnreadable(err)
 	}
 	c.limit.N = 1<<63 - 1
-	_ = c.conn.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	return c.accept(request, limits.BodyBytes)
 }
 
@@ -230,14 +263,14 @@
 			until = time.Now().Add(finalReadTimeout)
 		}
 		c.waiting.Store(true)
-		_ = c.conn.SetReadDeadline(until)
+		c.setReadDeadline(until)
 		_, err := c.reader.Peek(1)
 		c.waiting.Store(false)
 		if err == nil {
 			return true
 		}
 		var network net.Error
-		if !errors.As(err, &network) || !network.Timeout() || finishing {
+		if !errors.As(err, &network) || !network.Timeout() || finishing || c.evicted.Load() {
 			return false
 		}
 		now := time.Now()
@@ -264,6 +297,9 @@
 // rejectUnreadable returns a refused exchange for a request that is not valid, or nil when the connection has ended or
 // timed out.
 func (c *conn) rejectUnreadable(err error) *exchange {
+	if c.evicted.Load() || errors.Is(err, errNoRoom) {
+		return noRoomExchange()
+	}
 	var network net.Error
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && c.limit.N > 0 {
 		return nil
@@ -291,7 +327,7 @@
 		r := <-x.reply
 		last := c.isLast(x, r)
 		err := c.send(x, r, last)
-		c.exchangeDone()
+		c.exchangeDone(x)
 		if err != nil || last {
 			c.closeAfterLast()
 			return
@@ -337,5 +373,5 @@
 		close(x.precedingWritten)
 	}
 	discard(<-x.reply)
-	c.exchangeDone()
+	c.exchangeDone(x)
 }
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -122,6 +122,12 @@
 }
 
 func startHost(t *testing.T, endpoints int) *host {
+	t.Helper()
+	return startHostWith(t, endpoints, func(*entry.Server) {})
+}
+
+// startHostWith starts a host whose server is changed by configure before it serves.
+func startHostWith(t *testing.T, endpoints int, configure func(s *entry.Server)) *host {
 	t.Helper()
 	h := &host{}
 	steady := clock.New()
@@ -147,6 +153,7 @@
 		h.mutex.Unlock()
 	}}
 	p.OnHeader, p.OnClosed = h.server.RecordHeader, h.server.RecordClosed
+	configure(h.server)
 	h.view, h.routes, h.now = view, table, steady.Now
 	h.change(func(*fleet.View, *routes.Table, *pick.Table) {})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"clementinelock/core"
 	"clementinelock/io/pool"
@@ -22,7 +24,7 @@
 	}
 	d := c.server.Dialect
 	x = &exchange{
-		conn: c, path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
+		conn: c, held: exchangeBytes + parsedBytes(request.Header), path: request.URL.EscapedPath(), arrived: c.server.Now(), closes: request.Close, reply: make(chan *reply, 1),
 		precedingWritten: make(chan struct{}),
 		request: &pool.Request{
 			ID: request.Header.Get(d.RequestID), Method: request.Method, Target: request.RequestURI, Host: request.Host,
@@ -52,8 +54,9 @@
 		x.request.Length = 0
 		return x, nil
 	}
-	_ = c.conn.SetReadDeadline(c.bodyDeadline())
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBufferedBody))
+	c.readTimeout = c.server.limits().IdleTimeout.Duration()
+	c.setReadDeadline(time.Now().Add(c.readTimeout))
+	body, err := c.readBuffered(x, request.Body)
 	if err != nil {
 		return nil, c.rejectUnreadable(err)
 	}
@@ -62,12 +65,39 @@
 		x.request.Length = int64(len(body))
 		return x, nil
 	}
+	if err := c.hold(x, copyBufferBytes); err != nil {
+		return nil, c.rejectUnreadable(err)
+	}
 	x.bodyRead = make(chan struct{})
 	x.rest = newBodyRemainder(c, request.Body, maxBody-int64(len(body)))
 	x.request.Rest = x.rest
 	return x, nil
 }
 
+// readBuffered reads a body of up to maxBufferedBody bytes, or the beginning of a longer one. Memory is reserved for what has
+// arrived, not for the length that the caller names.
+func (c *conn) readBuffered(x *exchange, body io.Reader) ([]byte, error) {
+	buffer := make([]byte, 0, firstBodyBytes)
+	for len(buffer) < maxBufferedBody {
+		if size := cap(buffer); len(buffer) == size {
+			larger := min(2*size, maxBufferedBody)
+			if err := c.hold(x, int64(larger-size)); err != nil {
+				return nil, err
+			}
+			buffer = append(make([]byte, 0, larger), buffer...)
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return buffer, nil
+}
+
 // hostOf returns the host name without its port, in lower case, as routes are matched by it.
 func hostOf(host string) string {
 	name, _, _ := strings.Cut(host, ":")
--- a/io/entry/reply.go
+++ b/io/entry/reply.go
@@ -37,6 +37,8 @@
 		return c.ctx.Err()
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.beginWrite()
+	defer c.writingSince.Store(0)
 	w := c.writer
 	text := http.StatusText(r.status)
 	if text == "" {
@@ -132,7 +134,10 @@
 			return err
 		}
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		// The time in which the endpoint sends nothing is not the caller's.
+		c.writingSince.Store(0)
 		n, err := a.Rest.Read(buffer)
+		c.beginWrite()
 		part = buffer[:n]
 		if errors.Is(err, io.EOF) {
 			writePart(w, part, chunked)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -62,6 +62,9 @@
 		record.From = record.Caller
 	}
 	r := s.handle(c.ctx, x, &record)
+	if r.answer != nil {
+		c.holdAnswer(x, r.answer)
+	}
 	if x.rest != nil {
 		if !x.rest.abandon() {
 			// The end of the body was not reached, so the next request can't be told from the rest of it.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -60,7 +60,12 @@
 	// MaxKeyAge is how long customers' keys hold without contact to a control host, after which one may have been revoked; 0
 	// sets no limit.
 	MaxKeyAge core.Millis
+	// MaxHeldBytes limits the memory that is held for all connections together, as this package estimates it, and
+	// MaxConnections their number; 0 sets no limit.
+	MaxHeldBytes   int64
+	MaxConnections int
 
+	room     room
 	mutex    sync.Mutex
 	table    atomic.Pointer[routes.Table]
 	stopping atomic.Bool
@@ -112,6 +117,9 @@
 		s.conns = map[*conn]bool{}
 	}
 	s.mutex.Unlock()
+	s.room.mutex.Lock()
+	s.room.budget.MaxBytes, s.room.budget.MaxAccounts = s.MaxHeldBytes, s.MaxConnections
+	s.room.mutex.Unlock()
 	for {
 		accepted, err := listener.Accept()
 		if err != nil {
@@ -129,6 +137,12 @@
 		}
 		c := newConn(ctx, s, accepted)
 		c.handed = handed
+		if c.held.account = s.room.open(s.Now(), c); c.held.account == nil {
+			// Nothing was read, so that the caller may send its request to another host.
+			c.cancel()
+			_ = accepted.Close()
+			continue
+		}
 		s.mutex.Lock()
 		s.conns[c] = true
 		s.mutex.Unlock()
