An entry host knows the memory and descriptors of its machine

Cause: the platform's settings have the memory and the descriptors of the machine, but the product did not read them, so that nothing could be bounded by them. The collector lets garbage grow to the size of what lives.

Where they are missing, 256 MB and the process's own limit of descriptors count. Three eighths of the memory may be held for callers, so that as much garbage again and the host's state fit; two fifths of the descriptors are for their connections, since each may need one to an endpoint. The soft limit of the collector is three quarters of a known memory. Metrics and a log line, at most one a second, tell of refusals and evictions.

The shares are chosen, not measured: no crowd of real processes was run here.

--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -82,6 +82,7 @@
 	s := &c.Settings
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	s.limitMemory()
 	if err := c.openNetwork(ctx, c.receive); err != nil {
 		return err
 	}
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -27,6 +27,8 @@
 	metrics *metrics
 	version uint64
 	ready   bool
+	// held logs refusals for want of memory or descriptors.
+	held heldLog
 	// cut is set while this host reaches no endpoint.
 	cut bool
 	// quotas holds the tokens of customers' quotas, acquiring the requests that wait for one.
@@ -64,7 +66,9 @@
 	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
 	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnected: e.pool.HasIdle, Log: e.Log.Info}
-	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest}
+	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest, MaxHeldBytes: s.heldBytes(), MaxConnections: s.callerConnections()}
+	s.limitMemory()
+	e.metrics.observeHeld(e.server.Held)
 	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordClosed, e.server.RecordDial
 	e.server.Helpers = &reach.Helpers{Region: s.Region, Zone: s.Zone, Rand: newRand()}
 	e.server.HelperPool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
@@ -153,6 +157,9 @@
 	e.machine.Traffic.Requests, e.machine.Traffic.Bytes = e.server.Traffic()
 	crashes, served := e.server.TakeReports(now)
 	effects := e.machine.RecordCrashes(now, crashes)
+	if line := e.held.line(now, e.server.Held()); line != "" {
+		e.Log.Info("callers", line)
+	}
 	e.decide(e.quotas.Tick(now, &effects))
 	e.machine.RecordServed(now, served)
 	ended := e.machine.RecordEnded(now, e.server.TakeEnded(now))
--- /dev/null
+++ b/io/fleet/limits.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"runtime/debug"
+	"syscall"
+
+	"clementinelock/core"
+	"clementinelock/core/hold"
+)
+
+// Parts of a machine's memory and descriptors.
+const (
+	// defaultMemoryMegabytes applies where the memory is not known.
+	defaultMemoryMegabytes = 256
+	// callerMemoryShare is the part of the memory that may be held for callers. As much again may be garbage before it is
+	// collected; the rest is for the state, endpoints and the program.
+	callerMemoryShare = 0.375
+	// softMemoryShare is the part from which on garbage is collected more often. The limit counts neither the program itself
+	// nor the kernel's buffers.
+	softMemoryShare = 0.75
+	// callerDescriptorShare is the part of the descriptors for connections of callers. Each may need another one to an
+	// endpoint, and the rest is for files, hosts and operators.
+	callerDescriptorShare = 0.4
+	bytesPerMegabyte      = 1 << 20
+	// minMemoryMegabytes and minDescriptors are less than any host can run with, maxMemoryMegabytes is more than any has.
+	minMemoryMegabytes = 32
+	maxMemoryMegabytes = 1 << 30
+	minDescriptors     = 64
+	// heldLogInterval bounds how often a host logs that it refuses callers.
+	heldLogInterval = core.Second
+)
+
+// heldBytes returns the memory that may be held for callers, in bytes.
+func (s *Settings) heldBytes() int64 {
+	megabytes := s.MemoryMegabytes
+	if megabytes == 0 {
+		megabytes = defaultMemoryMegabytes
+	}
+	return int64(megabytes * bytesPerMegabyte * callerMemoryShare)
+}
+
+// descriptors returns the number of descriptors that the process may have, or 0 if it is not limited.
+func (s *Settings) descriptors() int {
+	if s.MaxDescriptors > 0 {
+		return s.MaxDescriptors
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
+// callerConnections returns how many connections callers may have, or 0 for no limit.
+func (s *Settings) callerConnections() int {
+	return int(float64(s.descriptors()) * callerDescriptorShare)
+}
+
+// limitMemory makes the collector work harder as the process comes near the memory of its machine, if that is known. A limit
+// that is lower already stays.
+func (s *Settings) limitMemory() {
+	if s.MemoryMegabytes == 0 {
+		return
+	}
+	limit := int64(s.MemoryMegabytes * bytesPerMegabyte * softMemoryShare)
+	if limit < debug.SetMemoryLimit(-1) {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
+// heldLog logs refusals and evictions, not more often than heldLogInterval.
+type heldLog struct {
+	last hold.Counts
+	at   core.Millis
+}
+
+// line returns the text to log for the present counts, or "" if there is nothing to log.
+func (l *heldLog) line(now core.Millis, counts hold.Counts) string {
+	refused, evicted := counts.Refused-l.last.Refused, counts.Evicted-l.last.Evicted
+	if refused+evicted == 0 || now-l.at < heldLogInterval {
+		return ""
+	}
+	l.last, l.at = counts, now
+	return fmt.Sprintf("Closed %d connections and refused %d times to read more for want of memory or descriptors; %d connections with %d KB are left.", evicted, refused, counts.Accounts, counts.Bytes>>10)
+}
--- a/io/fleet/metrics.go
+++ b/io/fleet/metrics.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync"
 
+	"clementinelock/core/hold"
 	"clementinelock/core/pick"
 	"clementinelock/core/quota"
 	"clementinelock/core/reach"
@@ -41,6 +42,10 @@
 	{"clementinelock_entry_customer_requests_total", "Answered requests by customer and status, for the first 200 customers of a process; the others are counted together as other."},
 	{"clementinelock_entry_quota_decisions_total", "Requests of customers with a quota, by result: Granted, Exceeded or Unreached (no control host answered in time)."},
 	{"clementinelock_entry_quota_draws_total", "Draws of quota tokens from control hosts, by result: Sent, or Unanswered (given up)."},
+	{"clementinelock_entry_connections", "Connections of callers."},
+	{"clementinelock_entry_held_bytes", "Memory that is held for callers, as the host estimates it."},
+	{"clementinelock_entry_evictions_total", "Connections of callers that were closed for want of memory or descriptors."},
+	{"clementinelock_entry_denials_total", "How often there was no memory or descriptor for a connection or the next part of a request, which is refused by 503 or waits for the answers before it."},
 }
 
 // maxCustomers bounds the customers that are counted by name, since each takes memory in every process.
@@ -144,6 +149,15 @@
 	register(12, "Unanswered", func(c quota.ClientCounts) uint64 { return c.Unanswered })
 }
 
+// observeHeld registers the metrics of what is held for callers, which read reads.
+func (m *metrics) observeHeld(read func() hold.Counts) {
+	connections := prometheus.NewGaugeFunc(prometheus.GaugeOpts(counterOpts(13)), func() float64 { return float64(read().Accounts) })
+	bytes := prometheus.NewGaugeFunc(prometheus.GaugeOpts(counterOpts(14)), func() float64 { return float64(read().Bytes) })
+	evictions := prometheus.NewCounterFunc(counterOpts(15), func() float64 { return float64(read().Evicted) })
+	denials := prometheus.NewCounterFunc(counterOpts(16), func() float64 { return float64(read().Refused) })
+	m.registry.MustRegister(connections, bytes, evictions, denials)
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/io/fleet/settings.go
+++ b/io/fleet/settings.go
@@ -44,8 +44,13 @@
 	// second; 0 means that it is not known.
 	Cores    float64
 	LinkMbps float64
-	Regions  map[string]string
-	Bounds   pick.Bounds
+	// MemoryMegabytes is the memory of the machine, in units of 2^20 bytes, and MaxDescriptors the number of descriptors that the
+	// process may have. 0 means that it is not known: the memory then counts as 256, and the process's own limit of descriptors
+	// applies.
+	MemoryMegabytes float64
+	MaxDescriptors  int
+	Regions         map[string]string
+	Bounds          pick.Bounds
 	// QuotaBounds is how far requests may exceed customers' quotas.
 	QuotaBounds QuotaSettings
 	// MaxKeyAgeMillis is how long customers' keys hold at a host without contact to a control host, in milliseconds; 0 sets no
@@ -93,6 +98,10 @@
 		missing = "StopMillis"
 	case s.Cores < 0 || s.LinkMbps < 0:
 		missing = "Cores and LinkMbps (not negative)"
+	case s.MemoryMegabytes != 0 && !(s.MemoryMegabytes >= minMemoryMegabytes && s.MemoryMegabytes <= maxMemoryMegabytes):
+		missing = fmt.Sprintf("MemoryMegabytes (%d to %d, or 0)", minMemoryMegabytes, maxMemoryMegabytes)
+	case s.MaxDescriptors != 0 && s.MaxDescriptors < minDescriptors:
+		missing = fmt.Sprintf("MaxDescriptors (%d or more, or 0)", minDescriptors)
 	case s.Bounds.MaxShift < 0 || s.Bounds.MaxShift > 1:
 		missing = "MaxShift (a share from 0 to 1)"
 	case s.QuotaBounds.WindowSeconds < 0 || s.QuotaBounds.Overrun < 0 || s.QuotaBounds.Slack < 0:
--- a/io/fleet/settings_test.go
+++ b/io/fleet/settings_test.go
@@ -30,6 +30,13 @@
 		{"no seeds", strings.Replace(valid, `Seeds = ["10.1.0.15:8649"]`, ``, 1), "Seeds"},
 		{"no stop time", strings.Replace(valid, `StopMillis = 6000`, ``, 1), "StopMillis"},
 		{"negative link", "LinkMbps = -1.0\n" + valid, "LinkMbps"},
+		{"memory and descriptors", "MemoryMegabytes = 284\nMaxDescriptors = 4100\n" + valid, ""},
+		{"memory of a fraction", "MemoryMegabytes = 184.5\n" + valid, ""},
+		{"negative memory", "MemoryMegabytes = -1\n" + valid, "MemoryMegabytes"},
+		{"memory in bytes", "MemoryMegabytes = 297795584000\n" + valid, "MemoryMegabytes"},
+		{"memory that is no number", "MemoryMegabytes = nan\n" + valid, "MemoryMegabytes"},
+		{"negative descriptors", "MaxDescriptors = -5\n" + valid, "MaxDescriptors"},
+		{"too few descriptors", "MaxDescriptors = 8\n" + valid, "MaxDescriptors"},
 		{"shift over 1", valid + "[Bounds]\nMaxShift = 15.0\n", "MaxShift"},
 		{"no TOML", "Host: x", "settings"},
 	}
