Operators' calls, look-ups, readiness and metrics are bounded for all connections together

Cause: these servers bound a header to 1 MB and a body to 16 MB for each connection, and nothing for all; an unfinished body had no time-out at all, nor had an idle connection.

Change: package io/guard puts core/hold around an http.Server. Bytes and lines of a header are counted as they arrive; a body is read before its handler is called, counted before its buffer grows, and again with what decoding it may take. Without room the answer is 503 with Retry-After, which is true: the handler was not called. An idle connection, an unfinished request or an answer unread for a second gives way to others, a running handler does not. A header may have 16 KB, a request takes a minute at most (408, after which operators try again, in place of 400), an idle connection stays for two minutes. Operators have three eighths of the memory, so that the largest configuration of 16 MB still fits on a machine of 184 MB.

Weighed: a fixed number of bodies under way would refuse small orders behind a few large ones; bytes do not.

Crowds of real processes were not run here.

--- a/io/fleet/control.go
+++ b/io/fleet/control.go
@@ -104,11 +104,11 @@
 	c.lastTicket = uint64(now)
 	go c.writeLoop(ctx)
 	go every(ctx, fleet.ControlTickInterval, func() { c.tick(ctx) })
-	if err := c.listen(s.Operators, c.Platform.OperatorHandler(c)); err != nil {
+	if err := c.listen(s.Operators, c.Platform.OperatorHandler(c), s.operatorGuard()); err != nil {
 		return err
 	}
 	if s.Directory != "" {
-		if err := c.listen(s.Directory, c.Platform.DirectoryHandler(c, s.LookupSeconds)); err != nil {
+		if err := c.listen(s.Directory, c.Platform.DirectoryHandler(c, s.LookupSeconds), s.directoryGuard()); err != nil {
 			return err
 		}
 	}
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -118,7 +118,7 @@
 	go e.server.HelperPool.Sweep(ctx)
 	go every(ctx, fleet.EntryTickInterval, func() { e.server.Probe(ctx) })
 	go every(ctx, fleet.EntryTickInterval, func() { e.step(e.tick) })
-	if err := e.listen(s.Readiness, e.Platform.ReadinessHandler(e.isReady)); err != nil {
+	if err := e.listen(s.Readiness, e.Platform.ReadinessHandler(e.isReady), s.statusGuard()); err != nil {
 		return err
 	}
 	e.Log.Info("host", fmt.Sprintf("Starting entry host %s in availability zone %s.", s.Name, s.Zone))
--- a/io/fleet/host.go
+++ b/io/fleet/host.go
@@ -16,6 +16,7 @@
 	"clementinelock/core"
 	"clementinelock/io/certs"
 	"clementinelock/io/clock"
+	"clementinelock/io/guard"
 	"clementinelock/io/link"
 	"clementinelock/io/logs"
 	"clementinelock/io/proto"
@@ -30,7 +31,6 @@
 	// peerIdleTimeout spans several reports, so that a host that has switched to another control host soon costs
 	// the former one nothing.
 	peerIdleTimeout = 3 * time.Second
-	headerTimeout   = 3 * time.Second
 )
 
 // host holds what control and entry hosts have in common.
@@ -70,16 +70,17 @@
 	return nil
 }
 
-// listen serves a handler at an address.
-func (h *host) listen(address string, handler http.Handler) error {
+// listen serves a handler at an address within the limits of a guard.
+func (h *host) listen(address string, handler http.Handler, limits *guard.Guard) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	limits.Now = h.clock.Now
+	server := limits.NewServer(handler)
 	h.servers = append(h.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limits.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.fail(err)
 		}
 	}()
@@ -94,7 +95,7 @@
 	router := mux.NewRouter()
 	router.Handle("/metrics", m.handler())
 	router.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) { proto.WriteJSON(w, http.StatusOK, dump()) })
-	return h.listen(net.JoinHostPort(h.Settings.Host, strconv.Itoa(h.Settings.MetricsPort)), router)
+	return h.listen(net.JoinHostPort(h.Settings.Host, strconv.Itoa(h.Settings.MetricsPort)), router, h.Settings.statusGuard())
 }
 
 func (h *host) closeServers() {
--- a/io/fleet/limits.go
+++ b/io/fleet/limits.go
@@ -8,6 +8,7 @@
 
 	"clementinelock/core"
 	"clementinelock/core/hold"
+	"clementinelock/io/guard"
 )
 
 // Parts of a machine's memory and descriptors.
@@ -24,6 +25,16 @@
 	// endpoint, and the rest is for files, hosts and operators.
 	callerDescriptorShare = 0.4
 	bytesPerMegabyte      = 1 << 20
+	// directoryMemoryShare and statusMemoryShare are the parts of the memory for look-ups, and for the platform's own checks and
+	// metrics each; operators have callerMemoryShare, since they have no callers beside them.
+	directoryMemoryShare = 1.0 / 8
+	statusMemoryShare    = 1.0 / 32
+	// The same for descriptors.
+	directoryDescriptorShare = 1.0 / 8
+	operatorDescriptorShare  = 1.0 / 32
+	statusDescriptorShare    = 1.0 / 64
+	// operatorBodyBytes is more than a configuration may have; the rest of a longer body is not read.
+	operatorBodyBytes = 16<<20 + 1
 	// minMemoryMegabytes and minDescriptors are less than any host can run with, maxMemoryMegabytes is more than any has.
 	minMemoryMegabytes = 32
 	maxMemoryMegabytes = 1 << 30
@@ -34,11 +45,16 @@
 
 // heldBytes returns the memory that may be held for callers, in bytes.
 func (s *Settings) heldBytes() int64 {
+	return s.memoryShare(callerMemoryShare)
+}
+
+// memoryShare returns a part of the memory, in bytes.
+func (s *Settings) memoryShare(share float64) int64 {
 	megabytes := s.MemoryMegabytes
 	if megabytes == 0 {
 		megabytes = defaultMemoryMegabytes
 	}
-	return int64(megabytes * bytesPerMegabyte * callerMemoryShare)
+	return int64(megabytes * bytesPerMegabyte * share)
 }
 
 // descriptors returns the number of descriptors that the process may have, or 0 if it is not limited.
@@ -58,6 +74,28 @@
 	return int(float64(s.descriptors()) * callerDescriptorShare)
 }
 
+// guardOf returns the limits of a server that has these parts of the memory and of the descriptors.
+func (s *Settings) guardOf(memory, descriptors float64) *guard.Guard {
+	return &guard.Guard{MaxBytes: s.memoryShare(memory), MaxConnections: int(float64(s.descriptors()) * descriptors)}
+}
+
+// operatorGuard returns the limits of operators' calls.
+func (s *Settings) operatorGuard() *guard.Guard {
+	limits := s.guardOf(callerMemoryShare, operatorDescriptorShare)
+	limits.MaxBodyBytes = operatorBodyBytes
+	return limits
+}
+
+// directoryGuard returns the limits of look-ups.
+func (s *Settings) directoryGuard() *guard.Guard {
+	return s.guardOf(directoryMemoryShare, directoryDescriptorShare)
+}
+
+// statusGuard returns the limits of the platform's checks, and of metrics.
+func (s *Settings) statusGuard() *guard.Guard {
+	return s.guardOf(statusMemoryShare, statusDescriptorShare)
+}
+
 // limitMemory makes the collector work harder as the process comes near the memory of its machine, if that is known. A limit
 // that is lower already stays.
 func (s *Settings) limitMemory() {
