Long names of objects are kept as hashes

What callers could do: the value of the object's cookie is kept for the latest objects of each endpoint, and may be as long as a header, 16 KB; over all endpoints of a large site that is more than the machine's memory (by reading, not measured).

Change: beyond 64 bytes the name is a hash of the value. Hosts of older builds know such an object by another name and may prefer another endpoint for it.

--- a/io/entry/read.go
+++ b/io/entry/read.go
@@ -11,6 +11,8 @@
 	"clementinelock/core"
 	"clementinelock/io/pool"
 	"clementinelock/io/proto"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // accept converts a parsed request to an exchange; it refuses a body that exceeds maxBody bytes.
@@ -36,7 +38,7 @@
 		request.Header.Del(proto.Handover)
 	}
 	if cookie, err := request.Cookie(d.ObjectCookie); err == nil {
-		x.object = cookie.Value
+		x.object = objectOf(cookie.Value)
 	}
 	if left, err := strconv.ParseInt(request.Header.Get(d.Deadline), 10, 64); err == nil && left > 0 {
 		x.timeout = min(core.Millis(left), maxRequestTimeout)
@@ -98,6 +100,15 @@
 	return buffer, nil
 }
 
+// objectOf returns the name by which an object is remembered: the value of its cookie, or a hash of a long one, since callers
+// choose it and many are kept for each endpoint.
+func objectOf(value string) string {
+	if len(value) <= maxObjectBytes {
+		return value
+	}
+	return strconv.FormatUint(xxhash.Sum64String(value), 16)
+}
+
 // hostOf returns the host name without its port, in lower case, as routes are matched by it.
 func hostOf(host string) string {
 	name, _, _ := strings.Cut(host, ":")
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -34,6 +34,7 @@
 	readBufferBytes       = 4 << 10
 	writeBufferBytes      = 4 << 10
 	maxBufferedBody       = 128 << 10
+	maxObjectBytes        = 64
 	shutdownCheckInterval = 50 * time.Millisecond
 	// acceptRetryDelay gives connections time to end before the next Accept; callers wait 1 s for a connection.
 	acceptRetryDelay = 50 * time.Millisecond
