--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -62,6 +62,9 @@
 		record.From = record.Caller
 	}
 	r := s.handle(c.ctx, x, &record)
+	if r.answer != nil {
+		c.holdAnswer(x, r.answer)
+	}
 	if x.rest != nil {
 		if !x.rest.abandon() {
 			// The end of the body was not reached, so the next request can't be told from the rest of it.
@@ -315,6 +318,9 @@
 		// The endpoint has not ended, since a connection to it is open.
 		outcome = pick.Unreached
 	}
+	if rest := t.exchange.rest; rest != nil && rest.isCauseOf(result.Ending) {
+		outcome = pick.GivenUp
+	}
 	// The host that handed the request over may have superseded this attempt by one of another helper.
 	superseded := errors.Is(context.Cause(ctx), errSuperseded) || t.exchange.handover != nil
 	if outcome == pick.GivenUp && superseded && s.Now()-began >= t.hedgeDelay {
