Log lines have a bounded part of what a caller sent

What callers could do: the line of a request has its id and, in a refusal, its path. Both may be as long as a header and are longer once they are quoted; up to 4,096 lines wait while the output is slow.

Evidence: a request with an id and a path of 24 KB, a third of it bytes that have to be escaped, took a line of 128 KB.

Change: id and detail have 256 bytes of such a text, and its length. Ordinary ones are unchanged. TestLongTextsOfCallersInTheLog failed before.

--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -272,8 +272,8 @@
 func (e *Entry) recordRequest(record entry.RequestRecord) {
 	e.metrics.count(record)
 	fields := logs.Fields{
-		"RequestID": record.RequestID, "Route": record.Route, "Service": record.Service, "Version": record.Version, "Attempts": record.Attempts, "Hedged": record.Hedged,
-		"Endpoint": record.Endpoint, "Zone": record.Zone, "Ending": record.Ending, "Status": record.Status, "Kind": record.Kind, "Detail": record.Detail, "NoMore": record.NoRetryReason,
+		"RequestID": clip(record.RequestID), "Route": record.Route, "Service": record.Service, "Version": record.Version, "Attempts": record.Attempts, "Hedged": record.Hedged,
+		"Endpoint": record.Endpoint, "Zone": record.Zone, "Ending": record.Ending, "Status": record.Status, "Kind": record.Kind, "Detail": clip(record.Detail), "NoMore": record.NoRetryReason,
 		"Wait": int64(record.Wait), "Load": record.Load, "LoadAge": int64(record.LoadAge), "Usable": record.Usable, "Cold": record.Cold, "ContactAge": int64(record.ContactAge), "Object": record.Object, "Place": record.Affinity, "Took": int64(record.Latency), "Patience": int64(record.CallerTimeout), "Caller": record.Caller, "Digest": record.Digest.String(),
 	}
 	if record.Handovers > 0 {
--- a/io/fleet/limits.go
+++ b/io/fleet/limits.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"clementinelock/core"
@@ -39,6 +40,8 @@
 	minMemoryMegabytes = 32
 	maxMemoryMegabytes = 1 << 30
 	minDescriptors     = 64
+	// maxLoggedText bounds what a log line has of a text that a caller chose, in bytes; thousands of lines may wait for the output.
+	maxLoggedText = 256
 	// heldLogInterval bounds how often a host logs that it refuses callers.
 	heldLogInterval = core.Second
 )
@@ -108,6 +111,14 @@
 	}
 }
 
+// clip shortens a text for the log.
+func clip(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return fmt.Sprintf("%s… (%d bytes)", strings.ToValidUTF8(text[:maxLoggedText], ""), len(text))
+}
+
 // heldLog logs refusals and evictions, not more often than heldLogInterval.
 type heldLog struct {
 	last hold.Counts
--- a/io/fleet/limits_test.go
+++ b/io/fleet/limits_test.go
@@ -1,11 +1,17 @@
 package fleet
 
 import (
+	"bytes"
 	"math"
 	"runtime/debug"
+	"strings"
 	"testing"
 
 	"clementinelock/core/hold"
+	"clementinelock/io/entry"
+	"clementinelock/io/logs"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // TestLimitsOfTheMachine guards against limits for callers that do not follow from the machine, or that take what endpoints, files
@@ -60,3 +66,20 @@
 		t.Error("lines are not one a second while there are refusals")
 	}
 }
+
+// TestLongTextsOfCallersInTheLog guards against log lines of many times the size of a request, of which thousands wait for a slow
+// output.
+func TestLongTextsOfCallersInTheLog(t *testing.T) {
+	var output bytes.Buffer
+	log := logs.NewStructured(&output, "h")
+	e := NewEntry(Settings{}, nil, log)
+	e.metrics = newMetrics(prometheus.NewRegistry(), &e.host)
+	long := strings.Repeat("\x01é", 8000)
+	e.recordRequest(entry.RequestRecord{RequestID: long, Detail: long, Status: 404})
+	e.recordRequest(entry.RequestRecord{RequestID: "9c41d07be2a35f68", Detail: "short"})
+	log.Close()
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	if len(lines) != 2 || len(lines[0]) > 4096 || !strings.Contains(lines[1], `"9c41d07be2a35f68"`) || !strings.Contains(lines[1], `"short"`) {
+		t.Errorf("%d lines, the first of %d bytes, the last %q", len(lines), len(lines[0]), lines[len(lines)-1])
+	}
+}
