Pipelined requests wait while many requests are under way

What callers could do: each connection may have 16 requests under way, each of which may open a connection to an endpoint. A bound of connections alone leaves no descriptor for others.

The first request of a connection never waits.

Descriptors of a process were not counted here.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -241,6 +241,9 @@
 	if !c.awaitByte(limits.IdleTimeout.Duration()) {
 		return nil, nil
 	}
+	if c.awaitTurn() != nil {
+		return nil, nil
+	}
 	c.progress()
 	c.readTimeout = limits.HeaderTimeout.Duration()
 	c.setReadDeadline(time.Now().Add(c.readTimeout))
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -122,14 +122,37 @@
 		if c.open.Load() == 0 {
 			return errNoRoom
 		}
-		select {
-		case <-c.answered:
-			// The caller was not at fault for the time that has passed.
-			c.setReadDeadline(time.Now().Add(c.readTimeout))
-		case <-c.writerDone:
-			return errNoRoom
-		case <-c.ctx.Done():
-			return c.ctx.Err()
+		if err := c.awaitAnswered(); err != nil {
+			return err
+		}
+		// The caller was not at fault for the time that has passed.
+		c.setReadDeadline(time.Now().Add(c.readTimeout))
+	}
+	return nil
+}
+
+// awaitAnswered waits until a request of the connection has its answer.
+func (c *conn) awaitAnswered() error {
+	select {
+	case <-c.answered:
+		return nil
+	case <-c.writerDone:
+		return errNoRoom
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+}
+
+// pipelinedShare is the part of MaxConnections up to which requests under way let others start behind them on a connection: each
+// may need a descriptor of its own.
+const pipelinedShare = 0.5
+
+// awaitTurn lets a request behind others wait for their answers while many requests are under way.
+func (c *conn) awaitTurn() error {
+	s := c.server
+	for s.MaxConnections > 0 && c.open.Load() > 0 && float64(s.active.Load()) >= pipelinedShare*float64(s.MaxConnections) {
+		if err := c.awaitAnswered(); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/io/entry/hold_test.go
+++ b/io/entry/hold_test.go
@@ -287,3 +287,33 @@
 		t.Errorf("held: %+v, %d bytes allowed", got, crowdMaxBytes)
 	}
 }
+
+// TestPipelinedRequestsLeaveDescriptors guards against pipelined requests that open a connection to an endpoint each, until no
+// descriptor is left: with few connections of callers, as many requests as each may have were under way at once.
+func TestPipelinedRequestsLeaveDescriptors(t *testing.T) {
+	const limit, pipelined = 12, 16
+	h := startCrowded(t, func(s *entry.Server) { s.MaxConnections = limit })
+	h.setAnswer(slowly)
+	var callers []*caller
+	for i := range 4 {
+		c := h.dial(t)
+		callers = append(callers, c)
+		for j := range pipelined {
+			c.send("POST", "/write/slow", fmt.Sprintf("p%d-%d", i, j), "")
+		}
+	}
+	most := 0
+	for range 40 {
+		time.Sleep(10 * time.Millisecond)
+		most = max(most, h.server.Active())
+	}
+	// Half of the limit, and one request of each connection.
+	if most > limit/2+len(callers) {
+		t.Errorf("%d requests are under way, %d allowed", most, limit/2+len(callers))
+	}
+	for i, c := range callers {
+		if c.expect(fmt.Sprintf("p%d-0", i), 200, "POST /write/slow "); h.record(t, fmt.Sprintf("p%d-0", i)).Attempts != 1 {
+			t.Errorf("the first request of caller %d was tried again", i)
+		}
+	}
+}
