Reports of crashes come to the leader sooner beside lost messages

What callers saw: an endpoint-crashing request can still be sent after the contact window where messages are lost. Cause: a control host passes a report of a crash on with its shares, once a second; three lost shares in 2.5 s keep one of three crashes from the leader. Shares come each 0.4 s now while a report is less than a second old. Two shares more for each crash are the price.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -34,6 +34,11 @@
 	r.crashes = addRelayed(r.crashes, relayed[Report]{report, now - report.Age, now + repeatPeriod})
 }
 
+// HasNewCrash reports whether a report of a crash was added within a period.
+func (r *Relay) HasNewCrash(now, period core.Millis) bool {
+	return slices.ContainsFunc(r.crashes, func(each relayed[Report]) bool { return now-(each.until-repeatPeriod) <= period })
+}
+
 // AddServed adds a report of an answer in place of an earlier one to the same request.
 func (r *Relay) AddServed(now core.Millis, served Served) {
 	r.served = slices.DeleteFunc(r.served, func(each relayed[Served]) bool { return each.report.Digest == served.Digest })
--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -12,6 +12,13 @@
 // proposalInterval is the time after which the leader proposes a quarantine again that is not committed yet.
 const proposalInterval = core.Second
 
+// Shares come more often while the report of a crash is new: each one that is lost costs a third of the time that hosts have to
+// quarantine a request.
+const (
+	crashShareInterval = 400 * core.Millisecond
+	crashSharePeriod   = core.Second
+)
+
 // endedBatchDelay batches the ends of several endpoints in one message; an endpoint may start again within a second.
 const endedBatchDelay = ControlTickInterval
 
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -161,6 +161,9 @@
 	if c.readsList && c.quorum.IsLeader() || !c.leaderHeard(now) {
 		c.shareAt = now + listShareInterval
 	}
+	if c.relay.HasNewCrash(now, crashSharePeriod) {
+		c.shareAt = min(c.shareAt, now+crashShareInterval)
+	}
 	names := map[string]bool{}
 	for _, name := range c.currentSeeds {
 		names[name] = true
