Hosts keep contact in a change of the leader, and only by what voters' logs hold

Cause: without a leader a control host knew of a majority by its shares, once in 0.5 to 1 s and only after 1.2 s of silence, beside a lease of 0.75 s. A share tells nothing of the sender's log, and a new leader counted as a source at once, though it learns what was committed before it only with the first record of its own term; a follower counted a leader's message also if it had not applied what that called committed. Change: while the leader is silent for 0.3 s, or has not committed a record of its term, control hosts ask the voters each 0.2 s, by FleetPing with optional fields, for the last command or membership in their logs, committed or not. An answer counts from when the question was sent, and only if the host that asks has applied that far. What is committed is in the log of one voter of each majority, so that none can be missed; it counts only voters' incarnations of a committed membership that may vote. A leader's message counts if it is of the term of the host's latest committed record and calls nothing committed that the host has not applied. FleetUpdate and FleetPing tell the age in the fields they had. Voters of builds that don't know the question count as silent: while they are a majority, contact runs out in each change of the leader as before, and no longer lasts through one by shares.

--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -115,7 +115,9 @@
 	// readerInterval is the read interval of the host whose list is held here.
 	readerInterval core.Millis
 	shareAt        core.Millis
-	orders         orderTable
+	// askAt is when the voters are asked next while the leader is silent.
+	askAt  core.Millis
+	orders orderTable
 	// currentSeeds are the seeds of the current settings.
 	currentSeeds []string
 	// pool is this host's part of the customers' quotas, by the routes of version quotaVersion.
@@ -191,6 +193,7 @@
 	return c.step(now, func(out *core.Effects) {
 		c.quorum.Tick(now, out)
 		c.recordLeader(now, out)
+		c.askVoters(now, out)
 		c.expireHosts(now, out)
 		c.retryOrders(now, out)
 		c.quorum.RemoveSilent(now, removalTimeout, out)
--- a/core/fleet/knowledge.go
+++ b/core/fleet/knowledge.go
@@ -33,21 +33,54 @@
 	return 0, false
 }
 
-// leaderAge returns the time since this host last heard from the leader or, as the leader, from a majority of the voters, at
-// least 1 ms: how old its knowledge of the newest changes may be. It returns 0 while it hears no leader.
+const (
+	// maxLeaderSilence is the time without word of the leader from which on the voters are asked: a heartbeat interval and a tick.
+	maxLeaderSilence = heartbeatInterval + ControlTickInterval
+	// askInterval keeps what is known through the voters no older than what a heartbeat tells.
+	askInterval = 200 * core.Millisecond
+	// unknownAge stands for knowledge that a control host never had; an age of 0 means that it is not told.
+	unknownAge = core.Hour
+)
+
+// knowledgeAge returns the time since this host knew of all changes, through the leader or through a majority of the voters, and
+// core.Never if it never did.
+func (c *Control) knowledgeAge(now core.Millis) core.Millis {
+	return max(1, min(c.pause.maxAge(now, c.quorum.SinceCommitsKnown(now)), c.quorum.SinceVotersConfirmed(now)))
+}
+
+// leaderAge returns the knowledgeAge while this host hears a leader, and 0 while it hears none.
 func (c *Control) leaderAge(now core.Millis) core.Millis {
 	if !c.leaderHeard(now) {
 		return 0
 	}
-	if c.quorum.IsLeader() {
-		return max(1, c.pause.maxAge(now, c.quorum.SinceMajorityContact(now)))
-	}
-	return max(1, c.pause.maxAge(now, c.quorum.SinceLeaderContact(now)))
+	return min(c.knowledgeAge(now), unknownAge)
 }
 
-// majorityAge returns the time since this host last heard from a majority of the voters, itself among them, at least 1 ms;
-// it returns 0 while it hears a leader, or if it has not heard so many. Without a majority, others may decide on changes.
+// majorityAge returns the knowledgeAge while this host hears no leader, and 0 while it hears one or never knew of all changes.
 func (c *Control) majorityAge(now core.Millis) core.Millis {
+	age := c.knowledgeAge(now)
+	if c.leaderHeard(now) || age == core.Never {
+		return 0
+	}
+	return age
+}
+
+// askVoters asks the other voters for their last change while the leader is silent, or has not committed a record of its term yet.
+func (c *Control) askVoters(now core.Millis, out *core.Effects) {
+	if now < c.askAt || c.quorum.IsEstablished() || c.quorum.SinceCommitsKnown(now) <= maxLeaderSilence {
+		return
+	}
+	c.askAt = now + askInterval
+	for _, member := range c.quorum.Members() {
+		if member.Voter && member.Name != c.Name {
+			out.Send(member.Name, &Ping{SentAt: now, AsksLog: true})
+		}
+	}
+}
+
+// votersHeardAge returns the time since this host last heard the shares of a majority of the voters, itself among them, at least
+// 1 ms; it returns 0 while it hears a leader, or if it has not heard so many.
+func (c *Control) votersHeardAge(now core.Millis) core.Millis {
 	if c.leaderHeard(now) {
 		return 0
 	}
--- a/core/fleet/orders.go
+++ b/core/fleet/orders.go
@@ -104,7 +104,7 @@
 	if c.leaderHeard(now) || now-c.startedAt < controlTimeout {
 		return false
 	}
-	age := c.majorityAge(now)
+	age := c.votersHeardAge(now)
 	return age == 0 || age > majorityTimeout
 }
 
@@ -118,7 +118,7 @@
 func (c *Control) logRefused(now core.Millis, when string, out *core.Effects) {
 	s := c.quorum.Report(now)
 	out.Logf("order", "Refused %s: role %s, term %d, joined %t, leader %q %s, a majority without it %s, %d members, size %d, applied %d of %d.",
-		when, s.Role, s.Term, s.Joined, s.Leader, describeContact(c.quorum.SinceLeaderContact(now)), describeContact(cmp.Or(c.majorityAge(now), core.Never)), len(s.Members), s.Size, s.Applied, s.LastIndex)
+		when, s.Role, s.Term, s.Joined, s.Leader, describeContact(c.quorum.SinceLeaderContact(now)), describeContact(cmp.Or(c.votersHeardAge(now), core.Never)), len(s.Members), s.Size, s.Applied, s.LastIndex)
 }
 
 // describeContact describes the time since a leader or a majority was heard.
--- a/core/fleet/ping.go
+++ b/core/fleet/ping.go
@@ -24,9 +24,10 @@
 	maxPingTime = 90 * core.Millisecond
 )
 
-// Ping goes from an entry host to a control host and back. It asks how new the control host's knowledge is.
+// Ping goes from an entry host to a control host and back, and asks how new the control host's knowledge is. It goes between
+// control hosts too, and asks what the other one's log holds.
 type Ping struct {
-	// SentAt is when the entry host sent it, by its own clock.
+	// SentAt is when the host that asks sent it, by its own clock.
 	SentAt core.Millis `cbor:"1,keyasint"`
 	// Answer is set on the way back; the other fields then are those of an Update.
 	Answer      bool        `cbor:"2,keyasint,omitempty"`
@@ -36,6 +37,12 @@
 	MajorityAge core.Millis `cbor:"6,keyasint,omitempty"`
 	// QuarantineIndex identifies the quarantines in force.
 	QuarantineIndex uint64 `cbor:"7,keyasint,omitempty"`
+	// AsksLog asks for LastChange.
+	AsksLog bool `cbor:"8,keyasint,omitempty"`
+	// LastChange is the index of the last change in the control host's log, committed or not, and Incarnation that of its replica; an
+	// Incarnation of 0 means that they are not told.
+	Incarnation uint64 `cbor:"9,keyasint,omitempty"`
+	LastChange  uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // MessageName returns the name that the message is listed by.
@@ -46,16 +53,21 @@
 	return min(max(minPingInterval, core.Millis(len(c.entries))*pingIntervalPerHost), reportInterval)
 }
 
-// onPing answers a ping.
+// onPing answers a ping, or takes in the answer of another control host.
 func (c *Control) onPing(now core.Millis, from string, m *Ping, out *core.Effects) {
 	if m.Answer {
+		c.quorum.RecordLastChange(now, from, m.Incarnation, m.LastChange, m.SentAt)
 		return
 	}
-	out.Send(from, &Ping{
+	answer := &Ping{
 		SentAt: m.SentAt, Answer: true, Index: c.store.Published().Index,
 		LeaderHeard: c.leaderHeard(now), LeaderAge: c.leaderAge(now), MajorityAge: c.majorityAge(now),
 		QuarantineIndex: c.store.Published().QuarantineIndex,
-	})
+	}
+	if m.AsksLog {
+		answer.Incarnation, answer.LastChange = c.quorum.LastChange()
+	}
+	out.Send(from, answer)
 }
 
 // sendPing sends the control host a ping, and another one too if contact has become old: the leader may be down, or the path to
--- a/core/quorum/replica.go
+++ b/core/quorum/replica.go
@@ -120,15 +120,21 @@
 	leader          string
 	leaderContactAt core.Millis
 	leaderTime      leaderTime
-	electionAt      core.Millis
-	heartbeatAt     core.Millis
-	granted         map[string]bool
-	peers           map[string]*progress
-	round           uint64
-	reads           []pendingRead
-	joined          bool
-	joinVotes       map[string]bool
-	helloAt         core.Millis
+	// commitsKnownAt is when the leader last told this replica of all that was committed, if commitsKnown is set.
+	commitsKnown   bool
+	commitsKnownAt core.Millis
+	// confirmations holds, by host, which voters held no change that this replica had not applied.
+	confirmations map[string]confirmation
+	lastChange    lastChange
+	electionAt    core.Millis
+	heartbeatAt   core.Millis
+	granted       map[string]bool
+	peers         map[string]*progress
+	round         uint64
+	reads         []pendingRead
+	joined        bool
+	joinVotes     map[string]bool
+	helloAt       core.Millis
 	// lostElectionLogAt and notJoinedLogAt are when a lost election, and a start that the others have not confirmed yet, are logged next.
 	lostElectionLogAt core.Millis
 	notJoinedLogAt    core.Millis
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -139,6 +139,7 @@
 	if answer.Matches {
 		r.commitTo(now, min(m.Commit, answer.Match), out)
 	}
+	r.recordLeaderCommit(now, m)
 	if wrote || r.syncedSeq == 0 {
 		r.respondAppend(from, m.Incarnation, answer, out)
 		return
