--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -16,6 +16,8 @@
 const (
 	// probeTimeout is several round trips to the farthest region.
 	probeTimeout = 250 * time.Millisecond
+	// idleCheckInterval is the time between two looks whether idle connections to an endpoint are left that refuses new ones.
+	idleCheckInterval = 5 * time.Millisecond
 	// maxOthersProbed is the number of other endpoints that are tried before this host counts as cut off from all.
 	maxOthersProbed = 3
 	// maxPendingCrashes bounds the requests of one endpoint whose end is examined.
@@ -174,7 +176,7 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		err := s.Pool.Probe(ctx, address)
-		ended := errors.Is(err, syscall.ECONNREFUSED) && !s.Pool.HasIdleSince(address, began) && s.reachesOthers(ctx, endpoint)
+		ended := errors.Is(err, syscall.ECONNREFUSED) && s.waitForIdle(ctx, address, began) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
 		if err == nil && reset {
 			s.askForStart(ctx, endpoint)
@@ -182,6 +184,19 @@
 	}()
 }
 
+// waitForIdle waits until no idle connection to an address is left, and reports whether that is so in time. Their ends may be read
+// after that of the request's connection, and after the refusal.
+func (s *Server) waitForIdle(ctx context.Context, address string, began time.Time) bool {
+	for s.Pool.HasIdleSince(address, began) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(idleCheckInterval):
+		}
+	}
+	return true
+}
+
 // reachesOthers reports whether this host can open a connection to another endpoint, so that a refused one is not due to
 // a cut of this host from all endpoints. Too few others tell nothing, since they may have ended too.
 func (s *Server) reachesOthers(ctx context.Context, endpoint string) bool {
