A follower keeps an endpoint whose row came back

A row that is missing for one reading of the list, or an endpoint that leaves and comes back under its id, gives a follower that is two changes behind the removal and the new row in one message. The follower deleted the endpoint last, and lacked it until its row changed again: an entry host sent it nothing, a control host told its entry hosts the same.

TestRowThatComesBack failed before: the replica had 1 of 2 endpoints, also by an older host's delta.

--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -142,7 +142,7 @@
 	}
 	slices.SortFunc(d.Entries, func(a, b Entry) int { return compareText(a.ID, b.ID) })
 	for _, r := range j.removals {
-		if r.number > number {
+		if _, listed := j.entries[r.id]; r.number > number && !listed {
 			d.Removed = append(d.Removed, r.id)
 		}
 	}
@@ -224,6 +224,11 @@
 		c.order = nil
 	}
 	c.process, c.number, c.readAt = d.Process, d.Number, now-d.Age
+	// Older hosts also name endpoints as removed that are listed again since.
+	for _, id := range d.Removed {
+		delete(c.entries, id)
+		c.order = nil
+	}
 	for _, e := range d.Entries {
 		n := numberedEntry{Entry: e}
 		if e.ColdFor > 0 {
@@ -235,10 +240,6 @@
 		}
 		c.entries[e.ID] = n
 	}
-	for _, id := range d.Removed {
-		delete(c.entries, id)
-		c.order = nil
-	}
 	return true
 }
 
--- a/core/roster/journal_test.go
+++ b/core/roster/journal_test.go
@@ -11,21 +11,28 @@
 )
 
 // TestReplicasFollow checks that replicas equal their journal when deltas are skipped and the journal's process
-// changes.
+// changes, also when endpoints leave the list and come back.
 func TestReplicasFollow(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	journal := &roster.Journal{Process: 1}
 	replicas := make([]roster.Replica, 4)
 	now := core.Hour
-	var list []roster.Entry
+	var list, removed []roster.Entry
 	for step := range 3000 {
 		now += 10
-		switch random.IntN(4) {
+		switch random.IntN(5) {
 		case 0:
 			list = append(list, roster.Entry{ID: strconv.Itoa(step), Service: "s", Slots: 3, ColdFor: core.Millis(random.IntN(2) * 3000)})
+		case 4:
+			if len(removed) > 0 {
+				i := random.IntN(len(removed))
+				list = append(list, removed[i])
+				removed = append(removed[:i:i], removed[i+1:]...)
+			}
 		case 1:
 			if len(list) > 0 {
 				i := random.IntN(len(list))
+				removed = append(removed, list[i])
 				list = append(append([]roster.Entry(nil), list[:i]...), list[i+1:]...)
 			}
 		case 2:
@@ -57,6 +64,30 @@
 	}
 }
 
+// TestRowThatComesBack guards against a follower that loses an endpoint for good, since it gets the endpoint's removal together
+// with the row that came back after it.
+func TestRowThatComesBack(t *testing.T) {
+	journal := &roster.Journal{Process: 1}
+	list := []roster.Entry{{ID: "i-1"}, {ID: "i-2"}}
+	journal.Set(0, list)
+	var c roster.Replica
+	c.Apply(0, journal.Since(0, 0, 0))
+	journal.Set(1000, list[:1])
+	journal.Set(2000, list)
+	delta := journal.Since(2000, c.Process(), c.Number())
+	if !c.Apply(2000, delta) || !reflect.DeepEqual(c.Entries(), journal.Entries()) {
+		t.Errorf("the replica has %v, the journal %v", c.Entries(), journal.Entries())
+	}
+	if len(delta.Removed) > 0 {
+		t.Errorf("the delta removes %v, which is listed; older hosts remove it", delta.Removed)
+	}
+	// A journal of an older host names such an endpoint in both.
+	delta = &roster.Delta{Process: 1, From: c.Number(), Number: c.Number() + 2, Entries: list[1:], Removed: []string{"i-2"}}
+	if !c.Apply(3000, delta) || len(c.Entries()) != 2 {
+		t.Errorf("after an older host's delta the replica has %v, expected 2 endpoints", c.Entries())
+	}
+}
+
 // TestColdTimeRunsDown checks that the passing of time for a cold endpoint is not counted as a change of the list.
 func TestColdTimeRunsDown(t *testing.T) {
 	journal := &roster.Journal{Process: 1}
