An older reading of the list does not replace a newer one

A control host that is no leader may take over a list that another host has read while it still waits for its own, which it had asked for before. The older rows then replaced the newer ones and counted as read at the later time: an endpoint that had turned cold, drained or gone in between was shown to all its entry hosts as it was before, by a list that seemed to prove it.

TestOlderReading failed before: after an older reading a cold endpoint was warm and a draining one ready, at an age of 0.5 s.

--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -72,15 +72,19 @@
 	return now - j.readAt
 }
 
-// Set replaces the list by one that was read at readAt; it reports whether the list changed.
+// Set replaces the list by one that was read at readAt, unless a later reading is held: it would make older rows count as of the
+// time of that one. It reports whether the list changed.
 func (j *Journal) Set(readAt core.Millis, entries []Entry) bool {
+	if j.loaded && readAt < j.readAt {
+		return false
+	}
 	if j.entries == nil {
 		j.entries = map[string]numberedEntry{}
 	}
 	next := j.number + 1
 	changed := !j.loaded
 	j.loaded = true
-	j.readAt = max(j.readAt, readAt)
+	j.readAt = readAt
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
--- a/core/roster/journal_test.go
+++ b/core/roster/journal_test.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// TestOlderReading guards against a reading of the list that comes after a newer one and replaces it, as the state of that time.
+func TestOlderReading(t *testing.T) {
+	journal := &roster.Journal{Process: 1}
+	journal.Set(2000, []roster.Entry{{ID: "i-1", ColdFor: 3000}, {ID: "i-2", Draining: true}})
+	before := journal.Entries()
+	if journal.Set(1000, []roster.Entry{{ID: "i-1"}, {ID: "i-2"}}) || !reflect.DeepEqual(before, journal.Entries()) || journal.Age(2500) != 500 {
+		t.Errorf("after an older reading the list is %v at an age of %s, it was %v", journal.Entries(), journal.Age(2500), before)
+	}
+}
+
 // TestColdTimeRunsDown checks that the passing of time for a cold endpoint is not counted as a change of the list.
 func TestColdTimeRunsDown(t *testing.T) {
 	journal := &roster.Journal{Process: 1}
