A repeated end of an endpoint is no news

An entry host took each update with one for a change: it built its view of all endpoints anew and reported at once, which was answered by the next such update. It also took the time of the end anew from each message, later by that message's delay, so that an end could seem to follow a start that came after it.

Now an entry host keeps the ends that it knows with the time that it heard first.

--- a/core/fleet/ended_test.go
+++ b/core/fleet/ended_test.go
@@ -6,6 +6,8 @@
 
 	"clementinelock/core"
 	"clementinelock/core/crash"
+	"clementinelock/core/fake"
+	"clementinelock/core/fleet"
 )
 
 // TestEndsOfEndpointsAreKnownEverywhere guards against hosts that flock to an endpoint which starts again, cold, under its
@@ -32,3 +34,51 @@
 		}
 	}
 }
+
+// watchEntries lets a function see each update that an entry host handles, and whether it changes the host's view.
+func (s *site) watchEntries(seen func(e *entryHost, changed bool)) {
+	s.OnEntry = func(e *entryHost) fake.Process { return watchedEntry{e, seen} }
+}
+
+type watchedEntry struct {
+	*entryHost
+	seen func(e *entryHost, changed bool)
+}
+
+func (w watchedEntry) Receive(now core.Millis, from string, message core.Message) core.Effects {
+	changed, effects := w.Entry.Receive(now, from, message)
+	w.seen(w.entryHost, changed)
+	return effects
+}
+
+// TestKnownEndsCauseNoReports guards against entry hosts that take each repetition of an end for news, and report and rebuild
+// their view of all endpoints at each update.
+func TestKnownEndsCauseNoReports(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1)
+	reports, changes := 0, 0
+	s.OnEffects = func(host string, e core.Effects) {
+		for _, send := range e.Sends {
+			if _, ok := send.Message.(*fleet.Report); ok {
+				reports++
+			}
+		}
+		s.carry(host, e)
+	}
+	s.watchEntries(func(_ *entryHost, changed bool) {
+		if changed {
+			changes++
+		}
+	})
+	s.RunFor(8 * core.Second)
+	reports = 0
+	s.RunFor(4 * core.Second)
+	calm := reports
+	reports, changes = 0, 0
+	s.Apply("entry-4", s.entries["entry-4"].RecordEnded(s.Now, []crash.Ended{{Endpoint: "i-1"}}))
+	s.RunFor(4 * core.Second)
+	// Each host confirms what it was told, at two updates at most.
+	if bound := calm + 2*len(s.entries); reports > bound || changes > bound {
+		t.Errorf("%d hosts sent %d reports and had %d changes of their view after the end of one endpoint; %d reports in calm", len(s.entries), reports, changes, calm)
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -110,9 +110,8 @@
 	quarantined     []crash.Quarantine
 	quarantineIndex uint64
 	suspects        []crash.Digest
-	// ended holds the ends of endpoints of the latest update, which came at endedAt.
-	ended   []crash.Ended
-	endedAt core.Millis
+	// ended holds the ends of endpoints that this host or others saw.
+	ended crash.Relay
 	// peers is what this host knows of other entry hosts.
 	peers Peers
 	// relay holds the reports of crashes and answers that are sent, ownCrashes this host's crashes, and ownQuarantined
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -23,6 +23,7 @@
 func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
 	out := &core.Effects{}
 	for _, each := range ended {
+		e.ended.AddEnded(now, each)
 		if e.relay.AddEnded(now, each) {
 			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
 			e.reportAt = now
@@ -31,19 +32,12 @@
 	return *out
 }
 
-// applyEnded takes over the ends of endpoints that other hosts saw, and reports whether there are any.
-func (e *Entry) applyEnded(now core.Millis, u *Update) bool {
-	e.ended, e.endedAt = u.Ended, now
-	return len(u.Ended) > 0
-}
-
-// endedNow returns the ends of endpoints with their present age.
-func (e *Entry) endedNow(now core.Millis) []crash.Ended {
-	ended := slices.Clone(e.ended)
-	for i := range ended {
-		ended[i].Age += now - e.endedAt
+// applyEnded takes over the ends of endpoints that other hosts saw, and reports whether any is news: each update repeats them.
+func (e *Entry) applyEnded(now core.Millis, u *Update) (news bool) {
+	for _, each := range u.Ended {
+		news = e.ended.AddEnded(now, each) || news
 	}
-	return ended
+	return news
 }
 
 // servedBatchDelay batches the answers to several suspects into one report.
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -46,6 +46,6 @@
 		ListKnown: e.list.Process() != 0, ListAge: e.list.Age(now),
 		Entries:     EntryCounts{Zone: e.zonePeak, Region: max(1, e.counts.Region), All: max(1, e.counts.All), Rank: e.counts.Rank},
 		Quarantined: slices.Concat(e.quarantined, e.ownQuarantined), Suspects: e.suspects,
-		Ended: e.endedNow(now), Peers: e.peers,
+		Ended: e.ended.Ended(now), Peers: e.peers,
 	}
 }
