After an endpoint's end an entry host decides by later readings of the list

An entry host took a newer reading of the list for a change only if rows had changed. Since the doubt about an endpoint that has ended also ends with a reading long after that, even if it shows the same row: an endpoint that only another host was cut off from, or that was not cold after its start, then stayed cold there until any other row changed.

Now each update counts as a change until a reading from 10 s after the latest end was applied.

TestReadingAfterAnEnd failed before: 14 s after an end, all 9 hosts still decided by lists that were read up to 2.21 s after it.

--- a/core/fleet/ended_test.go
+++ b/core/fleet/ended_test.go
@@ -82,3 +82,26 @@
 		t.Errorf("%d hosts sent %d reports and had %d changes of their view after the end of one endpoint; %d reports in calm", len(s.entries), reports, changes, calm)
 	}
 }
+
+// TestReadingAfterAnEnd guards against entry hosts that decide by the reading of the list from before an endpoint's end, since
+// later ones show the same rows: the doubt about the endpoint ends with a reading.
+func TestReadingAfterAnEnd(t *testing.T) {
+	t.Parallel()
+	const staleRow = 10 * core.Second
+	s := newSite(t, 1)
+	readAt := map[string]core.Millis{}
+	s.watchEntries(func(e *entryHost, changed bool) {
+		if changed {
+			readAt[e.Name] = s.Now - e.View(s.Now).ListAge
+		}
+	})
+	s.RunFor(8 * core.Second)
+	ended := s.Now
+	s.Apply("entry-4", s.entries["entry-4"].RecordEnded(ended, []crash.Ended{{Endpoint: "i-1"}}))
+	s.RunFor(staleRow + 4*core.Second)
+	for name := range s.entries {
+		if readAt[name] <= ended+staleRow {
+			t.Errorf("entry host %s decides by a list that was read %s after the end, %s ago", name, readAt[name]-ended, s.Now-readAt[name])
+		}
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -42,6 +42,8 @@
 	leaderProbeFanout = 3
 	// zoneReturnPeriod is longer than the time for which a returning availability zone counts as cold.
 	zoneReturnPeriod = 5 * core.Second
+	// staleRowPeriod is longer than the list goes on to show an endpoint that has ended as it was before.
+	staleRowPeriod = 10 * core.Second
 )
 
 // Entry is the state machine by which an entry host follows the state in force. Set the exported fields before
@@ -112,6 +114,8 @@
 	suspects        []crash.Digest
 	// ended holds the ends of endpoints that this host or others saw.
 	ended crash.Relay
+	// latestEndAt is when the latest of them was seen.
+	latestEndAt core.Millis
 	// peers is what this host knows of other entry hosts.
 	peers Peers
 	// relay holds the reports of crashes and answers that are sent, ownCrashes this host's crashes, and ownQuarantined
@@ -380,15 +384,15 @@
 		return changed
 	}
 	newer := u.Endpoints.Process == e.list.Process() || u.Endpoints.Age < e.list.Age(now) || e.list.Process() == 0
-	number := e.list.Number()
+	number, readAt := e.list.Number(), now-e.list.Age(now)
 	if newer && e.list.Apply(now, u.Endpoints) && (u.Endpoints.From == 0 || e.list.Number() != number) {
 		changed = true
 	}
 	if changed {
 		e.reportAt = now
 	}
-	// While a zone returns from its evacuation, the decisions also depend on the age of the list.
-	return changed || now-e.evacuationEndedAt < zoneReturnPeriod
+	// While a zone returns from its evacuation or an endpoint has ended, the decisions also depend on the age of the list.
+	return changed || now-e.evacuationEndedAt < zoneReturnPeriod || readAt <= e.latestEndAt+staleRowPeriod
 }
 
 // SetReady sets whether this host serves, and reports a change to the control host at once.
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -23,7 +23,7 @@
 func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
 	out := &core.Effects{}
 	for _, each := range ended {
-		e.ended.AddEnded(now, each)
+		e.addEnded(now, each)
 		if e.relay.AddEnded(now, each) {
 			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
 			e.reportAt = now
@@ -35,7 +35,15 @@
 // applyEnded takes over the ends of endpoints that other hosts saw, and reports whether any is news: each update repeats them.
 func (e *Entry) applyEnded(now core.Millis, u *Update) (news bool) {
 	for _, each := range u.Ended {
-		news = e.ended.AddEnded(now, each) || news
+		news = e.addEnded(now, each) || news
+	}
+	return news
+}
+
+func (e *Entry) addEnded(now core.Millis, ended crash.Ended) (news bool) {
+	news = e.ended.AddEnded(now, ended)
+	if news {
+		e.latestEndAt = max(e.latestEndAt, now-ended.Age)
 	}
 	return news
 }
