Ends of endpoints reach hosts that were cut off meanwhile

What a host reports of a request that crashes endpoints is repeated while it reaches no control host; the end of an endpoint was not, and was repeated for 2.5 s alone. Behind a cut of more than that no other host learned of it, and a host that was cut off was not told later, though the endpoint may start again after the cut, cold, and get requests of all these hosts as a warm one.

Now an end is passed on for 10 s after it, as long as the list may show the endpoint as before. Repeats are no news since.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -9,6 +9,9 @@
 const (
 	// repeatPeriod is how long a report is part of each message, since messages may be lost.
 	repeatPeriod = 2500 * core.Millisecond
+	// endedPeriod is how long after it the end of an endpoint is passed on: hosts may be cut off meanwhile, and the endpoint may
+	// be down for some seconds before it starts again, cold.
+	endedPeriod = 10 * core.Second
 	// endedInterval is the time within which reports of the end of the same endpoint tell nothing new.
 	endedInterval = 500 * core.Millisecond
 	// maxRelayed bounds the reports in a message.
@@ -43,13 +46,13 @@
 // AddEnded adds a report of an endpoint's end in place of an earlier one, and reports whether it is news.
 func (r *Relay) AddEnded(now core.Millis, ended Ended) (news bool) {
 	at := now - ended.Age
-	if slices.ContainsFunc(r.ended, func(each relayed[Ended]) bool {
+	if now >= at+endedPeriod || slices.ContainsFunc(r.ended, func(each relayed[Ended]) bool {
 		return each.report.Endpoint == ended.Endpoint && at-each.at < endedInterval
 	}) {
 		return false
 	}
 	r.ended = slices.DeleteFunc(r.ended, func(each relayed[Ended]) bool { return each.report.Endpoint == ended.Endpoint })
-	r.ended = addRelayed(r.ended, relayed[Ended]{ended, at, now + repeatPeriod})
+	r.ended = addRelayed(r.ended, relayed[Ended]{ended, at, at + endedPeriod})
 	return true
 }
 
@@ -85,7 +88,7 @@
 	return crashes, served
 }
 
-// Extend passes all reports on for as long as at their beginning, since no message has arrived for a while.
+// Extend passes reports of crashes and answers on for as long as at their beginning, since no message has arrived for a while.
 func (r *Relay) Extend(now core.Millis) {
 	for i := range r.crashes {
 		r.crashes[i].until = now + repeatPeriod
