--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -23,6 +23,7 @@
 func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
 	out := &core.Effects{}
 	for _, each := range ended {
+		e.addEnded(now, each)
 		if !e.relay.AddEnded(now, each) {
 			continue
 		}
@@ -36,19 +37,20 @@
 	return *out
 }
 
-// applyEnded takes over the ends of endpoints that other hosts saw, and reports whether there are any.
-func (e *Entry) applyEnded(now core.Millis, u *Update) bool {
-	e.ended, e.endedAt = u.Ended, now
-	return len(u.Ended) > 0
+// applyEnded takes over the ends of endpoints that other hosts saw, and reports whether any is news: each update repeats them.
+func (e *Entry) applyEnded(now core.Millis, u *Update) (news bool) {
+	for _, each := range u.Ended {
+		news = e.addEnded(now, each) || news
+	}
+	return news
 }
 
-// endedNow returns the ends of endpoints with their present age.
-func (e *Entry) endedNow(now core.Millis) []crash.Ended {
-	ended := slices.Clone(e.ended)
-	for i := range ended {
-		ended[i].Age += now - e.endedAt
+func (e *Entry) addEnded(now core.Millis, ended crash.Ended) (news bool) {
+	news = e.ended.AddEnded(now, ended)
+	if news {
+		e.latestEndAt = max(e.latestEndAt, now-ended.Age)
 	}
-	return ended
+	return news
 }
 
 // servedBatchDelay batches the answers to several suspects into one report.
--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -97,8 +97,8 @@
 		return false
 	}
 	coldUntil := at + coldFor + coldGraceInterval
-	if coldUntil <= e.coldUntil+maxStartError {
-		// The same start is known already.
+	if at <= e.endedAt || coldUntil <= e.coldUntil+maxStartError {
+		// That process has ended since, or its start is known already.
 		e.coldUntil = max(e.coldUntil, coldUntil)
 		return false
 	}
--- a/core/roster/journal.go
+++ b/core/roster/journal.go
@@ -72,15 +72,19 @@
 	return now - j.readAt
 }
 
-// Set replaces the list by one that was read at readAt; it reports whether the list changed.
+// Set replaces the list by one that was read at readAt, unless a later reading is held: it would make older rows count as of the
+// time of that one. It reports whether the list changed.
 func (j *Journal) Set(readAt core.Millis, entries []Entry) bool {
+	if j.loaded && readAt < j.readAt {
+		return false
+	}
 	if j.entries == nil {
 		j.entries = map[string]numberedEntry{}
 	}
 	next := j.number + 1
 	changed := !j.loaded
 	j.loaded = true
-	j.readAt = max(j.readAt, readAt)
+	j.readAt = readAt
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -142,7 +146,7 @@
 	}
 	slices.SortFunc(d.Entries, func(a, b Entry) int { return compareText(a.ID, b.ID) })
 	for _, r := range j.removals {
-		if r.number > number {
+		if _, listed := j.entries[r.id]; r.number > number && !listed {
 			d.Removed = append(d.Removed, r.id)
 		}
 	}
@@ -224,6 +228,11 @@
 		c.order = nil
 	}
 	c.process, c.number, c.readAt = d.Process, d.Number, now-d.Age
+	// Older hosts also name endpoints as removed that are listed again since.
+	for _, id := range d.Removed {
+		delete(c.entries, id)
+		c.order = nil
+	}
 	for _, e := range d.Entries {
 		n := numberedEntry{Entry: e}
 		if e.ColdFor > 0 {
@@ -235,10 +244,6 @@
 		}
 		c.entries[e.ID] = n
 	}
-	for _, id := range d.Removed {
-		delete(c.entries, id)
-		c.order = nil
-	}
 	return true
 }
 
