The ports of a tree's host are bounded for all connections together

What clients could do: the ports for callers, operators and status of a tree's host accepted connections without end, and kept idle ones and unfinished bodies for good.

Change: they use io/guard, with fixed limits since the settings of a tree's host don't tell the machine's: those of operators fit the largest question of 32 MB, with what decoding it takes. A header of callers may have 64 KB (1 MB before). Requests of callers have no time-out of the connection, as before, since they are passed on while they are read.

Operators need a certificate before a request is read; what TLS handshakes take is bounded by the number of connections alone.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"clementinelock/core"
@@ -22,6 +24,7 @@
 	"clementinelock/io/disk"
 	"clementinelock/io/feed"
 	"clementinelock/io/fetch"
+	"clementinelock/io/guard"
 	"clementinelock/io/link"
 	"clementinelock/io/logs"
 	"clementinelock/io/metric"
@@ -36,6 +39,15 @@
 	readHeaderTimeout      = 5 * time.Second
 	shutdownTimeout        = 2 * time.Second
 	stopCheckInterval      = 20 * time.Millisecond
+	// callerDescriptorShare is the part of the descriptors for callers' connections, each of which may need one to an endpoint.
+	callerDescriptorShare = 0.4
+	operatorConnections   = 128
+	maxCallerHeaderBytes  = 64 << 10
+	// The memory that may be held for the connections to each port, in bytes. That of operators fits the largest question and what
+	// decoding it takes.
+	callerBytes   = 96 << 20
+	operatorBytes = 136 << 20
+	statusBytes   = 8 << 20
 )
 
 // Daemon runs one host. The exported fields must be set before Run or Start is called.
@@ -146,7 +158,10 @@
 func (d *Daemon) serve(ctx context.Context) error {
 	s := &d.Settings
 	server := &caller.Server{Host: s.Host, Backend: d.driver, OnLookup: d.countLookup}
-	callers := d.newServer(server.Handler())
+	callerLimits := &guard.Guard{MaxBytes: callerBytes, MaxConnections: callerConnections()}
+	callers := d.newServer(server.Handler(), callerLimits)
+	// Requests are passed on while they are read, each with a deadline of its own.
+	callers.ReadTimeout, callers.MaxHeaderBytes = 0, maxCallerHeaderBytes
 	callers.Protocols = new(http.Protocols)
 	callers.Protocols.SetHTTP1(true)
 	callers.Protocols.SetHTTP2(true)
@@ -156,19 +171,22 @@
 		callers.TLSConfig.ClientAuth = 0
 		callers.TLSConfig.VerifyConnection = nil
 	}
-	operators := d.newServer(oper.Handler(d.driver))
+	operatorLimits := &guard.Guard{MaxBytes: operatorBytes, MaxConnections: operatorConnections, MaxBodyBytes: oper.MaxBodyBytes}
+	operators := d.newServer(oper.Handler(d.driver), operatorLimits)
 	operators.TLSConfig = d.keys.Config(nil, certs.Operators)
+	statusLimits := &guard.Guard{MaxBytes: statusBytes, MaxConnections: operatorConnections}
 	listeners := []struct {
 		address string
 		server  *http.Server
-	}{{s.CallerAddress, callers}, {s.OperatorAddress, operators}, {s.StatusAddress, d.newServer(d.status())}}
+		limits  *guard.Guard
+	}{{s.CallerAddress, callers, callerLimits}, {s.OperatorAddress, operators, operatorLimits}, {s.StatusAddress, d.newServer(d.status(), statusLimits), statusLimits}}
 	for _, each := range listeners {
 		listener, err := net.Listen("tcp", each.address)
 		if err != nil {
 			return err
 		}
 		d.servers = append(d.servers, each.server)
-		d.startGoroutine(func() { d.serveOn(each.server, listener) })
+		d.startGoroutine(func() { d.serveOn(each.server, each.limits.Listen(listener)) })
 	}
 	d.startGoroutine(func() { d.reportFailure(ctx, d.network.Run(ctx)) })
 	d.startGoroutine(func() { d.driver.tick(ctx) })
@@ -181,8 +199,20 @@
 	return nil
 }
 
-func (d *Daemon) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: nil}
+func (d *Daemon) newServer(handler http.Handler, limits *guard.Guard) *http.Server {
+	limits.Now = d.driver.clock.Now
+	server := limits.NewServer(handler)
+	server.ReadHeaderTimeout = readHeaderTimeout
+	return server
+}
+
+// callerConnections returns how many connections callers may have: a part of the descriptors, or 0 for no limit.
+func callerConnections() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(float64(limit.Cur) * callerDescriptorShare)
 }
 
 func (d *Daemon) serveOn(server *http.Server, listener net.Listener) {
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -21,11 +21,13 @@
 const (
 	askPath          = "/v1/ask"
 	dumpPath         = "/v1/dump"
-	maxBodyBytes     = 32 << 20
 	handshakeTimeout = 3 * time.Second
 	requestTimeout   = 12 * time.Second
 )
 
+// MaxBodyBytes bounds the body of a question and of an answer.
+const MaxBodyBytes = 32 << 20
+
 // Backend answers the questions that the server receives.
 type Backend interface {
 	// Ask answers a question or refuses it.
@@ -52,7 +54,7 @@
 
 func serveAsk(backend Backend, w http.ResponseWriter, r *http.Request) {
 	var ask ctrl.Request
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBodyBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&ask); err != nil {
 		proto.WriteJSON(w, http.StatusBadRequest, Reply{Refusal: core.Refuse(core.BadRequest, core.RanNo, "the question can't be read: %v", err)})
@@ -130,5 +132,5 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return json.NewDecoder(io.LimitReader(response.Body, maxBodyBytes)).Decode(into)
+	return json.NewDecoder(io.LimitReader(response.Body, MaxBodyBytes)).Decode(into)
 }
