--- a/io/entry/hold_test.go
+++ b/io/entry/hold_test.go
@@ -317,3 +317,29 @@
 		}
 	}
 }
+
+// TestTricklingBodyGivesWay guards against a body that is never finished but counts as active, since each byte renews its time: under
+// pressure it gives way before a connection that was used later.
+func TestTricklingBodyGivesWay(t *testing.T) {
+	h := startCrowded(t, func(s *entry.Server) { s.MaxConnections = 2 })
+	trickling := h.dial(t)
+	if _, err := io.WriteString(trickling.conn, crowdHead("POST", "/write/")+"Content-Length: 1000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		time.Sleep(20 * time.Millisecond)
+		if _, err := io.WriteString(trickling.conn, "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	idle := h.dial(t)
+	idle.get("before")
+	if _, err := io.WriteString(trickling.conn, "x"); err != nil {
+		t.Fatal(err)
+	}
+	h.dial(t).get("newcomer")
+	idle.get("after")
+	if response, _, err := trickling.readAnswer(); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the trickling request got %v, %v; expected 503", response, err)
+	}
+}
