--- a/core/kinds.go
+++ b/core/kinds.go
@@ -65,7 +65,7 @@
 	OutcomeLost:     {409, 0, "A copy of this key was dispatched and its outcome is not known; it is not run again."},
 	LedgerUnreached: {503, 1000, "Too few ledger replicas of the key's home region can be reached."},
 	LedgerFull:      {503, 5000, "The ledger's limit in bytes is reached; it keeps its entries and takes no new key."},
-	Overloaded:      {503, 500, "The queue for this class of service is full, or the wait would pass the deadline."},
+	Overloaded:      {503, 500, "The queue for this class of service is full, the wait would pass the deadline, or no memory is left for the request."},
 	CapReached:      {503, 1000, "The cap of the region, link or shift is reached."},
 	DeadlinePassed:  {504, 0, "The deadline passed, or can't be met."},
 	NoUpstream:      {503, 1000, "No upstream of the service can be reached from here."},
