Connections to endpoints leave descriptors for others

Callers that leave many requests under way made an entry host open a connection to an endpoint for each: 2,057 descriptors of 400 in TestCrowdOfSlowReaders on, 725 with the bounds on callers' connections alone. What else needs one, a caller's connection or a disk, then fails.

Two fifths of the descriptors are for connections to endpoints. At the limit the one that has been idle for longest makes room; a request that finds all in use is not sent, which says nothing about the endpoint.

--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -68,6 +68,7 @@
 	e.pool = &pool.Pool{Dialect: e.Platform.Dialect(), LocalIP: net.ParseIP(s.Host)}
 	picks := &pick.Table{Name: s.Host, StartedAt: e.clock.Now(), Region: s.Region, Zone: s.Zone, RegionByZone: s.Regions, Bounds: s.Bounds, Rand: newRand(), OnRemove: e.pool.CloseIdle, IsConnectedSince: e.isConnectedSince, Log: e.Log.Info}
 	e.server = &entry.Server{Dialect: e.Platform.Dialect(), Pool: e.pool, Picks: picks, OnRequest: e.recordRequest, MaxHeldBytes: s.heldBytes(), MaxConnections: s.callerConnections()}
+	e.pool.MaxConnections = s.endpointConnections()
 	s.limitMemory()
 	e.metrics.observeHeld(e.server.Held)
 	e.pool.OnHeader, e.pool.OnClosed, e.pool.OnDial = e.server.RecordHeader, e.server.RecordIdleClosed, e.server.RecordDial
--- a/io/fleet/limits.go
+++ b/io/fleet/limits.go
@@ -25,7 +25,9 @@
 	// callerDescriptorShare is the part of the descriptors for connections of callers. Each may need another one to an
 	// endpoint, and the rest is for files, hosts and operators.
 	callerDescriptorShare = 0.4
-	bytesPerMegabyte      = 1 << 20
+	// endpointDescriptorShare is the part for connections to endpoints, idle ones among them.
+	endpointDescriptorShare = 0.4
+	bytesPerMegabyte        = 1 << 20
 	// directoryMemoryShare and statusMemoryShare are the parts of the memory for look-ups, and for the platform's own checks and
 	// metrics each; operators have callerMemoryShare, since they have no callers beside them.
 	directoryMemoryShare = 1.0 / 8
@@ -77,6 +79,11 @@
 	return int(float64(s.descriptors()) * callerDescriptorShare)
 }
 
+// endpointConnections returns how many connections to endpoints there may be, or 0 for no limit.
+func (s *Settings) endpointConnections() int {
+	return int(float64(s.descriptors()) * endpointDescriptorShare)
+}
+
 // guardOf returns the limits of a server that has these parts of the memory and of the descriptors.
 func (s *Settings) guardOf(memory, descriptors float64) *guard.Guard {
 	return &guard.Guard{MaxBytes: s.memoryShare(memory), MaxConnections: int(float64(s.descriptors()) * descriptors)}
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -27,6 +27,9 @@
 	limit  io.LimitedReader
 	reader *bufio.Reader
 
+	// uncounted ends the count of the connection in the pool's limit, once.
+	uncounted sync.Once
+
 	mutex     sync.Mutex
 	pending   *exchange
 	busy      bool
@@ -106,6 +109,7 @@
 	c.closed = true
 	c.mutex.Unlock()
 	c.pool.remove(c)
+	c.uncounted.Do(c.pool.unreserve)
 	// An error of Close could not be handled by anyone.
 	_ = c.conn.Close()
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -57,15 +57,21 @@
 	OnDial func(address string, err error)
 	// LocalIP is the address that connections come from; nil leaves it to the kernel.
 	LocalIP net.IP
+	// MaxConnections limits the open connections; 0 sets no limit.
+	MaxConnections int
 	// OnClosed is called when an endpoint has closed an idle connection to its address; it may be nil.
 	OnClosed func(address string)
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
-	// opened counts the connections opened.
+	// opened counts the connections opened, open those that are open or being opened.
 	opened uint64
+	open   int
 }
 
+// errNoDescriptor refuses a connection beyond MaxConnections.
+var errNoDescriptor = errors.New("all connections to endpoints that this host may have are in use")
+
 // Opened returns how many connections were opened.
 func (p *Pool) Opened() uint64 {
 	p.mutex.Lock()
@@ -77,6 +83,9 @@
 func (p *Pool) Do(ctx context.Context, r *Request, t Target) Result {
 	c, reused, err := p.get(ctx, r, t)
 	if err != nil {
+		if errors.Is(err, errNoDescriptor) {
+			return Result{Ending: Withdrawn, Detail: err.Error()}
+		}
 		if ctx.Err() != nil {
 			return Result{Ending: NotSent, Detail: "no connection before the deadline"}
 		}
@@ -123,6 +132,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
+	if !p.reserve() {
+		return nil, errNoDescriptor
+	}
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setSocketOptions}
 	if p.LocalIP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: p.LocalIP}
@@ -132,6 +144,7 @@
 		p.OnDial(address, err)
 	}
 	if err != nil {
+		p.unreserve()
 		return nil, err
 	}
 	c := newConnection(p, address, conn)
@@ -140,6 +153,48 @@
 	return c, nil
 }
 
+// reserve counts a connection that is about to be opened. At the limit it closes the one that has been idle for longest, and returns
+// false if none is idle.
+func (p *Pool) reserve() bool {
+	for {
+		p.mutex.Lock()
+		if p.MaxConnections == 0 || p.open < p.MaxConnections {
+			p.open++
+			p.mutex.Unlock()
+			return true
+		}
+		oldest := p.oldestIdle()
+		p.mutex.Unlock()
+		if oldest == nil {
+			return false
+		}
+		if oldest.acquire() {
+			oldest.close()
+		}
+	}
+}
+
+// oldestIdle takes the connection out of the pool that has been idle for longest; the mutex must be held.
+func (p *Pool) oldestIdle() (oldest *connection) {
+	for _, list := range p.idle {
+		for _, c := range list {
+			if oldest == nil || c.idleSince.Before(oldest.idleSince) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		p.removeIdle(oldest)
+	}
+	return oldest
+}
+
+func (p *Pool) unreserve() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.open--
+}
+
 // HasIdle reports whether there is an idle connection to an address.
 func (p *Pool) HasIdle(address string) bool {
 	p.mutex.Lock()
@@ -202,6 +257,11 @@
 func (p *Pool) remove(c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.removeIdle(c)
+}
+
+// removeIdle takes a connection out of the idle ones; the mutex must be held.
+func (p *Pool) removeIdle(c *connection) {
 	list := p.idle[c.address]
 	for i, each := range list {
 		if each == c {
