Endpoints that ended are reported also while idle connections to them are read

What callers saw: a request sent in bursts or pairs went on to crash endpoints after its third crash and the contact window (TestPatternsOfCrashingRequests, bursts up to 8 times, pairs 4, 3 allowed). Cause: a host that sees a connection break probes the endpoint, and took one that refuses connections for live while it had an idle connection to it: on a busy machine the end of that one is read some milliseconds later. The crash was then never reported under the request that caused it, while another host reported it under a bystander, so that the request was no sole cause and had to crash endpoints at a second moment, in the next burst. The host waits now for the ends of idle connections, for as long as the examination lasts (250 ms).

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -15,6 +15,8 @@
 const (
 	// probeTimeout is several round trips to the farthest region.
 	probeTimeout = 250 * time.Millisecond
+	// idleCheckInterval is the time between two looks whether idle connections to an endpoint are left that refuses new ones.
+	idleCheckInterval = 5 * time.Millisecond
 	// maxOthersProbed is the number of other endpoints that are tried before this host counts as cut off from all.
 	maxOthersProbed = 3
 	// maxPendingCrashes bounds the requests of one endpoint whose end is examined.
@@ -168,11 +170,24 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		ended := s.Pool.IsRefused(ctx, address) && !s.Pool.HasIdle(address) && s.reachesOthers(ctx, endpoint)
+		ended := s.Pool.IsRefused(ctx, address) && s.waitForIdle(ctx, address) && s.reachesOthers(ctx, endpoint)
 		s.finishExamination(endpoint, address, at, ended)
 	}()
 }
 
+// waitForIdle waits until no idle connection to an address is left, and reports whether that is so in time. Their ends may be read
+// after that of the request's connection, and after the refusal.
+func (s *Server) waitForIdle(ctx context.Context, address string) bool {
+	for s.Pool.HasIdle(address) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(idleCheckInterval):
+		}
+	}
+	return true
+}
+
 // reachesOthers reports whether this host can open a connection to another endpoint, so that a refused one is not due to
 // a cut of this host from all endpoints. Too few others tell nothing, since they may have ended too.
 func (s *Server) reachesOthers(ctx context.Context, endpoint string) bool {
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -90,6 +91,41 @@
 	}
 }
 
+// TestEndpointEndsBesideIdleConnections guards against a crash that is not reported since the ends of idle connections to the
+// endpoint are read after that of the request's connection, as on a busy machine.
+func TestEndpointEndsBesideIdleConnections(t *testing.T) {
+	h := startHost(t, 1)
+	e := h.endpoints[0]
+	e.setAnswer(func(conn net.Conn, request *http.Request, body []byte) bool {
+		if request.RequestURI != "/read/crash" {
+			time.Sleep(30 * time.Millisecond)
+			return echo(conn, request, body)
+		}
+		_ = e.listener.Close()
+		time.AfterFunc(50*time.Millisecond, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			for _, each := range e.open {
+				_ = each.Close()
+			}
+		})
+		return false
+	})
+	// Two requests at a time leave two connections.
+	callers := []*caller{h.dial(t), h.dial(t)}
+	for i, c := range callers {
+		c.send("GET", "/read/good", fmt.Sprint("good", i), "")
+	}
+	for i, c := range callers {
+		c.expect(fmt.Sprint("good", i), http.StatusOK, "GET /read/good ")
+	}
+	callers[0].send("GET", "/read/crash", "crash", "")
+	callers[0].expect("crash", http.StatusBadGateway, "")
+	if reports := h.crashReports(t, 1); len(reports) != 1 || reports[0].Digest != h.digestOf(t, "crash") {
+		t.Fatalf("reported %v, expected one crash under %s", reports, h.digestOf(t, "crash"))
+	}
+}
+
 // TestQuarantinedRequests guards against a quarantined request that reaches an endpoint as a first attempt or that goes on
 // waiting at one, and against others that are refused with it.
 func TestQuarantinedRequests(t *testing.T) {
