The word of a leader without a majority is no contact

Cause: a leader that is cut off goes on for up to 1.4 s, and hosts that are cut off with it took its heartbeats for knowledge of all changes, while the others vote again after 0.9 s and may evacuate a zone. Heartbeats tell now, in an optional field, that the leader has not heard from a majority for half of the minimum election timeout; followers then count them as life of the leader alone. A leader of an older build tells nothing, as before.

--- a/core/fleet/contact_test.go
+++ b/core/fleet/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"clementinelock/core"
@@ -124,3 +125,37 @@
 		}
 	}
 }
+
+// TestContactThroughALeaderThatIsCutOff guards against hosts that count as in contact since their control host hears a leader which
+// is cut off with it from the others: these may have elected another one by then, and evacuated a zone.
+func TestContactThroughALeaderThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	// electionDelay is less than the time after which the others vote for another leader.
+	const electionDelay = 850 * core.Millisecond
+	controls := append(slices.Clone(controlZones), controlZones...)
+	tested := 0
+	for seed := range uint64(20) {
+		s := newSiteIn(t, seed, controls, append(slices.Clone(entryZones), entryZones...))
+		s.RunFor(8*core.Second + core.Millis(seed)*70)
+		leader := s.leader()
+		zone := s.zones[leader]
+		s.cutZone(zone)
+		cut := s.Now
+		latest := core.Millis(0)
+		for range 300 {
+			s.RunFor(10)
+			for name, e := range s.entries {
+				if s.zones[name] == zone && e.CurrentControl() != leader {
+					tested++
+					latest = max(latest, e.ContactAt()-cut)
+				}
+			}
+		}
+		if latest > electionDelay {
+			t.Errorf("seed %d: a host cut off with the leader takes itself to know all changes until %s after the cut", seed, latest)
+		}
+	}
+	if tested == 0 {
+		t.Error("no host reports to another control host than the leader, so that nothing was tested")
+	}
+}
--- a/core/quorum/changes.go
+++ b/core/quorum/changes.go
@@ -82,9 +82,10 @@
 }
 
 // recordLeaderCommit records that the leader has told this replica up to where the log is committed, and that all of that is applied.
-// A leader that has committed no record of its own term does not know what was committed before it.
+// A leader that has committed no record of its own term does not know what was committed before it, and one without a majority not
+// what another leader commits: followers of the latter vote again after the minimum election timeout.
 func (r *Replica) recordLeaderCommit(now core.Millis, m *Append) {
-	if m.Commit <= r.commit && r.log.termAt(r.commit) == m.Term {
+	if !m.Doubtful && m.Commit <= r.commit && r.log.termAt(r.commit) == m.Term {
 		r.commitsKnown, r.commitsKnownAt = true, now
 	}
 }
--- a/core/quorum/messages.go
+++ b/core/quorum/messages.go
@@ -38,6 +38,8 @@
 	Round     uint64
 	// SentAt is the leader's time at which it sent the message; 0 means that it is not told.
 	SentAt core.Millis `cbor:",omitempty"`
+	// Doubtful is set while the leader has not heard from a majority for so long that there may be another one soon.
+	Doubtful bool `cbor:",omitempty"`
 }
 
 // AppendResponse reports how far the follower's log matches; Hint is the index to go back to if it does not.
--- a/core/quorum/replicate.go
+++ b/core/quorum/replicate.go
@@ -98,6 +98,7 @@
 	out.Send(member.Name, &Append{
 		Header: header, PrevIndex: prev, PrevTerm: r.log.termAt(prev),
 		Records: records, Commit: r.commit, Round: r.round, SentAt: now,
+		Doubtful: r.SinceMajorityContact(now) > r.Timing.MinElectionTimeout/2,
 	})
 }
 
