A test that hosts which are cut off for minutes count among those of their zone

TestZoneNumberAfterRemovals is red, since entry hosts never forget the largest number of their zone. The new test guards against that; nothing else is changed.

--- a/core/fleet/zone_number_test.go
+++ b/core/fleet/zone_number_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"clementinelock/core"
@@ -29,3 +31,29 @@
 		}
 	}
 }
+
+// TestZoneNumberWhileHostsAreCutOff guards against an overload of cold endpoints by a zone's hosts of which most are cut off from the
+// control hosts for longer than these remember them: hosts that are cut off go on to use their parts, and control hosts can't tell
+// them from hosts that are gone. All parts together must stay within the whole, of which hosts use 0.7.
+func TestZoneNumberWhileHostsAreCutOff(t *testing.T) {
+	t.Parallel()
+	const largestSum = 1 / 0.7
+	for seed := range uint64(3) {
+		entries := slices.Repeat([]string{"r0-a"}, 8)
+		s := newSiteIn(t, seed, controlZones, append(entries, "r1-a", "r2-a"))
+		s.RunFor(10 * core.Second)
+		for _, name := range []string{"entry-2", "entry-3", "entry-4", "entry-5", "entry-6", "entry-7"} {
+			s.Isolate(name, s.upControls(), true)
+		}
+		for range 24 {
+			s.RunFor(10 * core.Second)
+			sum := 0.0
+			for i := range entries {
+				sum += 1 / float64(s.entries[fmt.Sprint("entry-", i)].View(s.Now).Entries.Zone)
+			}
+			if sum > largestSum {
+				t.Fatalf("seed %d: at %s all hosts of the zone together use %.2f of an endpoint's rate, expected %.2f at most", seed, s.Now-core.Hour, sum, largestSum)
+			}
+		}
+	}
+}
