Ends of many endpoints at once are all passed on

A message held 64 ends of endpoints at most, the latest. When more end at once, as in the loss of an availability zone or when a third of a large service starts again, the others reached no host that had not seen them itself.

Now a message holds up to 2,048. A control host tells its entry hosts each end once, not also as what it heard of another control host. Messages with news follow each other no sooner than the smallest link carries them, and an entry host does not report at once that it was told of an end.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -1,6 +1,8 @@
 package crash
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"clementinelock/core"
@@ -14,15 +16,17 @@
 	endedPeriod = 10 * core.Second
 	// endedInterval is the time within which reports of the end of the same endpoint tell nothing new.
 	endedInterval = 500 * core.Millisecond
-	// maxRelayed bounds the reports in a message.
+	// maxRelayed bounds the crashes and the answers in a message, maxEnded the ends: those of all endpoints of a deployment.
 	maxRelayed = 64
+	maxEnded   = 2048
 )
 
 // Relay holds the latest reports that a host passes on. The zero value is empty; calls must not overlap.
 type Relay struct {
 	crashes []relayed[Report]
 	served  []relayed[Served]
-	ended   []relayed[Ended]
+	// ended holds the ends by endpoint.
+	ended map[string]relayed[Ended]
 }
 
 // relayed is a report with its time and until when it is passed on.
@@ -46,26 +50,42 @@
 // AddEnded adds a report of an endpoint's end in place of an earlier one, and reports whether it is news.
 func (r *Relay) AddEnded(now core.Millis, ended Ended) (news bool) {
 	at := now - ended.Age
-	if now >= at+endedPeriod || slices.ContainsFunc(r.ended, func(each relayed[Ended]) bool {
-		return each.report.Endpoint == ended.Endpoint && at-each.at < endedInterval
-	}) {
+	held, known := r.ended[ended.Endpoint]
+	if now >= at+endedPeriod || known && at-held.at < endedInterval {
 		return false
 	}
-	r.ended = slices.DeleteFunc(r.ended, func(each relayed[Ended]) bool { return each.report.Endpoint == ended.Endpoint })
-	r.ended = addRelayed(r.ended, relayed[Ended]{ended, at, at + endedPeriod})
+	if r.ended == nil {
+		r.ended = map[string]relayed[Ended]{}
+	}
+	if !known && len(r.ended) >= maxEnded {
+		delete(r.ended, r.sortedEnded()[0].report.Endpoint)
+	}
+	r.ended[ended.Endpoint] = relayed[Ended]{ended, at, at + endedPeriod}
 	return true
 }
 
+// sortedEnded returns the ends, the oldest first.
+func (r *Relay) sortedEnded() []relayed[Ended] {
+	return slices.SortedFunc(maps.Values(r.ended), func(a, b relayed[Ended]) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.report.Endpoint, b.report.Endpoint))
+	})
+}
+
 // Ended returns the reports of endpoints' ends that are part of a message sent now.
 func (r *Relay) Ended(now core.Millis) (ended []Ended) {
-	r.ended = dropOld(now, r.ended)
-	for _, each := range r.ended {
+	maps.DeleteFunc(r.ended, func(_ string, each relayed[Ended]) bool { return now >= each.until })
+	for _, each := range r.sortedEnded() {
 		each.report.Age = now - each.at
 		ended = append(ended, each.report)
 	}
 	return ended
 }
 
+// EndedLen returns how many ends are held.
+func (r *Relay) EndedLen() int {
+	return len(r.ended)
+}
+
 // addRelayed adds a report in place of the oldest one if there are too many.
 func addRelayed[T any](list []relayed[T], added relayed[T]) []relayed[T] {
 	if len(list) == maxRelayed {
--- a/core/fleet/control.go
+++ b/core/fleet/control.go
@@ -80,10 +80,11 @@
 	// crashes holds the crashes that all entry hosts reported, relay the reports that came to this host lately.
 	crashes crash.Table
 	relay   crash.Relay
-	// endedElsewhere holds the ends of endpoints that other control hosts passed on; endedNews is set when entry hosts
-	// have not been told of one.
-	endedElsewhere crash.Relay
-	endedNews      bool
+	// ended holds the ends of endpoints that entry hosts reported here and other control hosts passed on; endedNews is set
+	// when entry hosts have not been told of one, and endedSendAt is from when on they are told.
+	ended       crash.Relay
+	endedNews   bool
+	endedSendAt core.Millis
 	// suspects are the requests whose answers entry hosts report, as of the latest update; crashNews is set when there
 	// is news for them, and suspectsAt is when they are updated without.
 	suspects   []crash.Digest
--- a/core/fleet/ended_test.go
+++ b/core/fleet/ended_test.go
@@ -1,10 +1,12 @@
 package fleet_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"clementinelock/core"
+	"clementinelock/core/codec"
 	"clementinelock/core/crash"
 	"clementinelock/core/fake"
 	"clementinelock/core/fleet"
@@ -146,3 +148,48 @@
 		})
 	}
 }
+
+// TestEndsOfAZone guards against messages with the ends of many endpoints that fill the link of a small host: an availability
+// zone is lost, all hosts see its endpoints end one after the other, and each message repeats the ends from before.
+func TestEndsOfAZone(t *testing.T) {
+	t.Parallel()
+	const (
+		count = 400
+		// linkBytesPerSecond is what the smallest host's link of 2 Mbit/s carries.
+		linkBytesPerSecond = 250_000
+	)
+	s := newSite(t, 1)
+	sent := map[string]int{}
+	s.OnEffects = func(host string, e core.Effects) {
+		for _, send := range e.Sends {
+			if s.entries[host] != nil {
+				sent["from "+host] += len(codec.Encode(send.Message))
+			} else if s.entries[send.To] != nil {
+				sent["to "+send.To] += len(codec.Encode(send.Message))
+			}
+		}
+		s.carry(host, e)
+	}
+	s.RunFor(8 * core.Second)
+	for i := range count {
+		for name, e := range s.entries {
+			s.At(s.Now+core.Millis(s.Rand.IntN(1000)), func() {
+				s.Apply(name, e.RecordEnded(s.Now, []crash.Ended{{Endpoint: fmt.Sprintf("i-%08x", i)}}))
+			})
+		}
+	}
+	for second := range 3 {
+		clear(sent)
+		s.RunFor(core.Second)
+		for way, bytes := range sent {
+			if bytes > linkBytesPerSecond/2 {
+				t.Errorf("%d bytes %s in second %d, half of the link are %d", bytes, way, second, linkBytesPerSecond/2)
+			}
+		}
+	}
+	for name, e := range s.entries {
+		if known := len(e.View(s.Now).Ended); known != count {
+			t.Errorf("entry host %s knows of %d ends of %d", name, known, count)
+		}
+	}
+}
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -360,7 +360,7 @@
 // have changed. Versions and indexes never go back.
 func (e *Entry) apply(now core.Millis, from string, u *Update, out *core.Effects) bool {
 	changed := e.applyQuarantines(u)
-	changed = e.applyEnded(now, u) || changed
+	ended := e.applyEnded(now, u)
 	changed = e.applyPeers(u) || changed
 	if u.Document != nil && u.Document.Version > e.document.Version {
 		e.document = *u.Document
@@ -377,11 +377,11 @@
 	}
 	e.applyCounts(u)
 	if u.Endpoints == nil {
-		return changed
+		return changed || ended
 	}
 	if err := u.Endpoints.Unpack(); err != nil {
 		out.Logf("list", "Cannot unpack the list from %s: %v.", from, err)
-		return changed
+		return changed || ended
 	}
 	newer := u.Endpoints.Process == e.list.Process() || u.Endpoints.Age < e.list.Age(now) || e.list.Process() == 0
 	number, readAt := e.list.Number(), now-e.list.Age(now)
@@ -392,7 +392,7 @@
 		e.reportAt = now
 	}
 	// While a zone returns from its evacuation or an endpoint has ended, the decisions also depend on the age of the list.
-	return changed || now-e.evacuationEndedAt < zoneReturnPeriod || readAt <= e.latestEndAt+staleRowPeriod
+	return changed || ended || now-e.evacuationEndedAt < zoneReturnPeriod || readAt <= e.latestEndAt+staleRowPeriod
 }
 
 // SetReady sets whether this host serves, and reports a change to the control host at once.
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -26,7 +26,7 @@
 		e.addEnded(now, each)
 		if e.relay.AddEnded(now, each) {
 			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
-			e.reportAt = now
+			e.reportAt = min(e.reportAt, max(now, e.reportedAt+endedTransferTime(e.relay.EndedLen())))
 		}
 	}
 	return *out
--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -15,6 +15,15 @@
 // endedBatchDelay batches the ends of several endpoints in one message; an endpoint may start again within a second.
 const endedBatchDelay = ControlTickInterval
 
+// endedBytes is the encoded size of an endpoint's end.
+const endedBytes = 24
+
+// endedTransferTime returns how long the smallest host's link carries a message with that many ends of endpoints. Each message
+// repeats those from before, and a report is answered by an update with the same, so that no other one with news follows sooner.
+func endedTransferTime(count int) core.Millis {
+	return core.Millis(2 * count * endedBytes / minLinkBytesPerMilli)
+}
+
 // suspectsInterval is how often a control host looks for requests that are no longer suspects.
 const suspectsInterval = core.Second
 
@@ -46,18 +55,19 @@
 	}
 	for _, ended := range m.Ended {
 		if c.relay.AddEnded(now, ended) {
-			c.endedNews = true
-			c.shareAt = min(c.shareAt, now+endedBatchDelay)
+			c.shareAt = min(c.shareAt, now+max(endedBatchDelay, endedTransferTime(c.relay.EndedLen())))
 		}
+		c.endedNews = c.ended.AddEnded(now, ended) || c.endedNews
 	}
 }
 
 // sendEnded tells the entry hosts of endpoints that have ended, before these start again.
 func (c *Control) sendEnded(now core.Millis, out *core.Effects) {
-	if !c.endedNews {
+	if !c.endedNews || now < c.endedSendAt {
 		return
 	}
 	c.endedNews = false
+	c.endedSendAt = now + endedTransferTime(c.ended.EndedLen())
 	for _, name := range sortedNames(c.entries) {
 		c.sendUpdate(now, c.entries[name], out)
 	}
@@ -72,7 +82,7 @@
 		c.recordServed(now, served, out)
 	}
 	for _, ended := range s.Ended {
-		c.endedNews = c.endedElsewhere.AddEnded(now, ended) || c.endedNews
+		c.endedNews = c.ended.AddEnded(now, ended) || c.endedNews
 	}
 }
 
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -103,7 +103,7 @@
 	u.Returned, u.MajorityAge = c.returnedZones(now), c.majorityAge(now)
 	u.LeaderAge, u.ReportSentAt, u.PingInterval = c.leaderAge(now), e.SentAt, c.pingInterval()
 	c.addPeers(e, u)
-	u.Ended = slices.Concat(c.relay.Ended(now), c.endedElsewhere.Ended(now))
+	u.Ended = c.ended.Ended(now)
 	u.Entries, u.CountsPending = c.countEntries(now, e.EntryHost)
 	out.Send(e.Name, u)
 }
