--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -27,7 +27,7 @@
 		if !e.relay.AddEnded(now, each) {
 			continue
 		}
-		e.reportAt = now
+		e.reportAt = min(e.reportAt, max(now, e.reportedAt+endedTransferTime(e.relay.EndedLen())))
 		if each.ColdFor > 0 {
 			out.Logf("crashes", "Endpoint %s has started again and is cold for %s; other hosts are told.", each.Endpoint, each.ColdFor)
 		} else {
