A crashing request is found beside many ends of endpoints

A message held the latest 64 reports of requests at endpoints that ended. When many endpoints end at once, with some requests at each, the report of a request that crashes endpoints was lost among them, and the request was not quarantined.

Now a message holds up to 512, at most 64 under one request, and an entry host does not send the next one before its link has carried the last.

TestQuarantineBesideManyEnds, with 200 reports beside each of three crashes, failed before: all 9 entry hosts went on to send the request, for each of 3 hosts that saw the crashes.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -16,9 +16,12 @@
 	endedPeriod = 10 * core.Second
 	// endedInterval is the time within which reports of the end of the same endpoint tell nothing new.
 	endedInterval = 500 * core.Millisecond
-	// maxRelayed bounds the crashes and the answers in a message, maxEnded the ends: those of all endpoints of a deployment.
-	maxRelayed = 64
-	maxEnded   = 2048
+	// maxRelayed bounds the crashes and the answers in a message: many requests may be at endpoints that end at once, and the one
+	// that crashes endpoints is among them. maxRelayedOfOne bounds the crashes under one request, maxEnded the ends: those of all
+	// endpoints of a deployment.
+	maxRelayed      = 512
+	maxRelayedOfOne = 64
+	maxEnded        = 2048
 )
 
 // Relay holds the latest reports that a host passes on. The zero value is empty; calls must not overlap.
@@ -38,6 +41,16 @@
 
 // AddCrash adds a report of a crash.
 func (r *Relay) AddCrash(now core.Millis, report Report) {
+	first, count := 0, 0
+	for i := len(r.crashes) - 1; i >= 0; i-- {
+		if r.crashes[i].report.Digest == report.Digest {
+			first = i
+			count++
+		}
+	}
+	if count == maxRelayedOfOne {
+		r.crashes = slices.Delete(r.crashes, first, first+1)
+	}
 	r.crashes = addRelayed(r.crashes, relayed[Report]{report, now - report.Age, now + repeatPeriod})
 }
 
@@ -86,6 +99,11 @@
 	return len(r.ended)
 }
 
+// Len returns how many reports of any kind are held.
+func (r *Relay) Len() int {
+	return len(r.crashes) + len(r.served) + len(r.ended)
+}
+
 // addRelayed adds a report in place of the oldest one if there are too many.
 func addRelayed[T any](list []relayed[T], added relayed[T]) []relayed[T] {
 	if len(list) == maxRelayed {
--- a/core/fleet/entry_crashes.go
+++ b/core/fleet/entry_crashes.go
@@ -14,11 +14,16 @@
 		out.Logf("crashes", "Endpoint %s ended while it held request %s.", report.Endpoint, report.Digest)
 		e.relay.AddCrash(now, report)
 		e.ownCrashes.Record(now, report)
-		e.reportAt = now
+		e.reportSoon(now)
 	}
 	return *out
 }
 
+// reportSoon lets the host report at once, or when the link has carried its latest report.
+func (e *Entry) reportSoon(now core.Millis) {
+	e.reportAt = min(e.reportAt, max(now, e.reportedAt+transferTimeOf(e.relay.Len())))
+}
+
 // RecordEnded records endpoints that this host saw end, and reports them at once.
 func (e *Entry) RecordEnded(now core.Millis, ended []crash.Ended) core.Effects {
 	out := &core.Effects{}
@@ -26,7 +31,7 @@
 		e.addEnded(now, each)
 		if e.relay.AddEnded(now, each) {
 			out.Logf("crashes", "Endpoint %s has ended; other hosts are told.", each.Endpoint)
-			e.reportAt = min(e.reportAt, max(now, e.reportedAt+endedTransferTime(e.relay.EndedLen())))
+			e.reportSoon(now)
 		}
 	}
 	return *out
--- a/core/fleet/quarantine.go
+++ b/core/fleet/quarantine.go
@@ -15,13 +15,13 @@
 // endedBatchDelay batches the ends of several endpoints in one message; an endpoint may start again within a second.
 const endedBatchDelay = ControlTickInterval
 
-// endedBytes is the encoded size of an endpoint's end.
-const endedBytes = 24
+// reportBytes is the encoded size of the report of a crash; that of an end is smaller.
+const reportBytes = 36
 
-// endedTransferTime returns how long the smallest host's link carries a message with that many ends of endpoints. Each message
-// repeats those from before, and a report is answered by an update with the same, so that no other one with news follows sooner.
-func endedTransferTime(count int) core.Millis {
-	return core.Millis(2 * count * endedBytes / minLinkBytesPerMilli)
+// transferTimeOf returns how long the smallest host's link carries a message with that many reports. Each message repeats those
+// from before, and a report is answered by an update with the same, so that no other one with news follows sooner.
+func transferTimeOf(count int) core.Millis {
+	return core.Millis(2 * count * reportBytes / minLinkBytesPerMilli)
 }
 
 // suspectsInterval is how often a control host looks for requests that are no longer suspects.
@@ -55,7 +55,7 @@
 	}
 	for _, ended := range m.Ended {
 		if c.relay.AddEnded(now, ended) {
-			c.shareAt = min(c.shareAt, now+max(endedBatchDelay, endedTransferTime(c.relay.EndedLen())))
+			c.shareAt = min(c.shareAt, now+max(endedBatchDelay, transferTimeOf(c.relay.EndedLen())))
 		}
 		c.endedNews = c.ended.AddEnded(now, ended) || c.endedNews
 	}
@@ -67,7 +67,7 @@
 		return
 	}
 	c.endedNews = false
-	c.endedSendAt = now + endedTransferTime(c.ended.EndedLen())
+	c.endedSendAt = now + transferTimeOf(c.ended.EndedLen())
 	for _, name := range sortedNames(c.entries) {
 		c.sendUpdate(now, c.entries[name], out)
 	}
--- a/core/fleet/quarantine_test.go
+++ b/core/fleet/quarantine_test.go
@@ -216,3 +216,24 @@
 		}
 	}
 }
+
+// TestQuarantineBesideManyEnds guards against a crashing request whose reports are lost among those of requests that were at
+// endpoints which ended at about the same time for another reason, such as a third of a service that starts again.
+func TestQuarantineBesideManyEnds(t *testing.T) {
+	t.Parallel()
+	const others = 200
+	for _, entry := range []string{"entry-0", "entry-4", "entry-7"} {
+		s := newSite(t, 1)
+		s.RunFor(8 * core.Second)
+		for i := range 3 {
+			reports := []crash.Report{{Digest: crashing, Endpoint: fmt.Sprint("i-", i)}}
+			for j := range others {
+				reports = append(reports, crash.Report{Digest: crash.NewDigest(fmt.Append(nil, "sound", i, j)), Endpoint: fmt.Sprint("j-", i, j/8)})
+			}
+			s.Apply(entry, s.entries[entry].RecordCrashes(s.Now, reports))
+			s.RunFor(400)
+		}
+		s.RunFor(3 * core.Second)
+		s.expectHeld("seen by " + entry + ", ")
+	}
+}
