An endpoint that moves to another address leaves nothing at its former one

Where the list shows an endpoint's id at another address or for another service, requests that waited for a connection to the former address were still sent there, and idle connections to it stayed in use for whoever has that address next.

TestEndpointThatMoves failed before: the request was still sent, and no connection closed.

--- a/core/pick/start_test.go
+++ b/core/pick/start_test.go
@@ -1,6 +1,7 @@
 package pick_test
 
 import (
+	"slices"
 	"testing"
 
 	"clementinelock/core"
@@ -214,3 +215,25 @@
 		t.Error("the endpoint is taken for cold after its cold start")
 	}
 }
+
+// TestEndpointThatMoves guards against requests and connections that go on to the address of a former process, once the list
+// shows the endpoint's id at another one.
+func TestEndpointThatMoves(t *testing.T) {
+	f := newProcessFixture(t)
+	var removed []string
+	f.table.OnRemove = func(address string) { removed = append(removed, address) }
+	choice, refusal := f.table.Choose(f.now, pick.Request{Service: "s", Remaining: core.Minute})
+	if refusal != nil {
+		t.Fatal("no endpoint is chosen")
+	}
+	before := f.view.Endpoints[0].Address
+	f.view.Endpoints[0].Address = "10.9.9.9:80"
+	f.now += 100
+	f.update(0)
+	if f.table.IsReady(f.now, choice) {
+		t.Errorf("a request that waits for a connection is still sent to %s", before)
+	}
+	if !slices.Contains(removed, before) {
+		t.Errorf("connections to %s are kept; closed are those to %v", before, removed)
+	}
+}
--- a/core/pick/table.go
+++ b/core/pick/table.go
@@ -235,6 +235,11 @@
 	e := t.endpoints[entry.ID]
 	added := e == nil || e.Address != entry.Address || e.Service != entry.Service
 	if added {
+		if e != nil {
+			// Requests that wait for a connection to its former address are not sent.
+			e.gone = true
+			t.OnRemove(e.Address)
+		}
 		e = &Endpoint{Entry: entry}
 		t.endpoints[entry.ID] = e
 		t.restoreRemoved(now, e)
