The doubt about an endpoint that only this host saw end is decided by later lists

An end that this host took from a refused connection, and could not confirm, was unknown to its state machine, which passes a later reading of the list on only if rows have changed: the endpoint stayed cold there until any other row changed. And a late word of an end reopened the doubt after the list had shown the start, since the present process counted as up only from the end on.

Now each update is applied while an endpoint's process is not known, and a row that shows a start counts from when it was read, less the list's lag.

--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -52,6 +52,16 @@
 	return e.isCold(now) || t.mayHaveEnded(e) && t.coldRate(e) > 0
 }
 
+// AwaitsList reports whether a later reading of the list, even if it shows the same rows, may tell which process an endpoint has.
+func (t *Table) AwaitsList() bool {
+	for _, e := range t.endpoints {
+		if e.endedAt != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // coldStart returns how long an endpoint is cold after its start.
 func (t *Table) coldStart(e *Endpoint) core.Millis {
 	return cmp.Or(t.configured[e.Service].ColdStart, defaultColdStart)
@@ -131,7 +141,7 @@
 	earliestStart := latestStart - maxListLag
 	switch {
 	case row.ColdFor > 0 && (earliestStart > e.endedAt || latestStart > e.endedAt && !e.coldAtEnd):
-		t.recordStart(e, max(earliestStart, e.endedAt), "the list shows it cold")
+		t.recordStart(e, readAt-maxListLag, "the list shows it cold")
 	case row.ColdFor == 0 && readAt > e.endedAt+maxStaleRow:
 		t.logf("Endpoint %s of %s in %s counts as warm: the list shows it so %s after it was seen down.", e.ID, e.Service, e.Zone, readAt-e.endedAt)
 		e.endedAt, e.upAt = 0, readAt-maxListLag
--- a/core/pick/start_test.go
+++ b/core/pick/start_test.go
@@ -101,6 +101,13 @@
 			f.now += processColdStart + 1300
 			f.table.RecordEnded(f.ended+200, "i-0")
 		}, true},
+		{"a late word of the end after the list has shown the start", func(f *processFixture) {
+			f.end(2 * core.Second)
+			f.list(2500)
+			f.now += 4 * core.Second
+			f.table.RecordEnded(f.ended+400, "i-0")
+			f.list(0)
+		}, true},
 		{"a second end after an answer on a new connection", func(f *processFixture) {
 			f.end(2 * core.Second)
 			f.table.RecordAnswer(f.now, "i-0", f.now-100, f.now-150)
@@ -237,3 +244,20 @@
 		t.Errorf("connections to %s are kept; closed are those to %v", before, removed)
 	}
 }
+
+// TestTableAwaitsAList guards against an endpoint that counts as cold for good, since no row of the list changes after an end that
+// only this host took for one.
+func TestTableAwaitsAList(t *testing.T) {
+	f := newProcessFixture(t)
+	for _, want := range []bool{false, true, false} {
+		if got := f.table.AwaitsList(); got != want {
+			t.Errorf("%s after the end the table awaits a list: %t, expected %t", f.now-f.ended, got, want)
+		}
+		if !want && f.ended == 0 {
+			f.end(2 * core.Second)
+		} else {
+			f.now += 9 * core.Second
+			f.list(0)
+		}
+	}
+}
--- a/io/fleet/entry.go
+++ b/io/fleet/entry.go
@@ -203,6 +203,9 @@
 		}
 		changed, effects := e.machine.Receive(now, from, message)
 		e.recordContact()
+		if _, isUpdate := message.(*fleet.Update); isUpdate && !changed {
+			e.server.Update(nil, func(p *pick.Table) { changed = p.AwaitsList() })
+		}
 		if !changed {
 			return effects
 		}
