A request of an evicted connection is not answered by 200

A connection to the operators' port could be evicted while the body of its request was read; where the body ended before the connection was closed, the handler was skipped and net/http answered 200: an order acknowledged that nobody handled. TestRequestOfAnEvictedConnection failed before.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -272,7 +272,8 @@
 		r.Body = readCloser{io.MultiReader(bytes.NewReader(body), r.Body), r.Body}
 	}
 	if !c.begin() {
-		return
+		// A handler that returns without an answer would be answered by 200.
+		panic(http.ErrAbortHandler)
 	}
 	defer c.end()
 	handler.ServeHTTP(w, r)
