The end of an endpoint soon after its start is passed on

An end within half a second of a start counted as known, so that other hosts took the endpoint for warm once its cold start was over, though it was down and would start cold. TestEndSoonAfterAStart failed before. TestStartAfterAnEnd asked for that; now it asks that the end from before the start is no news.

--- a/core/crash/relay.go
+++ b/core/crash/relay.go
@@ -69,8 +69,8 @@
 func (r *Relay) AddEnded(now core.Millis, ended Ended) (news bool) {
 	at := now - ended.Age
 	held, known := r.ended[ended.Endpoint]
-	// A start is news beside the end before it.
-	isKnown := known && (at <= held.at || at-held.at < endedInterval && (ended.ColdFor == 0 || held.report.ColdFor > 0))
+	// An end is news beside the start before it, and a start beside the end.
+	isKnown := known && (at <= held.at || at-held.at < endedInterval && (ended.ColdFor > 0) == (held.report.ColdFor > 0))
 	if now >= at+endedPeriod || isKnown {
 		return false
 	}
