A closed connection does not count as idle

A connection that ended as it was put back counted as idle for up to 8 s, and now also as proof that the endpoint's process goes on. Found by review.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -351,6 +351,11 @@
 	}
 }
 
+// hasClosed reports whether the connection is closed or about to be.
+func (c *connection) hasClosed() bool {
+	return !c.isOpen()
+}
+
 func (c *connection) isOpen() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -247,6 +247,10 @@
 func (p *Pool) put(c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if c.hasClosed() {
+		// It was closed since it was found open.
+		return
+	}
 	if p.idle == nil {
 		p.idle = map[string][]*connection{}
 	}
