Idle connections that end as expected lead to no examination

Since each idle connection that an endpoint closed led to a new one, whose end led to the next: 186 connections in a second to an endpoint that closes new ones, 10 to one whose idle time-out is 0.1 s. An end counts only if the connection carried a request and was idle for less than the endpoint grants, once a second for each endpoint.

Found by review. TestEndpointThatClosesNewConnections and TestEndpointWithShortIdleTimeout failed before.

--- a/io/entry/abandoned.go
+++ b/io/entry/abandoned.go
@@ -115,10 +115,15 @@
 }
 
 // RecordIdleClosed records that an idle connection to an address has ended on the endpoint's side. An idle endpoint that ends
-// may have no other witness.
-func (s *Server) RecordIdleClosed(address string) {
+// may have no other witness; it is examined once a second at most, since some close connections again and again.
+func (s *Server) RecordIdleClosed(address string, expected bool) {
+	s.RecordClosed(address)
+	if expected {
+		return
+	}
 	s.mutex.Lock()
 	endpoint, ok := s.Picks.ActiveAt(address)
+	ok = ok && s.crashes.idleExamined.begin(s.Now(), endpoint)
 	s.mutex.Unlock()
 	if ok {
 		s.examine(context.Background(), endpoint, address, false)
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -33,8 +33,10 @@
 	abandoned map[string]*abandoned
 	// ended holds the endpoints that this host saw end and the driver has not taken yet.
 	ended []timedEnd
-	// startAskedAt holds when endpoints were asked lately for their start.
-	startAskedAt map[string]core.Millis
+	// startAsked holds the endpoints that were asked lately for their start, idleExamined those that were examined since they closed an
+	// idle connection.
+	startAsked   recentEndpoints
+	idleExamined recentEndpoints
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
 	// inFlight holds what cancels the requests in flight, by digest.
--- a/io/entry/started.go
+++ b/io/entry/started.go
@@ -10,36 +10,42 @@
 	"clementinelock/io/pool"
 )
 
-// startQuestionInterval is how often an endpoint is asked for its start at most: some reset connections again and again.
-const startQuestionInterval = core.Second
+// examinationInterval is how often an endpoint is asked for its start, or examined for an idle connection that it closed, at most: some
+// close connections again and again.
+const examinationInterval = core.Second
+
+// recentEndpoints holds when something was last done for each endpoint of late.
+type recentEndpoints map[string]core.Millis
+
+// begin reports whether it was not done for the endpoint within the interval, and records that it is now.
+func (r *recentEndpoints) begin(now core.Millis, endpoint string) bool {
+	if at, known := (*r)[endpoint]; known && now-at < examinationInterval {
+		return false
+	}
+	if *r == nil {
+		*r = recentEndpoints{}
+	}
+	for each, at := range *r {
+		if now-at >= examinationInterval {
+			delete(*r, each)
+		}
+	}
+	(*r)[endpoint] = now
+	return true
+}
 
 // askForStart asks an endpoint for its health, by which it tells for how long it is cold: an endpoint that resets a connection
 // which has carried requests may have started again since.
 func (s *Server) askForStart(ctx context.Context, endpoint string) {
 	s.mutex.Lock()
 	probe, ok := s.Picks.ProbeOf(endpoint)
-	now := s.Now()
-	if asked, known := s.crashes.startAskedAt[endpoint]; !ok || known && now-asked < startQuestionInterval {
-		s.mutex.Unlock()
+	ok = ok && s.crashes.startAsked.begin(s.Now(), endpoint)
+	s.mutex.Unlock()
+	if !ok {
 		return
 	}
-	s.crashes.recordStartAsked(now, endpoint)
-	s.mutex.Unlock()
 	request := &pool.Request{Method: http.MethodGet, Target: cmp.Or(probe.HealthPath, "/"), Host: probe.Address, Header: http.Header{}, Idempotent: true}
 	result := s.Pool.Do(ctx, request, pool.Target{ID: probe.ID, Address: probe.Address, Deadline: time.Now().Add(probeTimeout)})
 	// The header of the answer was recorded.
 	result.Discard()
 }
-
-// recordStartAsked records that an endpoint is asked for its start, and forgets when others were.
-func (c *crashes) recordStartAsked(now core.Millis, endpoint string) {
-	if c.startAskedAt == nil {
-		c.startAskedAt = map[string]core.Millis{}
-	}
-	for each, at := range c.startAskedAt {
-		if now-at >= startQuestionInterval {
-			delete(c.startAskedAt, each)
-		}
-	}
-	c.startAskedAt[endpoint] = now
-}
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -231,7 +231,7 @@
 			case e != nil:
 				e.result <- Result{Ending: Broken, Detail: readErrorDetail(err), Reset: true}
 			case !closedHere && c.pool.OnClosed != nil:
-				c.pool.OnClosed(c.address)
+				c.pool.OnClosed(c.address, c.isEndExpected())
 			}
 			return
 		}
@@ -351,6 +351,13 @@
 	}
 }
 
+// isEndExpected reports whether the endpoint may close the connection while it goes on.
+func (c *connection) isEndExpected() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.carried) == 0 || time.Now().After(c.expiresAt)
+}
+
 // hasClosed reports whether the connection is closed or about to be.
 func (c *connection) hasClosed() bool {
 	return !c.isOpen()
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -59,8 +59,9 @@
 	LocalIP net.IP
 	// MaxConnections limits the open connections; 0 sets no limit.
 	MaxConnections int
-	// OnClosed is called when an endpoint has closed an idle connection to its address; it may be nil.
-	OnClosed func(address string)
+	// OnClosed is called when an endpoint has closed an idle connection to its address; expected reports that it carried no request, or
+	// was idle for about as long as the endpoint grants. It may be nil.
+	OnClosed func(address string, expected bool)
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
