A request goes over the connection that shows that its endpoint goes on

Where only others saw an endpoint end, a connection from before shows that its process goes on. A request that took the only idle one was withdrawn, since none was idle any more, and refused by 503. Now the connection that the request has counts.

--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -81,8 +81,18 @@
 
 // IsReady reports whether an endpoint that was chosen still takes the request, which may have waited for a connection.
 func (t *Table) IsReady(now core.Millis, c Choice) bool {
+	return t.IsReadyOver(now, c, now)
+}
+
+// IsReadyOver does the same for a request that is about to be sent over a connection that was opened at a time.
+func (t *Table) IsReadyOver(now core.Millis, c Choice, openedAt core.Millis) bool {
 	e := c.Endpoint
-	return e.isActive() && !t.hasEnded(now, e) && !e.inBackoff(now) && (c.Cold || !t.mayBeCold(now, e)) && (!t.isIsolated(now) || t.isIsolated(c.chosenAt)) && e.isWithinLimit(c.chosenAt)
+	isDoubted := t.mayHaveEnded(e) && openedAt >= e.endedAt-maxEndDelay
+	isCold := e.isCold(now) || isDoubted && t.coldRate(e) > 0
+	if !e.isActive() || e.inBackoff(now) || isDoubted && t.isUnlisted(now, e) || isCold && !c.Cold {
+		return false
+	}
+	return (!t.isIsolated(now) || t.isIsolated(c.chosenAt)) && e.isWithinLimit(c.chosenAt)
 }
 
 // RecordNotice applies what an endpoint's answer says about the endpoint; answers to requests that were cancelled or
--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -44,7 +44,12 @@
 // hasEnded reports whether the endpoint's process has ended and no list was read since: it is not asked whether it has started
 // again.
 func (t *Table) hasEnded(now core.Millis, e *Endpoint) bool {
-	return !e.endListed && now-e.endedAt <= returnColdTimeout && t.mayHaveEnded(e)
+	return t.isUnlisted(now, e) && t.mayHaveEnded(e)
+}
+
+// isUnlisted reports whether no list was read since the endpoint's end, for a limited time.
+func (t *Table) isUnlisted(now core.Millis, e *Endpoint) bool {
+	return !e.endListed && now-e.endedAt <= returnColdTimeout
 }
 
 // mayBeCold reports whether the endpoint is cold, or may have started again without this host's knowledge.
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -111,7 +111,7 @@
 // sendHandover sends the request to another entry host.
 func (t *attempts) sendHandover(ctx context.Context, name string, h handover) attemptResult {
 	s := t.server
-	target := pool.Target{Address: s.HelperAddress(name), Ready: func() bool { return t.checkStopTime() == nil }, Deadline: time.Now().Add((t.deadline - s.Now()).Duration()), Extra: map[string]string{proto.Handover: h.String()}}
+	target := pool.Target{Address: s.HelperAddress(name), Ready: func(time.Time) bool { return t.checkStopTime() == nil }, Deadline: time.Now().Add((t.deadline - s.Now()).Duration()), Extra: map[string]string{proto.Handover: h.String()}}
 	result := s.HelperPool.Do(ctx, t.exchange.request, target)
 	unused, told := unusedAttempts(result.Answer, h.attempts)
 	outcome, refusal, dealt := s.classifyHandover(result)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -302,13 +302,13 @@
 	s, e := t.server, choice.Endpoint
 	began, dialAt := s.Now(), time.Now()
 	target := pool.Target{ID: e.ID, Address: e.Address, Deadline: time.Now().Add((t.deadline - began).Duration()), Extra: extra}
-	target.Ready = func() bool {
+	target.Ready = func(openedAt time.Time) bool {
 		if s.quarantine(t.exchange.digest) != nil || t.checkStopTime() != nil {
 			return false
 		}
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
-		return s.Picks.IsReady(s.Now(), choice)
+		return s.Picks.IsReadyOver(s.Now(), choice, s.Now()-core.Millis(time.Since(openedAt).Milliseconds()))
 	}
 	s.recordSent()
 	result := s.Pool.Do(ctx, t.exchange.request, target)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -92,7 +92,7 @@
 		}
 		return Result{Ending: NotSent, Detail: err.Error(), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	if t.Ready != nil && !t.Ready() {
+	if t.Ready != nil && !t.Ready(c.openedAt) {
 		c.unuse()
 		return Result{Ending: Withdrawn, Detail: "endpoint became unavailable before the request was sent"}
 	}
--- a/io/pool/request.go
+++ b/io/pool/request.go
@@ -37,9 +37,9 @@
 	Fresh bool
 	// Extra holds headers that replace the request's own of the same names, which are in canonical form.
 	Extra map[string]string
-	// Ready reports whether the endpoint still takes requests; it is called just before the request is sent, and may
-	// be nil.
-	Ready func() bool
+	// Ready reports whether the endpoint still takes requests, over a connection that was opened at a time; it is called just before the
+	// request is sent, and may be nil.
+	Ready func(openedAt time.Time) bool
 }
 
 // Answer is an endpoint's answer to the request.
