An endpoint that turns cold without an end keeps what it said

An endpoint may turn cold at any moment. Since its word of that counted as a start, and what it had said of itself, such as Retry-After, was forgotten: 8 requests 0.6 s after it had asked for none for 3 s.

Found by review.

--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -118,7 +118,13 @@
 		return false
 	}
 	e.coldUntil = coldUntil
-	t.recordStart(e, at, "it says that it is cold")
+	if e.endedAt != 0 {
+		t.recordStart(e, at, "it says that it is cold")
+	} else {
+		// It may have turned cold without an end.
+		e.upAt = at
+		t.logf("Endpoint %s of %s in %s says that it is cold for %s.", e.ID, e.Service, e.Zone, coldFor)
+	}
 	// Connections to the former process may not have noticed its end.
 	t.OnRemove(e.Address)
 	return true
