A word of cold counts from when its request was sent

A process that is cold may answer a question for its health and end; where the answer is read after the word of the end, it counted as that of the next process, and the doubt about the endpoint was over. TestColdAnswerOfTheFormerProcess failed before.

--- a/core/pick/end_words_test.go
+++ b/core/pick/end_words_test.go
@@ -7,6 +7,20 @@
 	"clementinelock/core/pick"
 )
 
+// TestColdAnswerOfTheFormerProcess guards against an answer that a process gave before its end, and which is read after the end is
+// known (a host that was frozen, a slow link), being taken for a start of the next process.
+func TestColdAnswerOfTheFormerProcess(t *testing.T) {
+	f := newProcessFixture(t)
+	// The process has been cold since before this host knew of it; the answer on its way says so.
+	f.end(700)
+	f.table.RecordNotice(f.now, "i-0", pick.Notice{ColdFor: 1500, SentAt: f.ended - 100})
+	f.now += 4 * core.Second
+	f.list(0)
+	if f.isWarm() {
+		t.Error("the endpoint is taken for warm 4.7 s after its end, though nothing has shown its next process")
+	}
+}
+
 // TestColdWithoutAnEndKeepsNotices guards against an endpoint that becomes cold while its process goes on losing what
 // it asked for (Retry-After, a leave).
 func TestColdWithoutAnEndKeepsNotices(t *testing.T) {
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -38,6 +39,8 @@
 	InvalidRetryAfter string
 	// ColdFor is for how long the endpoint remains cold.
 	ColdFor core.Millis
+	// SentAt is when the request was sent whose answer this is; 0 means that it is not known.
+	SentAt core.Millis
 	// Limit is how many requests per second the endpoint takes from all hosts together; it holds if LimitNamed is set.
 	Limit      float64
 	LimitNamed bool
@@ -102,7 +105,11 @@
 	if e == nil {
 		return false
 	}
-	started = n.ColdFor > 0 && t.RecordStarted(now, id, n.ColdFor)
+	if n.ColdFor > 0 {
+		// The process was up when the request was sent; the answer may have waited since.
+		at := cmp.Or(n.SentAt, now)
+		started = t.RecordStarted(at, id, n.ColdFor+now-at)
+	}
 	if n.Leaving {
 		t.Notices.Leaving++
 		t.recordLeaving(now, e)
--- a/io/entry/handover.go
+++ b/io/entry/handover.go
@@ -159,7 +159,7 @@
 	endpoint := header.Get(proto.Endpoint)
 	header.Del(proto.Endpoint)
 	if header.Get(s.Dialect.Stamp) != "" {
-		s.recordNotice(endpoint, result.Answer.Status, header)
+		s.recordNotice(endpoint, result.Answer.Status, header, time.Now())
 		if result.Answer.Status >= http.StatusInternalServerError {
 			return pick.Failed, nil, reach.Took
 		}
--- a/io/entry/notice.go
+++ b/io/entry/notice.go
@@ -3,31 +3,35 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
+	"clementinelock/core"
 	"clementinelock/core/pick"
 	"clementinelock/io/proto"
 )
 
 // RecordHeader applies what the header of an endpoint's answer says about the endpoint.
-func (s *Server) RecordHeader(endpoint string, status int, header http.Header) {
+func (s *Server) RecordHeader(endpoint string, status int, header http.Header, sentAt time.Time) {
 	s.recordAnswer()
 	if status == http.StatusMisdirectedRequest {
 		// Another endpoint answered.
 		return
 	}
-	s.recordNotice(endpoint, status, header)
+	s.recordNotice(endpoint, status, header, sentAt)
 }
 
 // recordNotice applies what an answer says about its endpoint.
-func (s *Server) recordNotice(endpoint string, status int, header http.Header) {
+func (s *Server) recordNotice(endpoint string, status int, header http.Header, sentAt time.Time) {
 	notice := s.noticeOf(status, header)
 	if notice == (pick.Notice{}) {
 		return
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if now := s.Now(); s.Picks.RecordNotice(now, endpoint, notice) {
-		s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint, now, notice.ColdFor})
+	now := s.Now()
+	notice.SentAt = now - core.Millis(time.Since(sentAt).Milliseconds())
+	if s.Picks.RecordNotice(now, endpoint, notice) {
+		s.crashes.ended = append(s.crashes.ended, timedEnd{endpoint, notice.SentAt, notice.ColdFor + now - notice.SentAt})
 	}
 }
 
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -44,8 +44,10 @@
 type exchange struct {
 	id       string
 	endpoint string
-	method   string
-	result   chan Result
+	// sentAt is when the request began to be sent.
+	sentAt time.Time
+	method string
+	result chan Result
 	// written is closed when the whole request is written.
 	written chan struct{}
 	// bodyDone is closed when a streamed body has been read or abandoned.
@@ -116,7 +118,7 @@
 
 // roundTrip sends a request and waits for its answer or the context's end.
 func (c *connection) roundTrip(ctx context.Context, r *Request, t Target) Result {
-	e := &exchange{id: r.ID, endpoint: t.ID, method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{}), streamed: r.Rest != nil || r.Length < 0}
+	e := &exchange{id: r.ID, endpoint: t.ID, sentAt: time.Now(), method: r.Method, result: make(chan Result, 1), written: make(chan struct{}), bodyDone: make(chan struct{}), streamed: r.Rest != nil || r.Length < 0}
 	c.mutex.Lock()
 	if c.closed {
 		c.mutex.Unlock()
@@ -259,7 +261,7 @@
 		return false
 	}
 	if c.pool.OnHeader != nil {
-		c.pool.OnHeader(e.endpoint, response.StatusCode, response.Header)
+		c.pool.OnHeader(e.endpoint, response.StatusCode, response.Header, e.sentAt)
 	}
 	if got := response.Header.Get(c.pool.Dialect.RequestID); got != e.id {
 		return c.skipAnswer(e, response, got)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -50,9 +50,9 @@
 // Pool keeps persistent connections to endpoints. Set the exported fields before use.
 type Pool struct {
 	Dialect proto.Dialect
-	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller; it may be
-	// nil.
-	OnHeader func(endpoint string, status int, header http.Header)
+	// OnHeader is called with the header of each answer of an endpoint, also of one that reaches no caller, and when the request was
+	// sent; it may be nil.
+	OnHeader func(endpoint string, status int, header http.Header, sentAt time.Time)
 	// OnDial is called with the result of each attempt to open a connection that was not cancelled; it may be nil.
 	OnDial func(address string, err error)
 	// LocalIP is the address that connections come from; nil leaves it to the kernel.
