The size that is expected of an answer is the mean of its route

After one answer of 255 KB each request reserved as much, whatever its route: 67 of 250 short requests at once were refused on a machine of 184 MB. Now each route has the mean of its latest answers.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -75,6 +75,8 @@
 	// held is the memory of the request and its answer, in bytes, of which expected is for an answer that has not come.
 	held     int64
 	expected int64
+	// route is the name of the route that was in force when the request was read, "" if none was.
+	route string
 	// started is set once the request may reach an endpoint; the connection's mutex guards it.
 	started bool
 	reply   chan *reply
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"clementinelock/core"
@@ -208,7 +206,11 @@
 
 // holdExpected counts an answer of the size that is expected before the request is passed on, since it arrives whole.
 func (c *conn) holdExpected(x *exchange) error {
-	x.expected = c.server.answers.expected()
+	if table := c.server.table.Load(); table != nil {
+		if route := table.Find(hostOf(x.request.Host), x.path); route != nil {
+			x.route, x.expected = route.Name, c.server.answers.expected(route.Name)
+		}
+	}
 	return c.hold(x, x.expected)
 }
 
@@ -218,7 +220,7 @@
 	if answer.Rest != nil {
 		n += copyBufferBytes
 	}
-	c.server.answers.record(n)
+	c.server.answers.record(x.route, n)
 	more := n - x.expected
 	if more > 0 {
 		c.add(more, true)
@@ -229,22 +231,32 @@
 	x.held += more
 }
 
-// answerDecay is the weight of a smaller answer in the size that is expected of the next one.
-const answerDecay = 1.0 / 32
+const (
+	// answerWeight is the weight of the newest answer in the size that is expected of a route's next one.
+	answerWeight = 1.0 / 8
+	// maxAnswerSizes bounds the routes whose sizes are kept: configurations add and remove routes for as long as a host runs.
+	maxAnswerSizes = 4096
+)
 
-// answerSizes estimates the size of the next answer by the largest ones of late.
+// answerSizes holds the mean size of the latest answers of each route. Its zero value is empty.
 type answerSizes struct {
-	bits atomic.Uint64
+	mutex   sync.Mutex
+	byRoute map[string]float64
 }
 
-func (a *answerSizes) expected() int64 {
-	return int64(math.Float64frombits(a.bits.Load()))
+func (a *answerSizes) expected(route string) int64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return int64(a.byRoute[route])
 }
 
-func (a *answerSizes) record(n int64) {
-	// A size that is recorded at the same moment may be lost.
-	size := math.Float64frombits(a.bits.Load())
-	a.bits.Store(math.Float64bits(max(float64(n), size+answerDecay*(float64(n)-size))))
+func (a *answerSizes) record(route string, n int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.byRoute == nil || len(a.byRoute) >= maxAnswerSizes {
+		a.byRoute = map[string]float64{}
+	}
+	a.byRoute[route] += answerWeight * (float64(n) - a.byRoute[route])
 }
 
 // begin starts to count a header, whose first bytes are in the connection's buffer.
