A connection with requests at endpoints is not evicted for an unread answer

Under pressure a connection whose answer had not been read for a second was closed although requests behind it were at endpoints (LOST). Found by review, by reading; no run shows it, and there is no test of this order.

--- a/io/entry/conn.go
+++ b/io/entry/conn.go
@@ -35,6 +35,8 @@
 	mutex   sync.Mutex
 	noMore  bool
 	running int
+	// serving counts the requests whose answer has not come.
+	serving atomic.Int64
 	// waiting is set while the next request's first byte is awaited.
 	waiting atomic.Bool
 	// held is the memory that this connection holds, header counts that of a header that is read.
@@ -149,6 +151,7 @@
 		if c.enqueue(x) != x {
 			return
 		}
+		c.serving.Add(1)
 		go c.serve(x)
 		if x.rest != nil {
 			x.rest.transfer()
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -305,7 +305,7 @@
 		return core.Millis(c.progressAt.Load()), true
 	}
 	since = core.Millis(c.writingSince.Load())
-	return since, since != 0 && c.server.Now()-since >= stalledAfter
+	return since, since != 0 && c.serving.Load() == 0 && c.server.Now()-since >= stalledAfter
 }
 
 // Evict closes the connection unless a request is under way. A request that is being read is answered by 503.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -62,6 +62,7 @@
 		record.From = record.Caller
 	}
 	r := s.handle(c.ctx, x, &record)
+	c.serving.Add(-1)
 	if r.answer != nil {
 		c.holdAnswer(x, r.answer)
 	}
