Ends of many endpoints at once are seen

A host that finds an endpoint's address refused tries the three that answered last, to know that it is not cut off itself. Where many end at once these have ended too, and no end was seen: 0 of 40 in a test with 43 endpoints. Now endpoints of several availability zones are tried as well, and one that an examination has reached counts for the others, which also saves connections.

Found by review. TestEndsOfManyAtOnce failed before (0 of 40, 3 of 10); TestCutHostReportsNoEnds holds.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -20,6 +20,11 @@
 	idleCheckInterval = 5 * time.Millisecond
 	// maxOthersProbed is the number of other endpoints that are tried before this host counts as cut off from all.
 	maxOthersProbed = 3
+	// maxSpreadProbed is the number of endpoints of several availability zones that are tried if those have ended too.
+	maxSpreadProbed = 6
+	// reachedRetention is how long an endpoint that was reached shows that this host is not cut off, so that the examinations of many
+	// that end at once do not each open a connection.
+	reachedRetention = 100 * core.Millisecond
 	// maxPendingCrashes bounds the requests of one endpoint whose end is examined.
 	maxPendingCrashes = 64
 )
@@ -37,6 +42,8 @@
 	// idle connection.
 	startAsked   recentEndpoints
 	idleExamined recentEndpoints
+	// reachedAt is when an endpoint was last reached in an examination.
+	reachedAt core.Millis
 	// reports are those that the driver has not taken yet.
 	reports []timedReport
 	// inFlight holds what cancels the requests in flight, by digest.
@@ -200,20 +207,47 @@
 }
 
 // reachesOthers reports whether this host can open a connection to another endpoint, so that a refused one is not due to
-// a cut of this host from all endpoints. Too few others tell nothing, since they may have ended too.
+// a cut of this host from all endpoints. Too few others tell nothing, since they may have ended too. Many may have ended at once,
+// those that answered last among them, so that others of several services and availability zones are tried as well.
 func (s *Server) reachesOthers(ctx context.Context, endpoint string) bool {
 	s.mutex.Lock()
-	others := s.Picks.LastAnswered(endpoint, maxOthersProbed)
+	now := s.Now()
+	addresses := s.Picks.LastAnswered(endpoint, maxOthersProbed)
+	if len(addresses) == maxOthersProbed {
+		for _, each := range s.Picks.Spread(now, maxSpreadProbed) {
+			if each.ID != endpoint {
+				addresses = append(addresses, each.Address)
+			}
+		}
+	}
 	s.mutex.Unlock()
-	if len(others) < maxOthersProbed {
+	if s.hasReachedAny(now) || len(addresses) < maxOthersProbed {
 		return true
 	}
-	for _, address := range others {
+	for _, address := range addresses {
 		if s.Pool.Probe(ctx, address) == nil {
+			s.mutex.Lock()
+			s.crashes.reachedAt = s.Now()
+			s.mutex.Unlock()
 			return true
 		}
 	}
-	return false
+	// The examination of another endpoint may try one that goes on.
+	for !s.hasReachedAny(now) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(idleCheckInterval):
+		}
+	}
+	return true
+}
+
+// hasReachedAny reports whether an examination has reached an endpoint shortly before a time, or since.
+func (s *Server) hasReachedAny(at core.Millis) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.crashes.reachedAt != 0 && at-s.crashes.reachedAt <= reachedRetention
 }
 
 func (s *Server) finishExamination(endpoint, address string, at core.Millis, ended bool) {
