--- a/io/guard/evicted_test.go
+++ b/io/guard/evicted_test.go
@@ -49,7 +49,7 @@
 	began := time.Now()
 	g := &guard.Guard{Now: func() core.Millis { return core.Millis(time.Since(began).Milliseconds()) }, MaxConnections: 1, MaxBodyBytes: 1 << 20}
 	var handled sync.Map
-	server := g.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handled.Store("x", true) }))
+	server := g.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Store("x", true) }))
 	go func() { _ = server.Serve(g.Listen(l)) }()
 	defer func() { close(l.release); _ = server.Close() }()
 	a, err := net.Dial("tcp", inner.Addr().String())
