--- a/io/entry/idle_close_test.go
+++ b/io/entry/idle_close_test.go
@@ -13,30 +13,40 @@
 	"clementinelock/core/routes"
 )
 
-// TestEndpointThatClosesNewConnections guards against a host that opens connections to an endpoint without end, as each that the
-// endpoint closes leads to the next one.
-func TestEndpointThatClosesNewConnections(t *testing.T) {
-	h := startHost(t, 1)
+// countConnections puts an endpoint that serves each connection by itself in place of the host's only one; it returns the endpoint's
+// address and the number of connections that were opened to it.
+func (h *host) countConnections(t *testing.T, serve func(conn net.Conn)) (address string, accepted *atomic.Int64) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	var accepted atomic.Int64
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted = &atomic.Int64{}
 	go func() {
 		for {
-			c, err := listener.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			accepted.Add(1)
-			time.AfterFunc(5*time.Millisecond, func() { _ = c.Close() })
+			go serve(conn)
 		}
 	}()
-	h.change(func(view *fleet.View, _ *routes.Table, _ *pick.Table) {
-		view.Endpoints[0].Address = listener.Addr().String()
+	address = listener.Addr().String()
+	h.change(func(view *fleet.View, _ *routes.Table, _ *pick.Table) { view.Endpoints[0].Address = address })
+	return address, accepted
+}
+
+// TestEndpointThatClosesNewConnections guards against a host that opens connections to an endpoint without end, as each that the
+// endpoint closes leads to the next one.
+func TestEndpointThatClosesNewConnections(t *testing.T) {
+	h := startHost(t, 1)
+	address, accepted := h.countConnections(t, func(conn net.Conn) {
+		time.Sleep(5 * time.Millisecond)
+		_ = conn.Close()
 	})
-	h.server.RecordIdleClosed(listener.Addr().String(), false)
+	h.server.RecordIdleClosed(address, false)
 	time.Sleep(time.Second)
 	if n := accepted.Load(); n > 5 {
 		t.Errorf("%d connections were opened in 1 s without any request", n)
@@ -48,37 +58,16 @@
 func TestEndpointWithShortIdleTimeout(t *testing.T) {
 	const idleTimeout = 100 * time.Millisecond
 	h := startHost(t, 1)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	var accepted atomic.Int64
-	go func() {
+	_, accepted := h.countConnections(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
 		for {
-			c, err := listener.Accept()
-			if err != nil {
+			_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+			request, err := http.ReadRequest(reader)
+			if err != nil || !echo(conn, request, nil) {
 				return
 			}
-			accepted.Add(1)
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for {
-					_ = c.SetReadDeadline(time.Now().Add(idleTimeout))
-					request, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if !echo(c, request, nil) {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	h.change(func(view *fleet.View, _ *routes.Table, _ *pick.Table) {
-		view.Endpoints[0].Address = listener.Addr().String()
 	})
 	caller := h.dial(t)
 	caller.send("GET", "/read/x", "r-1", "")
