--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -210,12 +210,6 @@
 	return slices.ContainsFunc(p.idle[address], func(c *connection) bool { return c.openedAt.Before(at) })
 }
 
-// IsRefused reports whether the address refuses connections, as that of a process that has ended does. A connection that
-// is established is kept for a request.
-func (p *Pool) IsRefused(ctx context.Context, address string) bool {
-	return errors.Is(p.Probe(ctx, address), syscall.ECONNREFUSED)
-}
-
 // Probe opens a connection to the address, which is kept for a request; it returns the error if that is not possible.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
