Log line and pages say when a former process is forgotten

The log line of a start told whether its end was seen, which always holds since what an endpoint that turns cold without an end has said is kept. No behaviour changes but the text of the line.

--- a/core/pick/process.go
+++ b/core/pick/process.go
@@ -16,7 +16,7 @@
 	// maxEndDelay is by how much later than it was an end may seem to this host, since others report it: what was connected
 	// longer before goes on.
 	maxEndDelay = core.Second
-	// maxStartError is by how much two words of the same start may differ.
+	// maxStartError is by how much two reports of the same start may differ.
 	maxStartError = 500 * core.Millisecond
 	// defaultColdStart is the longest cold start that is assumed for a service that names none.
 	defaultColdStart = 4 * core.Second
@@ -104,8 +104,8 @@
 	}
 }
 
-// RecordStarted records that an endpoint said at a time for how long it is cold, after connections to it had broken: it has a
-// new process. It reports whether that is news.
+// RecordStarted records that an endpoint said at a time for how long it is cold, to this host or to another one. Where its end was
+// seen before, it has a new process. RecordStarted reports whether that is news.
 func (t *Table) RecordStarted(at core.Millis, id string, coldFor core.Millis) (news bool) {
 	e := t.endpoints[id]
 	if e == nil || at <= e.upAt {
@@ -133,7 +133,7 @@
 // recordStart records that an endpoint that was seen to have ended has a new process, which was up at a time: what was known of
 // the former one does not hold for it.
 func (t *Table) recordStart(e *Endpoint, upAt core.Millis, reason string) {
-	t.logf("Endpoint %s of %s in %s has started again: %s; its end was seen: %t.", e.ID, e.Service, e.Zone, reason, e.endedAt != 0)
+	t.logf("Endpoint %s of %s in %s has started again: %s.", e.ID, e.Service, e.Zone, reason)
 	e.endedAt, e.upAt = 0, max(upAt, e.endedAt)
 	e.readiness = readiness{}
 	e.objects = nil
