Let the silent endpoint of case 6 come back after five seconds

A crashed endpoint comes back and knows none of its former connections; the requests whose answers it broke off stay without an end all the same.

--- a/review/_lab/endpoint.go
+++ b/review/_lab/endpoint.go
@@ -23,11 +23,12 @@
 	slots    int
 	unlisted bool
 	// work is how long a request takes, size the length of its answer; the answer is sent over the last half of the work.
-	work time.Duration
-	size int
-	// gate is closed to let a dark endpoint go on.
-	mutex   sync.Mutex
+	work  time.Duration
+	size  int
+	mutex sync.Mutex
+	// gate is set while the endpoint is dark, and closed when it is back; process counts its processes.
 	gate    chan struct{}
+	process int
 	running atomic.Int64
 	runs    atomic.Int64
 	// onRun is called when a request begins to run; it may be nil.
@@ -58,32 +59,51 @@
 	return e, nil
 }
 
-// goDark makes the endpoint silent: it neither reads nor writes any more, and its connections stay open.
-func (e *endpoint) goDark() {
+// goDark makes the endpoint silent for a time. Its connections stay open, and nobody reads or writes on them any more; connections
+// that are opened meanwhile get nothing. The endpoint that is back knows none of them.
+func (e *endpoint) goDark(length time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.gate == nil {
-		e.gate = make(chan struct{})
-		e.fleet.record.logf("endpoint %s falls silent with %d requests", e.id, e.running.Load())
-	}
+	gate := make(chan struct{})
+	e.gate = gate
+	e.process++
+	e.fleet.record.logf("endpoint %s falls silent with %d requests", e.id, e.running.Swap(0))
+	time.AfterFunc(length, func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.gate = nil
+		close(gate)
+		e.fleet.record.logf("endpoint %s is back", e.id)
+	})
 }
 
-// awaitLight blocks while the endpoint is dark.
-func (e *endpoint) awaitLight() {
-	e.mutex.Lock()
-	gate := e.gate
-	e.mutex.Unlock()
-	if gate != nil {
+// current returns the number of the endpoint's process, once it is not dark.
+func (e *endpoint) current() int {
+	for {
+		e.mutex.Lock()
+		gate, process := e.gate, e.process
+		e.mutex.Unlock()
+		if gate == nil {
+			return process
+		}
 		<-gate
 	}
 }
 
+// awaitLight blocks while the endpoint is dark, and for good on a connection to a former process.
+func (e *endpoint) awaitLight(process int) {
+	if e.current() != process {
+		select {}
+	}
+}
+
 // serve answers the requests of one connection, one at a time.
 func (e *endpoint) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
+	process := e.current()
 	for {
-		e.awaitLight()
+		e.awaitLight(process)
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -92,8 +112,8 @@
 		if err != nil {
 			return
 		}
-		e.awaitLight()
-		if !e.answer(c, request, body) {
+		e.awaitLight(process)
+		if !e.answer(c, process, request, body) {
 			return
 		}
 	}
@@ -108,7 +128,7 @@
 	return text + "\r\n"
 }
 
-func (e *endpoint) answer(c net.Conn, request *http.Request, body []byte) bool {
+func (e *endpoint) answer(c net.Conn, process int, request *http.Request, body []byte) bool {
 	id := request.Header.Get("X-Request-Id")
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
 		_, err := io.WriteString(c, e.head(request, http.StatusMisdirectedRequest, 0, "X-Not-Executed: 1\r\n"))
@@ -127,7 +147,11 @@
 		_, err := io.WriteString(c, e.head(request, http.StatusServiceUnavailable, 0, "X-Not-Executed: 1\r\n"))
 		return err == nil
 	}
-	defer e.running.Add(-1)
+	defer func() {
+		if e.current() == process {
+			e.running.Add(-1)
+		}
+	}()
 	e.runs.Add(1)
 	e.fleet.record.logf("endpoint %s runs %s %s %s", e.id, id, request.Method, request.URL.Path)
 	if e.onRun != nil {
@@ -139,11 +163,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(left)*time.Millisecond)
 	defer cancel()
-	return e.send(ctx, c, request, id)
+	return e.send(ctx, c, process, request, id)
 }
 
 // send works and sends the answer in parts; at the deadline the endpoint stops.
-func (e *endpoint) send(ctx context.Context, c net.Conn, request *http.Request, id string) bool {
+func (e *endpoint) send(ctx context.Context, c net.Conn, process int, request *http.Request, id string) bool {
 	const parts = 20
 	wait := func(d time.Duration) bool {
 		select {
@@ -151,7 +175,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		e.awaitLight()
+		e.awaitLight(process)
 		return true
 	}
 	if !wait(e.work / 2) {
--- a/review/_lab/silent.go
+++ b/review/_lab/silent.go
@@ -135,7 +135,7 @@
 		// By now the answers are half sent.
 		time.Sleep(700 * time.Millisecond)
 		for _, e := range all[:silent] {
-			e.goDark()
+			e.goDark(5 * time.Second)
 		}
 	}
 	group.Wait()
