--- a/review/_lab/frozen.go
+++ b/review/_lab/frozen.go
@@ -76,7 +76,7 @@
 		inTouch := thawed.Add(contactWindow)
 		for n := 0; time.Since(began) < 6800*time.Millisecond; n++ {
 			sent := time.Now()
-			a := call(f, entry, fmt.Sprintf("%04x%012x", r+1, n+1), http.MethodGet, path, 2*time.Second, 3*time.Second, "")
+			a := call(f, entry, fmt.Sprintf("%04x%012x", r+1, n+1), http.MethodGet, path, 2*time.Second, 2*time.Second, "")
 			if a.status == http.StatusNotFound && sent.After(acknowledged.Add(configApply)) && sent.After(inTouch) {
 				f.record.logf("round %d: 404 as an older version says, %d ms after the acknowledgement and %d ms after the freeze", r, sent.Sub(acknowledged).Milliseconds(), sent.Sub(thawed).Milliseconds())
 				stale++
--- a/review/_lab/silent.go
+++ b/review/_lab/silent.go
@@ -128,7 +128,7 @@
 	for i := range answers {
 		time.Sleep(2 * time.Millisecond)
 		group.Go(func() {
-			answers[i] = call(f, f.entries[i%len(f.entries)], fmt.Sprintf("%016x", i+1), http.MethodGet, fmt.Sprintf("/leny950/%d", i), 4*time.Second, 10*time.Second, "")
+			answers[i] = call(f, f.entries[i%len(f.entries)], fmt.Sprintf("%016x", i+1), http.MethodGet, fmt.Sprintf("/leny950/%d", i), 4*time.Second, 4*time.Second, "")
 		})
 	}
 	if trouble {
