Take no part of an answer for the whole when a reset is reported to the writer

What callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. The caller gets the part as a complete answer, now and then.

Cause: Linux reports the error of a socket once. If the goroutine that writes the upload gets it (ECONNRESET), the next read returns 0 bytes, which is the end of an answer without a length. The deadline by which the writer interrupts the reader comes after that, or too late.

Change: package io/wire. Its Conn keeps the failure of the socket that any call was told of, and returns it to the reader in place of the end of the file. If the connection has ended in both directions by then (TCP_INFO, asked only at an end of the file), a write under way returns at once, and the reader waits for its outcome; so it does not matter which goroutine comes first. A peer that ends its side in good order is told from that: the socket is in another state or, if the peer resets the connection later, writes fail with EPIPE, which is no failure. io/pool (endpoints, other hosts, probes) and io/fetch open their connections by it. A request costs one uncontended lock a write more.

--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -20,6 +20,7 @@
 	"clementinelock/core"
 	"clementinelock/core/call"
 	"clementinelock/io/proto"
+	"clementinelock/io/wire"
 )
 
 // Limits of connections to endpoints and of their load reports.
@@ -62,7 +63,7 @@
 func New(connections int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	shared := &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: wire.DialContext(dialer), DisableCompression: true,
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -14,13 +14,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"clementinelock/io/wire"
 )
 
 // connection is one persistent connection; it carries at most one request at a time.
 type connection struct {
 	pool    *Pool
 	address string
-	conn    net.Conn
+	conn    *wire.Conn
 	// openedAt is by when the peer had accepted the connection.
 	openedAt time.Time
 	// limit bounds the bytes that are read from the connection as part of heads, and of answers that are skipped.
@@ -59,7 +61,8 @@
 }
 
 func newConnection(p *Pool, address string, conn net.Conn) *connection {
-	c := &connection{pool: p, address: address, conn: conn, openedAt: time.Now(), limit: io.LimitedReader{R: conn, N: unlimited}, expiresAt: time.Now().Add(24 * time.Hour)}
+	c := &connection{pool: p, address: address, conn: wire.NewConn(conn), openedAt: time.Now(), expiresAt: time.Now().Add(24 * time.Hour)}
+	c.limit = io.LimitedReader{R: c.conn, N: unlimited}
 	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
 	return c
 }
--- a/io/pool/doc.go
+++ b/io/pool/doc.go
@@ -6,5 +6,5 @@
 // connection therefore has one reader that outlives its requests. Bytes that
 // arrive while no request is pending close the connection, an answer with another
 // request's id is skipped, and the pool never sends a request twice. Responses
-// are parsed by net/http.
+// are parsed by net/http; package wire decides which are whole.
 package pool
--- /dev/null
+++ b/io/wire/conn.go
@@ -0,0 +1,103 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a connection whose reads return io.EOF only if the peer has ended its side in good order. One goroutine may read while another
+// one writes.
+type Conn struct {
+	net.Conn
+	// writing is held during a write.
+	writing sync.Mutex
+	mutex   sync.Mutex
+	// failure is the error of the socket, which is reported to one call only.
+	failure error
+}
+
+// NewConn returns a Conn that reads from and writes to the connection.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{Conn: conn}
+}
+
+// DialContext returns a function that opens connections of type *Conn.
+func DialContext(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.recordFailure(err)
+	return n, err
+}
+
+// Read reads from the connection. In place of io.EOF it returns the failure that ended the connection, if there was one.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		c.recordFailure(err)
+		return n, err
+	}
+	if isEnded(c.Conn) {
+		// A write under way returns at once. It may be the call that the failure is reported to.
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.failure != nil {
+		return n, c.failure
+	}
+	return n, err
+}
+
+// recordFailure keeps an error of the socket. EPIPE is none: the connection has ended before, and a peer that has ended its side in good
+// order and then resets the connection causes no other error.
+func (c *Conn) recordFailure(err error) {
+	var number syscall.Errno
+	if !errors.As(err, &number) || number == syscall.EPIPE {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
+// tcpClose is the state of a socket whose connection has ended in both directions, as after a reset. One whose peer has only ended its
+// side is in another state.
+const tcpClose = 7
+
+// isEnded reports whether the connection has ended in both directions, so that writes return at once.
+func isEnded(conn net.Conn) (ended bool) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err == nil && info.State == tcpClose
+	})
+	return err == nil && ended
+}
--- /dev/null
+++ b/io/wire/doc.go
@@ -0,0 +1,7 @@
+// Package wire decides what counts as a whole HTTP/1.1 answer, for each place that reads answers of other processes.
+//
+// Linux reports the failure of a connection, such as a reset, to one call only, a read or a write; reads after that return the end of the
+// file. An answer without a length ends with its connection, so a reader that goes by the end of the file takes a part of such an answer
+// for the whole if the goroutine that writes the request learns of the reset first. Conn returns the failure to its reader whichever
+// goroutine it was reported to.
+package wire
