Deliver a complete answer whose request could not be written whole

What callers saw: an endpoint answers an upload without a length, ends its side of the connection in good order and closes it while the upload is still being written. The caller gets 502, or a long answer is cut short, though the endpoint's answer is complete. Found by the tests of the reset uploads; an orderly end has to count as whole during an upload too.

Cause: when the write of the request fails, the writer interrupts the reader by a deadline, and with it the reading of what the endpoint sent before. The write fails because the endpoint's close resets the connection (EPIPE), or because the entry host ends the transfer of the body once the answer is handed over, which is the case for each answer of over 256 KB to an upload that is still under way.

Change: after an error of the socket the reader is left alone; it comes to the end of the connection by itself, after what was sent before it. It is interrupted as before if the body can't be read or the deadline for the write has passed, unless the answer is passed on already.

--- a/io/entry/reset_upload_test.go
+++ b/io/entry/reset_upload_test.go
@@ -16,6 +16,8 @@
 	"clementinelock/core/roster"
 	"clementinelock/core/routes"
 	"clementinelock/io/stand"
+
+	"golang.org/x/sys/unix"
 )
 
 // earlyAnswer is an answer without a length to an upload that is still being written: its part of a body, how long its end comes after
@@ -160,3 +162,38 @@
 		}
 	}
 }
+
+// TestOrderlyEndDuringAnUpload guards against an answer without a length that is withheld or cut short though its endpoint ended its side
+// of the connection in good order, while the upload is still being written. Some endpoints read on, others close the connection, which
+// resets it since there are bytes that nobody has read.
+func TestOrderlyEndDuringAnUpload(t *testing.T) {
+	answers := earlyAnswers()
+	for name, afterEnd := range map[string]func(conn *net.TCPConn){
+		"reads on":      func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) },
+		"reads nothing": func(*net.TCPConn) { time.Sleep(300 * time.Millisecond) },
+		"closes":        awaitReceived,
+	} {
+		for _, way := range []string{"direct", "through another host"} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				u := startEarlyUploads(t, way, answers, func(conn *net.TCPConn, wait time.Duration) {
+					time.Sleep(wait)
+					_ = conn.CloseWrite()
+					afterEnd(conn)
+				})
+				u.sendAll(t, answers, func(_ string, a earlyAnswer, got earlyResult) {
+					if got.err != nil || got.status != http.StatusOK || got.bytes != int64(a.part) {
+						t.Errorf("%s: the caller got status %d with %d bytes, %v", a.name(), got.status, got.bytes, got.err)
+					}
+				})
+			})
+		}
+	}
+}
+
+// awaitReceived waits until the peer's system has received all that was sent, and the end: a reset discards the rest.
+func awaitReceived(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	for pending := 1; err == nil && pending > 0; time.Sleep(100 * time.Microsecond) {
+		_ = raw.Control(func(fd uintptr) { pending, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	}
+}
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -58,6 +58,8 @@
 	skipped int
 	// streamed is set if the request is written while its answer may arrive already.
 	streamed bool
+	// passedOn is set once a long answer is handed over, before its end has come; the connection's mutex guards it.
+	passedOn bool
 }
 
 func newConnection(p *Pool, address string, conn net.Conn) *connection {
@@ -131,10 +133,14 @@
 	c.carried = append(c.carried, hashOf(r.ID))
 	c.mutex.Unlock()
 	if !e.streamed {
-		if sent, err := c.write(r, t); err != nil && sent == 0 {
+		sent, err := c.write(r, t)
+		if err != nil && sent == 0 {
 			c.close()
 			return Result{Ending: NotSent, Detail: err.Error(), Reset: true}
 		}
+		if err != nil {
+			c.stopWaiting(e, err)
+		}
 		close(e.written)
 	} else {
 		go c.writeStream(r, t, e)
@@ -171,16 +177,21 @@
 func (c *connection) write(r *Request, t Target) (int, error) {
 	now := time.Now()
 	_ = c.conn.SetWriteDeadline(t.Deadline)
-	n, err := c.conn.Write(c.pool.head(r, t, now))
-	if err != nil {
-		// The interrupted reader closes the connection and ends the exchange.
-		c.interruptReads()
-	}
-	return n, err
+	return c.conn.Write(c.pool.head(r, t, now))
 }
 
-func (c *connection) interruptReads() {
-	_ = c.conn.SetReadDeadline(time.Now())
+// stopWaiting ends the wait for the answer to a request that could not be written. The reader of a connection that has failed comes to its
+// end by itself, after what the endpoint has sent before; and an answer that is passed on already needs no more of the request.
+func (c *connection) stopWaiting(e *exchange, err error) {
+	if wire.IsSocketError(err) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !e.passedOn {
+		// The interrupted reader closes the connection and ends the exchange.
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
 }
 
 // writeStream sends a long body part by part.
@@ -209,7 +220,7 @@
 		_, err = io.WriteString(c.conn, "0\r\n\r\n")
 	}
 	if err != nil {
-		c.interruptReads()
+		c.stopWaiting(e, err)
 		return
 	}
 	close(e.written)
@@ -388,6 +399,9 @@
 // streamAnswer hands over a long body and waits until it is read.
 func (c *connection) streamAnswer(e *exchange, response *http.Response, answer *Answer) bool {
 	answer.Rest = &bodyRemainder{connection: c, body: response.Body, done: e.bodyDone}
+	c.mutex.Lock()
+	e.passedOn = true
+	c.mutex.Unlock()
 	e.result <- Result{Answer: answer}
 	<-e.bodyDone
 	return false
--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -67,11 +67,17 @@
 	return n, err
 }
 
+// IsSocketError reports whether the error of a read or a write is the system's, which comes with the end of the connection, and not that of
+// a deadline or of a connection that was closed here.
+func IsSocketError(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number)
+}
+
 // recordFailure keeps an error of the socket. EPIPE is none: the connection has ended before, and a peer that has ended its side in good
 // order and then resets the connection causes no other error.
 func (c *Conn) recordFailure(err error) {
-	var number syscall.Errno
-	if !errors.As(err, &number) || number == syscall.EPIPE {
+	if !IsSocketError(err) || errors.Is(err, syscall.EPIPE) {
 		return
 	}
 	c.mutex.Lock()
