Refuse answers whose head or trailer has a line that is no field

What callers saw: an endpoint in trouble sends an answer in whose head the name of a field holds a blank or a control byte. The caller gets it as an answer, with that line passed on, with a body of another length than the one named, or with another stamp.

Cause: net/http and net/textproto, which parse heads, let blanks in names pass and keep such a name as it is, so that no look-up finds a "Content-Length " or a "Transfer-Encoding ". A line that begins with a blank or a tab is joined to the one before: " : v" behind "Stamp: s" makes the stamp "s : v". That tab is the control byte that passed; other ones in names, and all in values, were refused before. The reason phrase is not looked at; its control bytes pass, though they reach no caller.

Evidence, on: TestBrokenHeads (io/entry: directly, from an endpoint of another host, from that host, GET and POST) fails in 90 of 282 cases, TestBrokenTrailers in 18 of 36; all of the blanks, lines that begin with a blank or tab, and reason phrases. The caller got 200 each time but for nine GETs, whose connection the endpoint left open: 504. Bytes 0, 1, 127, tab, CR, vertical tab, above ASCII and separators in names, and control bytes in values, were refused. TestBrokenHeads of io/fetch fails for each of 9 heads, also for load reports; TestBrokenAnswersOfTheList for the 3 heads (a part of the list, or one that is reset, was refused before), TestBrokenAnswers of io/feed for 3, TestBrokenHeadTellsNothing of io/pool for 2: the pool told of a cold time from such a head.

Change: the Conn of io/wire checks each byte of an answer's heads as it arrives, those of interim answers too, and fails the read at the first one that may not stand there. It is told where an answer begins: by Conn.ReadAnswer for io/pool, which reads endpoints, other hosts and probes, and by wire.Transport for clients of net/http: io/fetch, io/feed and the platform's list. Both check the names of a trailer at the end of the body. A refused answer is one that is no answer, as before: the attempt may have run, the connection ends, the endpoint is judged by it, a safe request is sent once more within its limits (TestSafeRequestAfterABrokenHead), an unsafe one gets 502.

A folded line is refused too, where RFC 9112 lets a gateway choose: it can't be told from a field whose name begins with a blank. A folded line in a trailer can't be seen behind net/http; no trailer of an endpoint is passed on by io/entry.

--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -15,6 +15,7 @@
 	"clementinelock/core/host"
 	"clementinelock/core/member"
 	"clementinelock/core/plan"
+	"clementinelock/io/wire"
 )
 
 const (
@@ -55,6 +56,9 @@
 	return Parse(data)
 }
 
+// client has the settings of http.DefaultClient.
+var client = &http.Client{Transport: wire.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 func load(ctx context.Context, source string) ([]byte, error) {
 	if !strings.HasPrefix(source, "http://") {
 		return os.ReadFile(source)
@@ -65,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/io/fetch/client.go
+++ b/io/fetch/client.go
@@ -51,8 +51,8 @@
 
 // Client sends requests to endpoints.
 type Client struct {
-	shared   *http.Transport
-	unshared *http.Transport
+	shared   *wire.Transport
+	unshared *wire.Transport
 	// returnsID holds, by endpoint, whether its latest answer returned the id of its attempt. Only such an endpoint's
 	// connections are shared: a late second copy of an answer is told from the answer that is expected by its id.
 	returnsID sync.Map
@@ -63,13 +63,13 @@
 func New(connections int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	shared := &http.Transport{
-		DialContext: wire.DialContext(dialer), DisableCompression: true,
+		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	fresh := shared.Clone()
 	fresh.DisableKeepAlives = true
-	return &Client{shared: shared, unshared: fresh}
+	return &Client{shared: wire.NewTransport(shared), unshared: wire.NewTransport(fresh)}
 }
 
 // Attempt is one attempt to send a request to an endpoint.
--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -269,7 +269,7 @@
 
 // readAnswer reads one answer; it returns whether the connection remains open.
 func (c *connection) readAnswer(e *exchange) bool {
-	response, err := c.readFinalHead(e)
+	response, err := c.conn.ReadAnswer(c.reader, e.method)
 	if err != nil {
 		e.result <- Result{Ending: Spoiled, Detail: c.limitDetail(err)}
 		return false
@@ -304,16 +304,6 @@
 	return open
 }
 
-// readFinalHead reads the heads of an answer up to the one that is not interim.
-func (c *connection) readFinalHead(e *exchange) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: e.method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // limitDetail describes a failure to read, whose cause may be that the endpoint sent too many bytes.
 func (c *connection) limitDetail(err error) string {
 	if c.limit.N <= 0 {
--- a/io/pool/failed_write_test.go
+++ b/io/pool/failed_write_test.go
@@ -40,6 +40,15 @@
 
 // sendUpload sends a request of unknown length on a connection to an endpoint that serves it by a function.
 func sendUpload(t *testing.T, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
+	t.Helper()
+	return sendTold(t, nil, wrap, body, serve)
+}
+
+// onHeader is told of the header of each answer.
+type onHeader = func(endpoint string, status int, header http.Header, sentAt time.Time)
+
+// sendTold does the same in a pool that tells of headers.
+func sendTold(t *testing.T, told onHeader, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -60,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Pool{Dialect: proto.Dialect{RequestID: "Id", Deadline: "Deadline"}, open: 1}
+	p := &Pool{Dialect: proto.Dialect{RequestID: "Id", Deadline: "Deadline"}, OnHeader: told, open: 1}
 	c := newConnection(p, "x", wrap(dialled.(*net.TCPConn)))
 	c.acquire()
 	go c.readLoop()
--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -20,6 +20,8 @@
 	mutex   sync.Mutex
 	// failure is the error of the socket, which is reported to one call only.
 	failure error
+	// head checks the heads of the answers that are expected.
+	head headScanner
 }
 
 // NewConn returns a Conn that reads from and writes to the connection.
@@ -27,10 +29,10 @@
 	return &Conn{Conn: conn}
 }
 
-// DialContext returns a function that opens connections of type *Conn.
-func DialContext(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// dialer returns a function that opens connections of type *Conn by another one.
+func dialer(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -38,6 +40,8 @@
 	}
 }
 
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Write writes to the connection.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -47,9 +51,16 @@
 	return n, err
 }
 
-// Read reads from the connection. In place of io.EOF it returns the failure that ended the connection, if there was one.
+// Read reads from the connection. In place of io.EOF it returns the failure that ended the connection, if there was one, and in place of
+// bytes of a head that may not stand there an error.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.headError(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		return c.checkHead(p[:n])
+	}
 	if !errors.Is(err, io.EOF) {
 		c.recordFailure(err)
 		return n, err
@@ -67,6 +78,24 @@
 	return n, err
 }
 
+func (c *Conn) headError() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.head.err
+}
+
+// checkHead returns how many of the bytes come before one that may not stand in the head that is expected, or an error.
+func (c *Conn) checkHead(p []byte) (int, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	n, err := c.head.scan(p)
+	if n > 0 {
+		// The error follows with the next read.
+		return n, nil
+	}
+	return 0, err
+}
+
 // IsSocketError reports whether the error of a read or a write is the system's, which comes with the end of the connection, and not that of
 // a deadline or of a connection that was closed here.
 func IsSocketError(err error) bool {
