Refuse answers whose status code is none

What callers saw on other systems, and here on a second look: an endpoint in trouble sends an answer with status 000. Here it counts as an interim one, so that the caller gets the next head on the connection, or bytes that look like one. Callers of a tree's host find their connection closed.

Cause: each code below 200 counted as that of an interim answer. net/http takes three bytes that strconv.Atoi reads and that are not negative for a code: 000, 099, +20. 101 ends the HTTP of a connection that asked for it, which no request of ours does. In a tree's host the code came to http.ResponseWriter.WriteHeader, which panics below 100; the requests behind it then waited for a slot until their deadline.

Evidence, on: TestBrokenStatus (io/entry, directly and through another host, GET and POST) fails in 45 of 168 cases in 3 of 3 runs, for 000, 001, 099, +20 and 101: 200 with the body of the second head in 30, 504 in 15 where none follows and the connection stays open. 0, 00, 20, 2000, 2x0, -20 and none were refused before. TestBrokenStatus of io/fetch fails for the same five of 11, also for load reports. TestBrokenAnswers of io/daemon gets EOF for 000 and 099, and 504 for 101 behind them.

Change: the scanner of io/wire takes three digits from 100 on for a status code, and not 101. All places that read answers of endpoints, other hosts and the list go through it. 600 and above, and versions such as HTTP/3.7, pass as before: no issue names them.

After: the tests hold; TestInterimStatus, with each other code from 100 to 199 before the answer, held before and after.

--- a/io/wire/answer_test.go
+++ b/io/wire/answer_test.go
@@ -34,6 +34,9 @@
 	{"a folded length", "HTTP/1.1 200 OK\r\nOther: v\r\n Content-Length: 7\r\n\r\nbytes that are more than seven", false},
 	{"a blank in a name of an interim answer", "HTTP/1.1 103 X\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false},
 	{"a control byte in the reason phrase", "HTTP/1.1 200 \x01\r\nContent-Length: 5\r\n\r\nwhole", false},
+	{"status 000", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false},
+	{"status 099 without a reason phrase", "HTTP/1.1 099\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false},
+	{"status 101", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", false},
 	{"a blank in a name of the trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nOt her: v\r\n\r\n", false},
 }
 
--- a/io/wire/doc.go
+++ b/io/wire/doc.go
@@ -6,6 +6,7 @@
 // goroutine it was reported to.
 //
 // net/http, which parses heads and trailers, keeps a blank in the name of a field, so that no look-up finds a length or an encoding of that
-// name, and joins a line that begins with a blank to the one before. Answers with such lines, or with control bytes in a head, are none:
-// Conn.ReadAnswer and Transport, a client of net/http, return errors for them.
+// name, and joins a line that begins with a blank to the one before. It also takes three digits below 100 for a status code, and some texts
+// that are no three digits. Answers with such lines or codes, or with control bytes in a head, are none: Conn.ReadAnswer and Transport, a
+// client of net/http, return errors for them.
 package wire
--- a/io/wire/head.go
+++ b/io/wire/head.go
@@ -26,7 +26,8 @@
 )
 
 // headScanner checks the bytes of an answer's heads as they arrive, those of interim answers too. net/http, which parses them, lets blanks
-// in names pass, joins lines that begin with a blank to the one before, and does not look at the reason phrase.
+// in names pass, joins lines that begin with a blank to the one before, takes more than three digits from 100 on for a status code, and does
+// not look at the reason phrase.
 type headScanner struct {
 	part headPart
 	// code is the status code so far.
@@ -94,6 +95,9 @@
 
 func (s *headScanner) nextOfCode(b byte) error {
 	if b == ' ' || b == '\r' || b == '\n' {
+		if !isStatusCode(s.code) {
+			return fmt.Errorf("answer with status code %q", s.code)
+		}
 		s.part = reasonPhrase
 		return s.nextOfText(b)
 	}
@@ -163,7 +167,21 @@
 	}
 }
 
+// isStatusCode reports whether an answer may have the status code: three digits from 100 on. No request asks for another protocol, so that
+// none is answered with 101.
+func isStatusCode(code []byte) bool {
+	if len(code) != maxCodeBytes-1 || code[0] == '0' || string(code) == "101" {
+		return false
+	}
+	for _, b := range code {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return true
+}
+
 // isInterim reports whether further answers to the same request follow one with the status code.
 func isInterim(code []byte) bool {
-	return string(code) < "200"
+	return code[0] == '1'
 }
