Deliver a complete answer in a tree's host whose request could not be written whole

What callers saw: as in io/entry, an endpoint answers an upload without a length, ends its side of the connection in good order and closes it while the upload is still being written; now and then the attempt counts as broken, or the answer as truncated, though it is complete.

Cause: net/http closes a connection to which it can't write, at once, and with it what the endpoint has sent before.

Change: a failed write on a connection of wire.Transport returns once the reads have come to the end of the connection, which has ended by then, or once the connection is closed here. io/pool, whose writer may be the goroutine that waits for the answer, is not changed.

--- a/io/fetch/reset_test.go
+++ b/io/fetch/reset_test.go
@@ -25,6 +25,19 @@
 	return len(p[:min(len(p), 1<<10)]), nil
 }
 
+// slip puts a connection below those that a transport opens.
+func slip(transport *wire.Transport, below func(conn *net.TCPConn) net.Conn) {
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err == nil {
+			w := conn.(*wire.Conn)
+			w.Conn = below(w.Conn.(*net.TCPConn))
+		}
+		return conn, err
+	}
+}
+
 // TestResetSeenByTheWriter guards against the part of an answer that counts as whole: the endpoint resets the connection while the request
 // is being written, and the reset is reported to the goroutine that writes.
 func TestResetSeenByTheWriter(t *testing.T) {
@@ -43,23 +56,11 @@
 			}
 			defer stop()
 			client := New(1)
-			dial := client.unshared.DialContext
-			client.unshared.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dial(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				below, isWire := conn, false
-				if w, ok := conn.(*wire.Conn); ok {
-					below, isWire = w.Conn, true
-				}
-				ordered := stand.NewOrderedConn(below.(*net.TCPConn), len(text))
+			slip(client.unshared, func(conn *net.TCPConn) net.Conn {
+				ordered := stand.NewOrderedConn(conn, len(text))
 				dialled <- ordered
-				if isWire {
-					return wire.NewConn(ordered), nil
-				}
-				return ordered, nil
-			}
+				return ordered
+			})
 			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Rest: endlessReader{}, Length: -1}
 			attempt, end := client.Start(context.Background(), request, address, 5*core.Second, true)
 			if end != nil {
--- a/io/pool/failed_write_test.go
+++ b/io/pool/failed_write_test.go
@@ -13,31 +13,9 @@
 	"time"
 
 	"clementinelock/io/proto"
+	"clementinelock/io/stand"
 )
 
-// failedWritePause is longer than the writer takes to deal with a failed write.
-const failedWritePause = 50 * time.Millisecond
-
-// lateReadConn lets the bytes that the peer has sent be read only some time after a write has failed.
-type lateReadConn struct {
-	*net.TCPConn
-	failed chan struct{}
-}
-
-func (c *lateReadConn) Read(p []byte) (int, error) {
-	<-c.failed
-	time.Sleep(failedWritePause)
-	return c.TCPConn.Read(p)
-}
-
-func (c *lateReadConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
-	if err != nil {
-		close(c.failed)
-	}
-	return n, err
-}
-
 // sendUpload sends a request of unknown length on a connection to an endpoint that serves it by a function.
 func sendUpload(t *testing.T, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
 	t.Helper()
@@ -89,13 +67,13 @@
 				continue
 			}
 			t.Run(name+", "+reset.Error(), func(t *testing.T) {
-				wrap := func(conn *net.TCPConn) net.Conn { return &lateReadConn{conn, make(chan struct{})} }
+				wrap := func(conn *net.TCPConn) net.Conn { return stand.NewLateReadConn(conn) }
 				result := sendUpload(t, wrap, endlessReader{}, func(conn *net.TCPConn) {
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: one\r\n"+framing+"\r\nbody")
 					if errors.Is(reset, syscall.EPIPE) {
 						_ = conn.CloseWrite()
 					}
-					time.Sleep(failedWritePause)
+					time.Sleep(stand.LateReadPause)
 					_ = conn.SetLinger(0)
 				})
 				if result.Answer == nil || !result.Answer.Whole || string(result.Answer.Body) != "body" {
@@ -130,7 +108,7 @@
 	}
 	defer result.Discard()
 	close(answered)
-	time.AfterFunc(failedWritePause, func() { close(more) })
+	time.AfterFunc(stand.LateReadPause, func() { close(more) })
 	n, err := io.Copy(io.Discard, result.Answer.Rest)
 	if total := int64(len(result.Answer.Body)) + n; total != size || err != nil {
 		t.Errorf("the answer has %d bytes, %v; expected %d", total, err, size)
--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -22,6 +22,9 @@
 	failure error
 	// head checks the heads of the answers that are expected.
 	head headScanner
+	// readEnded is closed when a read has failed, or the connection was closed here. It is nil if failed writes don't wait for that.
+	readEnded chan struct{}
+	endOnce   sync.Once
 }
 
 // NewConn returns a Conn that reads from and writes to the connection.
@@ -36,14 +39,25 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(conn), nil
+		c := NewConn(conn)
+		c.readEnded = make(chan struct{})
+		return c, nil
 	}
 }
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Write writes to the connection.
+// Write writes to the connection. On a connection of a Transport an error of the socket is returned only once the reads have come to their
+// end: net/http closes a connection to which it can't write, and with it what the peer has sent before.
 func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if c.readEnded != nil && IsSocketError(err) {
+		<-c.readEnded
+	}
+	return n, err
+}
+
+func (c *Conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -51,9 +65,29 @@
 	return n, err
 }
 
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.endReads()
+	return c.Conn.Close()
+}
+
+func (c *Conn) endReads() {
+	if c.readEnded != nil {
+		c.endOnce.Do(func() { close(c.readEnded) })
+	}
+}
+
 // Read reads from the connection. In place of io.EOF it returns the failure that ended the connection, if there was one, and in place of
 // bytes of a head that may not stand there an error.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err != nil {
+		c.endReads()
+	}
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	if err := c.headError(); err != nil {
 		return 0, err
 	}
--- a/io/wire/conn_test.go
+++ b/io/wire/conn_test.go
@@ -1,9 +1,11 @@
 package wire_test
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -140,3 +142,44 @@
 		<-done
 	})
 }
+
+// TestFailedWriteOfATransport guards against a failed write that ends before the reads have, or that never ends since nobody reads.
+func TestFailedWriteOfATransport(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		accepted := make(chan net.Conn, 1)
+		address, stop, err := stand.Serve(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "whole")
+			accepted <- conn
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stop()
+		conn, err := wire.NewTransport(&http.Transport{}).DialContext(context.Background(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-accepted
+		ended := make(chan error, 1)
+		go func() { ended <- writeUntilError(conn) }()
+		select {
+		case err := <-ended:
+			t.Fatalf("the write ended before the reads: %v", err)
+		case <-time.After(100 * time.Millisecond):
+		}
+		if closes {
+			_ = conn.Close()
+		} else if text, err := readAll(t, conn); text != "whole" || err != nil {
+			t.Errorf("the reads end with %q, %v", text, err)
+		}
+		select {
+		case err := <-ended:
+			if !errors.Is(err, syscall.EPIPE) {
+				t.Errorf("the write ends with %v, expected a broken pipe", err)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("the write does not end, closed %t", closes)
+		}
+		_ = conn.Close()
+	}
+}
