End an upload at once whose caller resets its connection

What callers saw: nothing; an endpoint was kept until the deadline with an upload whose caller had reset its connection.

Cause: the writer leaves the reader alone after an error of the socket, and took the reset of the caller's connection, which comes through the body, for that of the endpoint's.

Change: the writer asks the connection to the endpoint whether it has ended, in place of the error; so does the Conn of a wire.Transport.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -139,7 +139,7 @@
 			return Result{Ending: NotSent, Detail: err.Error(), Reset: true}
 		}
 		if err != nil {
-			c.stopWaiting(e, err)
+			c.stopWaiting(e)
 		}
 		close(e.written)
 	} else {
@@ -180,10 +180,10 @@
 	return c.conn.Write(c.pool.head(r, t, now))
 }
 
-// stopWaiting ends the wait for the answer to a request that could not be written. The reader of a connection that has failed comes to its
-// end by itself, after what the endpoint has sent before; and an answer that is passed on already needs no more of the request.
-func (c *connection) stopWaiting(e *exchange, err error) {
-	if wire.IsSocketError(err) {
+// stopWaiting ends the wait for the answer to a request that could not be written. The reader of a connection that has ended comes to its end
+// by itself, after what the endpoint has sent before; and an answer that is passed on already needs no more of the request.
+func (c *connection) stopWaiting(e *exchange) {
+	if c.conn.HasEnded() {
 		return
 	}
 	c.mutex.Lock()
@@ -220,7 +220,7 @@
 		_, err = io.WriteString(c.conn, "0\r\n\r\n")
 	}
 	if err != nil {
-		c.stopWaiting(e, err)
+		c.stopWaiting(e)
 		return
 	}
 	close(e.written)
--- a/io/wire/conn.go
+++ b/io/wire/conn.go
@@ -47,11 +47,11 @@
 
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Write writes to the connection. On a connection of a Transport an error of the socket is returned only once the reads have come to their
-// end: net/http closes a connection to which it can't write, and with it what the peer has sent before.
+// Write writes to the connection. On a connection of a Transport that has ended it returns the error only once the reads have come to their end:
+// net/http closes a connection to which it can't write, and with it what the peer has sent before.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
-	if c.readEnded != nil && IsSocketError(err) {
+	if err != nil && c.readEnded != nil && c.HasEnded() {
 		<-c.readEnded
 	}
 	return n, err
@@ -99,7 +99,7 @@
 		c.recordFailure(err)
 		return n, err
 	}
-	if isEnded(c.Conn) {
+	if c.HasEnded() {
 		// A write under way returns at once. It may be the call that the failure is reported to.
 		c.writing.Lock()
 		defer c.writing.Unlock()
@@ -130,17 +130,11 @@
 	return 0, err
 }
 
-// IsSocketError reports whether the error of a read or a write is the system's, which comes with the end of the connection, and not that of
-// a deadline or of a connection that was closed here.
-func IsSocketError(err error) bool {
-	var number syscall.Errno
-	return errors.As(err, &number)
-}
-
 // recordFailure keeps an error of the socket. EPIPE is none: the connection has ended before, and a peer that has ended its side in good
 // order and then resets the connection causes no other error.
 func (c *Conn) recordFailure(err error) {
-	if !IsSocketError(err) || errors.Is(err, syscall.EPIPE) {
+	var number syscall.Errno
+	if !errors.As(err, &number) || number == syscall.EPIPE {
 		return
 	}
 	c.mutex.Lock()
@@ -154,9 +148,10 @@
 // side is in another state.
 const tcpClose = 7
 
-// isEnded reports whether the connection has ended in both directions, so that writes return at once.
-func isEnded(conn net.Conn) (ended bool) {
-	socket, ok := conn.(syscall.Conn)
+// HasEnded reports whether the connection has ended in both directions without having been closed here: writes fail at once, and reads return
+// what the peer has sent before, and then the end.
+func (c *Conn) HasEnded() (ended bool) {
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/io/wire/head.go
+++ b/io/wire/head.go
@@ -26,8 +26,8 @@
 )
 
 // headScanner checks the bytes of an answer's heads as they arrive, those of interim answers too. net/http, which parses them, lets blanks
-// in names pass, joins lines that begin with a blank to the one before, takes more than three digits from 100 on for a status code, and does
-// not look at the reason phrase.
+// in names pass, joins lines that begin with a blank to the one before, takes other texts than three digits from 100 on for a status code, and
+// does not look at the reason phrase.
 type headScanner struct {
 	part headPart
 	// code is the status code so far.
