--- a/io/entry/reset_upload_test.go
+++ b/io/entry/reset_upload_test.go
@@ -134,17 +134,17 @@
 	callers.Wait()
 }
 
-// earlyTables is how often each answer is sent: which goroutine of a connection learns of its reset first is left to chance here, and
+// earlyRounds is how often each answer is sent: which goroutine of a connection learns of its reset first is left to chance here, and
 // set in TestResetSeenByTheWriter of io/pool.
-const earlyTables = 8
+const earlyRounds = 8
 
 // TestResetDuringAnUpload guards against the part of an answer that reaches its caller as a complete one: the endpoint answers without a
 // length while the upload is still being written, and resets the connection.
 func TestResetDuringAnUpload(t *testing.T) {
 	answers := earlyAnswers()
 	for _, way := range []string{"direct", "through another host"} {
-		for table := range earlyTables {
-			t.Run(fmt.Sprint(way, ", ", table), func(t *testing.T) {
+		for round := range earlyRounds {
+			t.Run(fmt.Sprint(way, ", ", round), func(t *testing.T) {
 				u := startEarlyUploads(t, way, answers, func(conn *net.TCPConn, wait time.Duration) {
 					time.Sleep(wait)
 					_ = conn.SetLinger(0)
--- a/io/fetch/failed_write_test.go
+++ b/io/fetch/failed_write_test.go
@@ -30,8 +30,8 @@
 			}
 			defer stop()
 			client := New(1)
-			slip(client.unshared, func(conn *net.TCPConn) net.Conn { return stand.NewLateReadConn(conn) })
-			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Rest: endlessReader{}, Length: -1}
+			wrapConns(client.unshared, func(conn *net.TCPConn) net.Conn { return stand.NewLateReadConn(conn) })
+			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Rest: stand.EndlessBody{}, Length: -1}
 			attempt, end := client.Start(context.Background(), request, address, 5*core.Second, true)
 			if end != nil {
 				t.Fatalf("the request ends %v, %s", end.Ending, end.Detail)
--- a/io/fetch/reset_test.go
+++ b/io/fetch/reset_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"clementinelock/core"
 	"clementinelock/core/call"
@@ -17,22 +16,14 @@
 	"clementinelock/io/wire"
 )
 
-// endlessReader returns zeroes without end, in parts.
-type endlessReader struct{}
-
-func (endlessReader) Read(p []byte) (int, error) {
-	time.Sleep(time.Millisecond)
-	return len(p[:min(len(p), 1<<10)]), nil
-}
-
-// slip puts a connection below those that a transport opens.
-func slip(transport *wire.Transport, below func(conn *net.TCPConn) net.Conn) {
+// wrapConns wraps the sockets below the connections that a transport opens.
+func wrapConns(transport *wire.Transport, wrap func(conn *net.TCPConn) net.Conn) {
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err == nil {
 			w := conn.(*wire.Conn)
-			w.Conn = below(w.Conn.(*net.TCPConn))
+			w.Conn = wrap(w.Conn.(*net.TCPConn))
 		}
 		return conn, err
 	}
@@ -56,12 +47,12 @@
 			}
 			defer stop()
 			client := New(1)
-			slip(client.unshared, func(conn *net.TCPConn) net.Conn {
+			wrapConns(client.unshared, func(conn *net.TCPConn) net.Conn {
 				ordered := stand.NewOrderedConn(conn, len(text))
 				dialled <- ordered
 				return ordered
 			})
-			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Rest: endlessReader{}, Length: -1}
+			request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Rest: stand.EndlessBody{}, Length: -1}
 			attempt, end := client.Start(context.Background(), request, address, 5*core.Second, true)
 			if end != nil {
 				return
--- a/io/pool/broken_head_test.go
+++ b/io/pool/broken_head_test.go
@@ -17,16 +17,16 @@
 		"a name that is a blank": "HTTP/1.1 200 OK\r\nId: one\r\nCold: 5\r\n 000: v\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			told := make(chan http.Header, 1)
-			tell := func(_ string, _ int, header http.Header, _ time.Time) { told <- header }
-			result := sendTold(t, tell, func(conn *net.TCPConn) net.Conn { return conn }, strings.NewReader("body"), func(conn *net.TCPConn) {
+			headers := make(chan http.Header, 1)
+			observe := func(_ string, _ int, header http.Header, _ time.Time) { headers <- header }
+			result := sendObserved(t, observe, func(conn *net.TCPConn) net.Conn { return conn }, strings.NewReader("body"), func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, head)
 			})
 			if result.Ending != Spoiled {
 				t.Errorf("the request ends %s, %s", result.Ending, result.Detail)
 			}
 			select {
-			case header := <-told:
+			case header := <-headers:
 				t.Errorf("the endpoint is believed %v", header)
 			default:
 			}
--- a/io/pool/failed_write_test.go
+++ b/io/pool/failed_write_test.go
@@ -19,14 +19,14 @@
 // sendUpload sends a request of unknown length on a connection to an endpoint that serves it by a function.
 func sendUpload(t *testing.T, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
 	t.Helper()
-	return sendTold(t, nil, wrap, body, serve)
+	return sendObserved(t, nil, wrap, body, serve)
 }
 
 // onHeader is told of the header of each answer.
 type onHeader = func(endpoint string, status int, header http.Header, sentAt time.Time)
 
-// sendTold does the same in a pool that tells of headers.
-func sendTold(t *testing.T, told onHeader, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
+// sendObserved does the same in a pool whose OnHeader is given.
+func sendObserved(t *testing.T, observe onHeader, wrap func(*net.TCPConn) net.Conn, body io.Reader, serve func(conn *net.TCPConn)) Result {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Pool{Dialect: proto.Dialect{RequestID: "Id", Deadline: "Deadline"}, OnHeader: told, open: 1}
+	p := &Pool{Dialect: proto.Dialect{RequestID: "Id", Deadline: "Deadline"}, OnHeader: observe, open: 1}
 	c := newConnection(p, "x", wrap(dialled.(*net.TCPConn)))
 	c.acquire()
 	go c.readLoop()
@@ -68,7 +68,7 @@
 			}
 			t.Run(name+", "+reset.Error(), func(t *testing.T) {
 				wrap := func(conn *net.TCPConn) net.Conn { return stand.NewLateReadConn(conn) }
-				result := sendUpload(t, wrap, endlessReader{}, func(conn *net.TCPConn) {
+				result := sendUpload(t, wrap, stand.EndlessBody{}, func(conn *net.TCPConn) {
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: one\r\n"+framing+"\r\nbody")
 					if errors.Is(reset, syscall.EPIPE) {
 						_ = conn.CloseWrite()
--- a/io/pool/reset_test.go
+++ b/io/pool/reset_test.go
@@ -8,19 +8,10 @@
 	"net"
 	"strings"
 	"testing"
-	"time"
 
 	"clementinelock/io/stand"
 )
 
-// endlessReader returns zeroes without end, in parts.
-type endlessReader struct{}
-
-func (endlessReader) Read(p []byte) (int, error) {
-	time.Sleep(time.Millisecond)
-	return len(p[:min(len(p), 1<<10)]), nil
-}
-
 // TestResetSeenByTheWriter guards against the part of an answer that counts as whole: the endpoint resets the connection while the request
 // is being written, and the reset is reported to the goroutine that writes.
 func TestResetSeenByTheWriter(t *testing.T) {
@@ -33,7 +24,7 @@
 				ordered <- o
 				return o
 			}
-			result := sendUpload(t, wrap, endlessReader{}, func(conn *net.TCPConn) {
+			result := sendUpload(t, wrap, stand.EndlessBody{}, func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, text)
 				<-(<-ordered).Received
 				_ = conn.SetLinger(0)
