Read what an answer says about its connection before handing it over

What callers saw: a host's process can end, with all its requests.

Cause: the answer to an upload is handed over before its connection is released, since the request may still be being written.

Change: readAnswer takes these terms out of the header first, and release goes by them. The parsing is as before.

--- a/io/pool/connection.go
+++ b/io/pool/connection.go
@@ -10,8 +10,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -232,13 +230,14 @@
 		return c.streamAnswer(e, response, answer)
 	}
 	answer.Whole = true
+	terms := c.pool.reuseTerms(response)
 	if e.streamed {
 		e.result <- Result{Answer: answer}
-		c.release(e, response)
+		c.release(e, terms)
 		return c.isOpen()
 	}
 	// The caller's next request may follow the answer at once, and must find the connection in the pool.
-	c.release(e, response)
+	c.release(e, terms)
 	open := c.isOpen()
 	e.result <- Result{Answer: answer}
 	return open
@@ -275,28 +274,6 @@
 	return false
 }
 
-// release returns the connection to the pool unless it can't be reused.
-func (c *connection) release(e *exchange, response *http.Response) {
-	written := true
-	select {
-	case <-e.written:
-	case <-time.After(writeGracePeriod):
-		written = false
-	}
-	c.mutex.Lock()
-	c.pending = nil
-	c.busy = false
-	now := time.Now()
-	c.idleSince = now
-	c.applyKeepAlive(now, response)
-	keep := written && !response.Close && !c.pool.Dialect.IsLeaving(response.Header) && !c.closed && !c.expiresAt.Before(now) && c.reader.Buffered() == 0 && len(c.carried) < maxCarried
-	c.closed = c.closed || !keep
-	c.mutex.Unlock()
-	if keep {
-		c.pool.put(c)
-	}
-}
-
 // isEndExpected reports whether the endpoint may close the connection while it goes on.
 func (c *connection) isEndExpected() bool {
 	c.mutex.Lock()
@@ -315,17 +292,6 @@
 	return !c.closed
 }
 
-// applyKeepAlive takes over the idle time that the endpoint grants, less a fifth of it.
-func (c *connection) applyKeepAlive(now time.Time, response *http.Response) {
-	for _, part := range strings.Split(response.Header.Get("Keep-Alive"), ",") {
-		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		seconds, err := strconv.Atoi(text)
-		if found && err == nil && !c.expiresAt.IsZero() {
-			c.expiresAt = now.Add(time.Duration(min(max(0, seconds), maxKeepAliveSeconds)) * time.Second * 4 / 5)
-		}
-	}
-}
-
 // streamAnswer hands over a long body and waits until it is read.
 func (c *connection) streamAnswer(e *exchange, response *http.Response, answer *Answer) bool {
 	answer.Rest = &bodyRemainder{connection: c, body: response.Body, done: e.bodyDone}
