--- a/review/_third/silent.go
+++ b/review/_third/silent.go
@@ -99,7 +99,7 @@
 	for _, e := range f.endpoints {
 		e.mutex.Lock()
 		for c := range e.conns {
-			if open++; c.busy.Load() && silenced < open/2 {
+			if open++; c.busy.Load() && !c.silent.Load() && silenced < open/2 {
 				c.silent.Store(true)
 				silenced++
 			}
