--- a/review/_third/link.go
+++ b/review/_third/link.go
@@ -9,11 +9,13 @@
 	"time"
 )
 
-// Retransmission of a kernel on a path with a round trip of 40 ms: the first one after firstRetry, then after twice as long each time.
 const (
-	firstRetry  = 240 * time.Millisecond
+	// firstRetry is when a kernel sends bytes again for the first time on a path with a round trip of 40 ms; then it waits twice as long
+	// each time.
+	firstRetry = 240 * time.Millisecond
+	// queueLength is that of the queue of new connections during a cut, maxFillers is more connections than it takes.
 	queueLength = 1
-	dummies     = 4
+	maxFillers  = 4
 )
 
 // link is the network between the hosts and one endpoint. While it is cut it passes nothing: bytes that are under way are sent again
@@ -24,10 +26,10 @@
 	listener *net.TCPListener
 
 	mutex sync.Mutex
-	// cutAt and healedAt are those of the latest cut; healed is closed when it ends, nil without a cut.
-	cutAt, healedAt time.Time
-	healed          chan struct{}
-	fillers         []net.Conn
+	// healedAt is when the latest cut ended; healed is closed when the present one ends, nil without one.
+	healedAt time.Time
+	healed   chan struct{}
+	fillers  []net.Conn
 }
 
 func newLink(address, to string) *link {
@@ -58,8 +60,8 @@
 	raw, err := l.listener.SyscallConn()
 	must(err)
 	must(raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), queueLength) }))
-	l.cutAt, l.healed = time.Now(), make(chan struct{})
-	for range dummies {
+	l.healed = make(chan struct{})
+	for range maxFillers {
 		conn, err := net.DialTimeout("tcp", l.address, 20*time.Millisecond)
 		if err == nil {
 			l.fillers = append(l.fillers, conn)
